--- /dev/null
+++ b/clock/instant_test.go
@@ -0,0 +1,40 @@
+package clock_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pistachiomount.example/pistachiomount/clock"
+)
+
+// Guards against a lease that outlives a VM suspension its monotonic clock did not count.
+func TestElapsedCountsSuspension(t *testing.T) {
+	is := is.New(t)
+	var c clock.Manual
+	start := c.Now()
+	c.Suspend(5 * time.Second)
+	is.Equal(c.Now().ElapsedSince(start), 5*time.Second)
+	is.True(!c.Now().Before(start.Add(3 * time.Second)))
+}
+
+// Guards against a wall clock set back that extends a lease.
+func TestWallClockSetBackDoesNotExtend(t *testing.T) {
+	is := is.New(t)
+	var c clock.Manual
+	start := c.Now()
+	c.SetWall(-time.Hour)
+	c.Advance(4 * time.Second)
+	is.Equal(c.Now().ElapsedSince(start), 4*time.Second)
+	is.True(!c.Now().Before(start.Add(3 * time.Second)))
+}
+
+func TestSystemClockMovesForward(t *testing.T) {
+	is := is.New(t)
+	c := clock.NewSystem()
+	a := c.Now()
+	b := c.Now()
+	is.True(b.Mono >= a.Mono)
+	is.True(b.Boot >= a.Boot)
+}
--- /dev/null
+++ b/clock/manual.go
@@ -0,0 +1,41 @@
+package clock
+
+import (
+	"sync"
+	"time"
+)
+
+// Manual is a clock that only moves when told to. Its zero value is ready to use.
+type Manual struct {
+	mu  sync.Mutex
+	now Instant
+}
+
+// Now returns the current instant.
+func (m *Manual) Now() Instant {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.now
+}
+
+// Advance moves all clocks by d.
+func (m *Manual) Advance(d time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.now = m.now.Add(d)
+}
+
+// Suspend moves the boot-time and wall clocks by d while the monotonic clock stands still.
+func (m *Manual) Suspend(d time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.now.Boot += d
+	m.now.Wall += d
+}
+
+// SetWall moves only the wall clock by d, which may be negative.
+func (m *Manual) SetWall(d time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.now.Wall += d
+}
