--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 	$(GO) build -trimpath -o $(BIN)/ ./cmd/...
 
 test:
-	$(GO) test -race ./...
+	scripts/test.sh
 
 bench:
 	scripts/bench.sh
--- a/scripts/ci.sh
+++ b/scripts/ci.sh
@@ -23,4 +23,4 @@
 scripts/check-generated.sh
 
 echo "== tests"
-scripts/test.sh
+make test
