--- /dev/null
+++ b/document/route.go
@@ -0,0 +1,52 @@
+package document
+
+import "time"
+
+// Mode says when the requests of a route run.
+type Mode string
+
+const (
+	// ModeDirect runs a request while its caller waits. It is the default.
+	ModeDirect Mode = "direct"
+	// ModeDeferred queues a request durably and runs it from spare capacity.
+	ModeDeferred Mode = "deferred"
+)
+
+// Defaults and bounds of route settings.
+const (
+	DefaultDeadlineMS   = 10_000
+	MaxDeadlineMS       = 120_000
+	DefaultMaxBodyBytes = 1 << 20
+	MaxMaxBodyBytes     = 64 << 20
+)
+
+// Route is a path prefix of a service with the rules of its requests.
+type Route struct {
+	// Prefix matches whole path segments.
+	Prefix  string   `yaml:"prefix"`
+	Methods []string `yaml:"methods"`
+	// Idempotent requests may be retried and hedged.
+	Idempotent bool `yaml:"idempotent"`
+	// Public routes need no key.
+	Public bool `yaml:"public"`
+	Mode   Mode `yaml:"mode"`
+	// DeadlineMS is the longest time a request may take, in milliseconds.
+	DeadlineMS uint32 `yaml:"deadline_ms"`
+	// MaxBodyBytes is the largest request body.
+	MaxBodyBytes uint64 `yaml:"max_body_bytes"`
+}
+
+// Deadline returns the longest time a request may take.
+func (r *Route) Deadline() time.Duration {
+	return time.Duration(r.DeadlineMS) * time.Millisecond
+}
+
+// AllowsMethod reports whether the route takes requests with the method.
+func (r *Route) AllowsMethod(method string) bool {
+	for _, m := range r.Methods {
+		if m == method {
+			return true
+		}
+	}
+	return false
+}
