Add the replicated state machine and the drpc transport

Cause: documents, claims and deferred jobs must survive and be decided alike on every control daemon; own processes need calls that notice a silent peer.

--- /dev/null
+++ b/store/claims.go
@@ -0,0 +1,149 @@
+package store
+
+import (
+	"bytes"
+	"container/list"
+
+	"pistachiomount.example/pistachiomount/apipb"
+)
+
+// claimKey identifies a non-idempotent request.
+type claimKey struct {
+	customer, route, idempotencyKey string
+}
+
+// claims records which non-idempotent requests may have run. Everything that
+// decides an answer follows from the records in creation order, so that a member
+// restored from a snapshot decides alike.
+type claims struct {
+	byKey map[claimKey]*list.Element
+	order *list.List // of *claimEntry, oldest first
+	// firstBody is the oldest entry that may have a stored body.
+	firstBody *list.Element
+	bodyBytes int
+	nextSeq   uint64
+}
+
+type claimEntry struct {
+	record *apipb.ClaimRecord
+	seq    uint64
+}
+
+func newClaims() *claims {
+	return &claims{byKey: map[claimKey]*list.Element{}, order: list.New()}
+}
+
+func keyOf(r *apipb.ClaimRecord) claimKey {
+	return claimKey{r.Customer, r.Route, r.IdempotencyKey}
+}
+
+func (c *claims) find(key claimKey) *list.Element { return c.byKey[key] }
+
+func recordOf(e *list.Element) *apipb.ClaimRecord { return e.Value.(*claimEntry).record }
+
+func (c *claims) claim(request *apipb.ClaimRequest, nowMS int64) *apipb.ClaimReply {
+	key := claimKey{request.Customer, request.Route, request.IdempotencyKey}
+	if found := c.find(key); found != nil {
+		return repeatedClaim(recordOf(found), request)
+	}
+	if c.order.Len() >= MaxClaims {
+		return &apipb.ClaimReply{Status: apipb.ClaimStatus_CLAIM_STATUS_FULL}
+	}
+	c.add(&apipb.ClaimRecord{
+		Customer:       request.Customer,
+		Route:          request.Route,
+		IdempotencyKey: request.IdempotencyKey,
+		BodyDigest:     request.BodyDigest,
+		AttemptId:      request.AttemptId,
+		Holder:         request.Holder,
+		CreatedMs:      nowMS,
+	})
+	return &apipb.ClaimReply{Status: apipb.ClaimStatus_CLAIM_STATUS_GRANTED}
+}
+
+// repeatedClaim answers a claim that exists. The attempt that made it gets it
+// again, since its first answer may have been lost before it sent anything.
+func repeatedClaim(found *apipb.ClaimRecord, request *apipb.ClaimRequest) *apipb.ClaimReply {
+	switch {
+	case !bytes.Equal(found.BodyDigest, request.BodyDigest):
+		return &apipb.ClaimReply{Status: apipb.ClaimStatus_CLAIM_STATUS_MISMATCH}
+	case found.Outcome != nil:
+		return &apipb.ClaimReply{Status: apipb.ClaimStatus_CLAIM_STATUS_DONE, Outcome: found.Outcome}
+	case found.AttemptId == request.AttemptId:
+		return &apipb.ClaimReply{Status: apipb.ClaimStatus_CLAIM_STATUS_GRANTED}
+	}
+	return &apipb.ClaimReply{Status: apipb.ClaimStatus_CLAIM_STATUS_RUNNING}
+}
+
+func (c *claims) complete(request *apipb.CompleteRequest) *apipb.CompleteReply {
+	element := c.find(claimKey{request.Customer, request.Route, request.IdempotencyKey})
+	if element == nil || request.Outcome == nil || recordOf(element).AttemptId != request.AttemptId {
+		return &apipb.CompleteReply{}
+	}
+	switch record := recordOf(element); {
+	case record.Outcome != nil:
+	case request.Outcome.NotRun:
+		c.remove(element)
+	default:
+		record.Outcome = request.Outcome
+		c.keepBody(element)
+	}
+	return &apipb.CompleteReply{Recorded: true}
+}
+
+func (c *claims) add(record *apipb.ClaimRecord) {
+	c.nextSeq++
+	element := c.order.PushBack(&claimEntry{record: record, seq: c.nextSeq})
+	c.byKey[keyOf(record)] = element
+	if record.Outcome != nil {
+		c.keepBody(element)
+	}
+}
+
+func (c *claims) remove(element *list.Element) {
+	record := recordOf(element)
+	c.dropBody(record)
+	if c.firstBody == element {
+		c.firstBody = element.Next()
+	}
+	delete(c.byKey, keyOf(record))
+	c.order.Remove(element)
+}
+
+// keepBody accounts for a stored body and drops the oldest bodies beyond the
+// bound. An outcome without its body still shows that the request ran, and how
+// it ended.
+func (c *claims) keepBody(element *list.Element) {
+	outcome := recordOf(element).Outcome
+	if len(outcome.Body) > MaxOutcomeBytes {
+		outcome.Body, outcome.BodyOmitted = nil, true
+	}
+	if len(outcome.Body) == 0 {
+		return
+	}
+	c.bodyBytes += len(outcome.Body)
+	if c.firstBody == nil || element.Value.(*claimEntry).seq < c.firstBody.Value.(*claimEntry).seq {
+		c.firstBody = element
+	}
+	for c.bodyBytes > MaxClaimBodyBytes {
+		c.dropBody(recordOf(c.firstBody))
+		c.firstBody = c.firstBody.Next()
+	}
+}
+
+func (c *claims) dropBody(record *apipb.ClaimRecord) {
+	if record.Outcome == nil || len(record.Outcome.Body) == 0 {
+		return
+	}
+	c.bodyBytes -= len(record.Outcome.Body)
+	record.Outcome.Body, record.Outcome.BodyOmitted = nil, true
+}
+
+func (c *claims) expire(nowMS int64) {
+	for front := c.order.Front(); front != nil; front = c.order.Front() {
+		if recordOf(front).CreatedMs+ClaimRetention.Milliseconds() > nowMS {
+			return
+		}
+		c.remove(front)
+	}
+}
--- /dev/null
+++ b/store/environment.go
@@ -0,0 +1,181 @@
+package store
+
+import (
+	"pistachiomount.example/pistachiomount/apipb"
+	"pistachiomount.example/pistachiomount/document"
+)
+
+// environment holds the document in force and the accepted ones before it.
+type environment struct {
+	raw      []byte
+	history  []*apipb.HistoryEntry
+	byNumber map[uint64]*apipb.HistoryEntry
+	digests  map[string]*apipb.HistoryEntry
+	recent   []*Version
+}
+
+// Version is an accepted document.
+type Version struct {
+	Revision uint64
+	Number   uint64
+	Digest   string
+	Raw      []byte
+}
+
+func newEnvironment() *environment {
+	return &environment{byNumber: map[uint64]*apipb.HistoryEntry{}, digests: map[string]*apipb.HistoryEntry{}}
+}
+
+func (e *environment) last() *apipb.HistoryEntry {
+	if len(e.history) == 0 {
+		return &apipb.HistoryEntry{}
+	}
+	return e.history[len(e.history)-1]
+}
+
+// accept puts a document in force.
+func (e *environment) accept(entry *apipb.HistoryEntry, raw []byte) {
+	e.raw = raw
+	e.record(entry)
+	e.recent = append(e.recent, &Version{Revision: entry.Revision, Number: entry.Number, Digest: entry.Digest, Raw: raw})
+	e.trimRecent()
+}
+
+func (e *environment) record(entry *apipb.HistoryEntry) {
+	e.history = append(e.history, entry)
+	e.byNumber[entry.Number] = entry
+	e.digests[entry.Digest] = entry
+	for len(e.history) > MaxHistory {
+		oldest := e.history[0]
+		e.history = e.history[1:]
+		delete(e.byNumber, oldest.Number)
+		if e.digests[oldest.Digest] == oldest {
+			delete(e.digests, oldest.Digest)
+		}
+	}
+}
+
+// trimRecent bounds the former documents kept; the newest always stays.
+func (e *environment) trimRecent() {
+	total := 0
+	for _, v := range e.recent {
+		total += len(v.Raw)
+	}
+	for len(e.recent) > 1 && (len(e.recent) > maxRecent || total > maxRecentBytes) {
+		total -= len(e.recent[0].Raw)
+		e.recent[0] = nil
+		e.recent = e.recent[1:]
+	}
+}
+
+// submit decides on a document. The first answer to a number and digest is given
+// again to every resend.
+func (s *Store) submit(request *apipb.SubmitDocument, index uint64) *apipb.SubmitResult {
+	env := s.environments[request.Environment]
+	digest := document.Digest(request.Document)
+	if env == nil {
+		return refuse(apipb.SubmitStatus_SUBMIT_STATUS_INVALID, request, digest, &apipb.HistoryEntry{}, "unknown environment")
+	}
+	if first := env.byNumber[request.Number]; first != nil && first.Digest == digest {
+		return accepted(first, true, env.last())
+	}
+	if status, message := s.judge(request, env, digest); status != apipb.SubmitStatus_SUBMIT_STATUS_ACCEPTED {
+		return refuse(status, request, digest, env.last(), message)
+	}
+	entry := &apipb.HistoryEntry{
+		Environment: request.Environment,
+		Number:      request.Number,
+		Digest:      digest,
+		Revision:    index,
+		TimeMs:      s.nowMS,
+		Operator:    request.Operator,
+	}
+	env.accept(entry, request.Document)
+	return accepted(entry, false, entry)
+}
+
+func (s *Store) judge(request *apipb.SubmitDocument, env *environment, digest string) (apipb.SubmitStatus, string) {
+	current := env.last().Number
+	if request.Environment == apipb.Environment_ENVIRONMENT_TRIAL {
+		if request.Number != current+1 {
+			return apipb.SubmitStatus_SUBMIT_STATUS_CONFLICT, "the next number in trial is the one in force plus 1"
+		}
+		return apipb.SubmitStatus_SUBMIT_STATUS_ACCEPTED, ""
+	}
+	if request.Number <= current {
+		return apipb.SubmitStatus_SUBMIT_STATUS_CONFLICT, "a number at or above this one is in force"
+	}
+	if s.environments[apipb.Environment_ENVIRONMENT_TRIAL].digests[digest] == nil {
+		return apipb.SubmitStatus_SUBMIT_STATUS_NOT_IN_TRIAL, "these bytes were not accepted in trial"
+	}
+	return apipb.SubmitStatus_SUBMIT_STATUS_ACCEPTED, ""
+}
+
+func accepted(entry *apipb.HistoryEntry, repeated bool, current *apipb.HistoryEntry) *apipb.SubmitResult {
+	return &apipb.SubmitResult{
+		Status:        apipb.SubmitStatus_SUBMIT_STATUS_ACCEPTED,
+		Number:        entry.Number,
+		Digest:        entry.Digest,
+		Revision:      entry.Revision,
+		NumberInForce: current.Number,
+		DigestInForce: current.Digest,
+		Repeated:      repeated,
+	}
+}
+
+func refuse(status apipb.SubmitStatus, request *apipb.SubmitDocument, digest string, current *apipb.HistoryEntry, message string) *apipb.SubmitResult {
+	return &apipb.SubmitResult{
+		Status:        status,
+		Number:        request.Number,
+		Digest:        digest,
+		NumberInForce: current.Number,
+		DigestInForce: current.Digest,
+		Message:       message,
+	}
+}
+
+// InForce returns the document in force, or nil if there is none.
+func (s *Store) InForce(env apipb.Environment) *Version {
+	e := s.environments[env]
+	if e == nil || len(e.recent) == 0 {
+		return nil
+	}
+	return e.recent[len(e.recent)-1]
+}
+
+// Former returns a recent document by its revision, or nil if it is no longer kept.
+func (s *Store) Former(env apipb.Environment, revision uint64) *Version {
+	if e := s.environments[env]; e != nil {
+		for _, v := range e.recent {
+			if v.Revision == revision {
+				return v
+			}
+		}
+	}
+	return nil
+}
+
+// ByNumber returns a recent document by its number, or nil if it is no longer kept.
+func (s *Store) ByNumber(env apipb.Environment, number uint64) *Version {
+	if e := s.environments[env]; e != nil {
+		for _, v := range e.recent {
+			if v.Number == number {
+				return v
+			}
+		}
+	}
+	return nil
+}
+
+// History returns the newest accepted documents, newest first, at most limit.
+func (s *Store) History(env apipb.Environment, limit int) []*apipb.HistoryEntry {
+	e := s.environments[env]
+	if e == nil {
+		return nil
+	}
+	entries := make([]*apipb.HistoryEntry, 0, min(limit, len(e.history)))
+	for i := len(e.history) - 1; i >= 0 && len(entries) < limit; i-- {
+		entries = append(entries, e.history[i])
+	}
+	return entries
+}
--- /dev/null
+++ b/store/snapshot.go
@@ -0,0 +1,69 @@
+package store
+
+import (
+	"github.com/juju/errors"
+	"google.golang.org/protobuf/proto"
+
+	"pistachiomount.example/pistachiomount/apipb"
+)
+
+// ErrDamagedSnapshot says that a snapshot cannot be decoded.
+const ErrDamagedSnapshot = errors.ConstError("the snapshot cannot be decoded")
+
+// Snapshot encodes the whole state.
+func (s *Store) Snapshot() ([]byte, error) {
+	message := &apipb.StoreSnapshot{ClusterId: s.clusterID, NowMs: s.nowMS}
+	for _, env := range []apipb.Environment{
+		apipb.Environment_ENVIRONMENT_TRIAL,
+		apipb.Environment_ENVIRONMENT_PRODUCTION,
+	} {
+		e := s.environments[env]
+		message.Environments = append(message.Environments, &apipb.EnvironmentSnapshot{
+			Environment: env, Document: e.raw, History: e.history,
+		})
+	}
+	for e := s.claims.order.Front(); e != nil; e = e.Next() {
+		message.Claims = append(message.Claims, recordOf(e))
+	}
+	for _, list := range [][]*apipb.Job{s.jobs.queue, s.jobs.started, s.jobs.done} {
+		message.Jobs = append(message.Jobs, list...)
+	}
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(message)
+	return data, errors.Trace(err)
+}
+
+// Restore replaces the state by that of a snapshot. Former documents are not
+// part of it, so daemons that are behind fetch the newest whole.
+func (s *Store) Restore(data []byte) error {
+	message := &apipb.StoreSnapshot{}
+	if err := proto.Unmarshal(data, message); err != nil {
+		return errors.Annotate(ErrDamagedSnapshot, err.Error())
+	}
+	fresh := New()
+	fresh.clusterID, fresh.nowMS = message.ClusterId, message.NowMs
+	for _, e := range message.Environments {
+		fresh.restoreEnvironment(e)
+	}
+	for _, record := range message.Claims {
+		fresh.claims.add(record)
+	}
+	for _, job := range message.Jobs {
+		fresh.jobs.add(job)
+	}
+	*s = *fresh
+	return nil
+}
+
+func (s *Store) restoreEnvironment(message *apipb.EnvironmentSnapshot) {
+	env := s.environments[message.Environment]
+	if env == nil {
+		return
+	}
+	for _, entry := range message.History {
+		env.record(entry)
+	}
+	if last := env.last(); last.Revision > 0 {
+		env.raw = message.Document
+		env.recent = []*Version{{Revision: last.Revision, Number: last.Number, Digest: last.Digest, Raw: message.Document}}
+	}
+}
--- /dev/null
+++ b/store/store.go
@@ -0,0 +1,94 @@
+package store
+
+import (
+	"github.com/juju/errors"
+	"google.golang.org/protobuf/proto"
+
+	"pistachiomount.example/pistachiomount/apipb"
+)
+
+// ErrDamagedCommand says that a committed entry cannot be decoded. Applying
+// cannot go on: the next entries may depend on it.
+const ErrDamagedCommand = errors.ConstError("a committed command cannot be decoded")
+
+// Store is the replicated state.
+type Store struct {
+	clusterID    uint64
+	nowMS        int64
+	environments map[apipb.Environment]*environment
+	claims       *claims
+	jobs         *jobs
+}
+
+// New returns an empty store.
+func New() *Store {
+	return &Store{
+		environments: map[apipb.Environment]*environment{
+			apipb.Environment_ENVIRONMENT_TRIAL:      newEnvironment(),
+			apipb.Environment_ENVIRONMENT_PRODUCTION: newEnvironment(),
+		},
+		claims: newClaims(),
+		jobs:   newJobs(),
+	}
+}
+
+// Apply applies one committed log entry and returns the answer to its proposer.
+func (s *Store) Apply(entry *apipb.LogEntry) (Result, error) {
+	if entry.Type != apipb.EntryType_ENTRY_TYPE_COMMAND {
+		return Result{}, nil
+	}
+	command := &apipb.Command{}
+	if err := proto.Unmarshal(entry.Data, command); err != nil {
+		return Result{}, errors.Annotatef(ErrDamagedCommand, "entry %d", entry.Index)
+	}
+	s.advance(command.TimeMs)
+	result := s.applyCommand(command, entry.Index)
+	result.RequestID = command.RequestId
+	return result, nil
+}
+
+func (s *Store) applyCommand(command *apipb.Command, index uint64) Result {
+	switch body := command.Body.(type) {
+	case *apipb.Command_SubmitDocument:
+		return Result{Submit: s.submit(body.SubmitDocument, index)}
+	case *apipb.Command_Claim:
+		return Result{Claim: s.claims.claim(body.Claim, s.nowMS)}
+	case *apipb.Command_Complete:
+		return Result{Complete: s.claims.complete(body.Complete)}
+	case *apipb.Command_Enqueue:
+		return Result{Enqueue: s.jobs.enqueue(body.Enqueue, s.nowMS)}
+	case *apipb.Command_StartJob:
+		return Result{StartJob: s.jobs.start(body.StartJob, s.nowMS)}
+	case *apipb.Command_FinishJob:
+		return Result{FinishJob: s.jobs.finish(body.FinishJob, s.nowMS)}
+	case *apipb.Command_SetCluster:
+		s.clusterID = body.SetCluster.ClusterId
+	}
+	return Result{}
+}
+
+// advance moves the time of the state machine, which never goes back, so that a
+// new leader whose clock is behind cannot undo an expiry.
+func (s *Store) advance(timeMS int64) {
+	if timeMS <= s.nowMS {
+		return
+	}
+	s.nowMS = timeMS
+	s.claims.expire(timeMS)
+	s.jobs.expire(timeMS)
+}
+
+// ClusterID returns the id of the cluster, 0 before it is initialised.
+func (s *Store) ClusterID() uint64 { return s.clusterID }
+
+// QueuedJobs returns how many jobs of the environment wait for a worker.
+func (s *Store) QueuedJobs(env apipb.Environment) int { return s.jobs.queued(env) }
+
+// Job returns the job, if it belongs to the customer.
+func (s *Store) Job(id, customer string) *apipb.Job {
+	job := s.jobs.byID[id]
+	if job == nil || job.Customer != customer {
+		return nil
+	}
+	return job
+}
--- /dev/null
+++ b/transport/client.go
@@ -0,0 +1,191 @@
+package transport
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+)
+
+// ErrClosed says that the client was closed.
+const ErrClosed = errors.ConstError("the client is closed")
+
+// Client calls one peer over a small pool of connections. A drpc connection
+// carries one call at a time, so concurrent calls use several. It implements
+// drpc.Conn and is safe for concurrent use.
+type Client struct {
+	address  string
+	security *Security
+	dialer   net.Dialer
+
+	mu     sync.Mutex
+	idle   []*drpcconn.Conn
+	closed chan struct{}
+	// generation rises when a call times out; connections of an older
+	// generation are not used again.
+	generation uint64
+	born       map[*drpcconn.Conn]uint64
+}
+
+// NewClient returns a client of the peer at the address. It connects when needed.
+func NewClient(address string, security *Security) (*Client, error) {
+	if err := security.checkAddress(address); err != nil {
+		return nil, errors.Trace(err)
+	}
+	return &Client{
+		address:  address,
+		security: security,
+		dialer:   net.Dialer{Timeout: DialTimeout},
+		closed:   make(chan struct{}),
+		born:     map[*drpcconn.Conn]uint64{},
+	}, nil
+}
+
+// Address returns the peer's address.
+func (c *Client) Address() string { return c.address }
+
+// Closed is closed once the client is.
+func (c *Client) Closed() <-chan struct{} { return c.closed }
+
+// Close closes all idle connections; calls under way end with their context.
+func (c *Client) Close() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	select {
+	case <-c.closed:
+		return nil
+	default:
+	}
+	close(c.closed)
+	c.dropIdle()
+	return nil
+}
+
+// Invoke makes one call. A call without a deadline gets CallTimeout.
+func (c *Client) Invoke(ctx context.Context, rpc string, enc drpc.Encoding, in, out drpc.Message) error {
+	if _, ok := ctx.Deadline(); !ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, CallTimeout)
+		defer cancel()
+	}
+	conn, err := c.take(ctx)
+	if err != nil {
+		return errors.Annotatef(err, "connect to %s", c.address)
+	}
+	err = conn.Invoke(ctx, rpc, enc, in, out)
+	c.giveBack(conn, ctx.Err() != nil)
+	if err != nil {
+		return errors.Annotatef(err, "call %s at %s", rpc, c.address)
+	}
+	return nil
+}
+
+// NewStream is not offered: every service of the system uses single calls, whose
+// time limits show a silent peer.
+func (c *Client) NewStream(context.Context, string, drpc.Encoding) (drpc.Stream, error) {
+	return nil, errors.NotSupportedf("streams")
+}
+
+func (c *Client) take(ctx context.Context) (*drpcconn.Conn, error) {
+	c.mu.Lock()
+	for len(c.idle) > 0 {
+		conn := c.idle[len(c.idle)-1]
+		c.idle = c.idle[:len(c.idle)-1]
+		if alive(conn) {
+			c.mu.Unlock()
+			return conn, nil
+		}
+		c.forget(conn)
+	}
+	generation := c.generation
+	c.mu.Unlock()
+	select {
+	case <-c.closed:
+		return nil, errors.Trace(ErrClosed)
+	default:
+	}
+	return c.dial(ctx, generation)
+}
+
+func (c *Client) dial(ctx context.Context, generation uint64) (*drpcconn.Conn, error) {
+	raw, err := c.dialer.DialContext(ctx, "tcp", c.address)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	conn, err := c.security.clientConn(raw, c.address)
+	if err != nil {
+		_ = raw.Close()
+		return nil, errors.Trace(err)
+	}
+	if err := expectControl(ctx, conn); err != nil {
+		_ = conn.Close()
+		return nil, errors.Trace(err)
+	}
+	transport := &deadlineConn{Conn: conn, readTimeout: IdleTimeout - 5*time.Second}
+	dialled := drpcconn.NewWithOptions(transport, drpcconn.Options{Manager: managerOptions()})
+	c.mu.Lock()
+	c.born[dialled] = generation
+	c.mu.Unlock()
+	return dialled, nil
+}
+
+// giveBack keeps a usable connection for later calls. After a timeout it closes
+// this one and all idle ones: what lost track of one may have lost them all.
+func (c *Client) giveBack(conn *drpcconn.Conn, timedOut bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if timedOut {
+		c.generation++
+		c.dropIdle()
+	}
+	select {
+	case <-c.closed:
+		c.forget(conn)
+		return
+	default:
+	}
+	if !alive(conn) || c.born[conn] != c.generation || len(c.idle) >= MaxIdlePerPeer {
+		c.forget(conn)
+		return
+	}
+	c.idle = append(c.idle, conn)
+}
+
+func (c *Client) dropIdle() {
+	for _, conn := range c.idle {
+		c.forget(conn)
+	}
+	c.idle = nil
+}
+
+// forget closes a connection in the background, because the closing message of
+// TLS may wait for a peer that reads nothing.
+func (c *Client) forget(conn *drpcconn.Conn) {
+	delete(c.born, conn)
+	go func() { _ = conn.Close() }()
+}
+
+// expectControl checks that the peer is a control daemon, which all servers are.
+func expectControl(ctx context.Context, conn net.Conn) error {
+	role, err := handshake(ctx, conn)
+	if err != nil {
+		return errors.Annotate(err, "handshake")
+	}
+	if role != RoleControl {
+		return errors.Annotatef(ErrUnknownRole, "the peer has role %q, expected %q", role, RoleControl)
+	}
+	return nil
+}
+
+func alive(conn *drpcconn.Conn) bool {
+	select {
+	case <-conn.Closed():
+		return false
+	default:
+		return true
+	}
+}
--- /dev/null
+++ b/transport/server.go
@@ -0,0 +1,149 @@
+package transport
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+	"net"
+	"sync"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcstream"
+	"storj.io/drpc/drpcwire"
+)
+
+// Server serves drpc on one listener, with one handler for each role.
+type Server struct {
+	security *Security
+	handlers map[Role]drpc.Handler
+	log      logrus.FieldLogger
+	slots    chan struct{}
+
+	mu    sync.Mutex
+	conns map[net.Conn]struct{}
+	wg    sync.WaitGroup
+}
+
+// NewServer returns a server. In plaintext mode every peer is served by the
+// handler of RoleControl, which must therefore offer all services.
+func NewServer(security *Security, handlers map[Role]drpc.Handler, log logrus.FieldLogger) *Server {
+	return &Server{
+		security: security,
+		handlers: handlers,
+		log:      log,
+		slots:    make(chan struct{}, MaxConnections),
+		conns:    map[net.Conn]struct{}{},
+	}
+}
+
+// Serve accepts connections until the context ends, then closes all of them and
+// returns once every call has returned.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	if err := s.security.checkAddress(listener.Addr().String()); err != nil {
+		return errors.Trace(err)
+	}
+	stop := context.AfterFunc(ctx, func() {
+		_ = listener.Close()
+		s.closeAll()
+	})
+	defer stop()
+	defer s.wg.Wait()
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return errors.Annotate(err, "accept")
+		}
+		s.start(ctx, conn)
+	}
+}
+
+func (s *Server) start(ctx context.Context, conn net.Conn) {
+	select {
+	case s.slots <- struct{}{}:
+	default:
+		s.log.WithField("peer", conn.RemoteAddr().String()).Warn("connection refused: limit reached")
+		_ = conn.Close()
+		return
+	}
+	s.mu.Lock()
+	s.conns[conn] = struct{}{}
+	s.mu.Unlock()
+	s.wg.Go(func() {
+		defer s.finish(conn)
+		if err := s.serveConn(ctx, conn); err != nil && ctx.Err() == nil && !benign(err) {
+			s.log.WithError(err).WithField("peer", conn.RemoteAddr().String()).Info("connection ended")
+		}
+	})
+	if ctx.Err() != nil {
+		_ = conn.Close()
+	}
+}
+
+func (s *Server) finish(conn net.Conn) {
+	_ = conn.Close()
+	s.mu.Lock()
+	delete(s.conns, conn)
+	s.mu.Unlock()
+	<-s.slots
+}
+
+func (s *Server) closeAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for conn := range s.conns {
+		_ = conn.Close()
+	}
+}
+
+func (s *Server) serveConn(ctx context.Context, raw net.Conn) error {
+	conn, err := s.security.serverConn(raw)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	role, err := handshake(ctx, conn)
+	if err != nil {
+		return errors.Annotate(err, "handshake")
+	}
+	handler, ok := s.handlers[role]
+	if !ok {
+		return errors.Annotatef(ErrUnknownRole, "role %q", role)
+	}
+	server := drpcserver.NewWithOptions(handler, drpcserver.Options{Manager: managerOptions()})
+	return server.ServeOne(ctx, &deadlineConn{Conn: conn, readTimeout: IdleTimeout})
+}
+
+func handshake(ctx context.Context, conn net.Conn) (Role, error) {
+	secured, ok := conn.(*tls.Conn)
+	if !ok {
+		return RoleControl, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, DialTimeout)
+	defer cancel()
+	if err := secured.HandshakeContext(ctx); err != nil {
+		return "", err
+	}
+	return roleOf(secured.ConnectionState())
+}
+
+func managerOptions() drpcmanager.Options {
+	return drpcmanager.Options{
+		Reader: drpcwire.ReaderOptions{MaximumBufferSize: MaxMessageBytes},
+		Stream: drpcstream.Options{MaximumBufferSize: 64 << 10},
+		// A hard cancel closes the connection, which a call that timed out needs.
+		SoftCancel: false,
+	}
+}
+
+// benign reports whether an error only says that the peer closed the connection.
+func benign(err error) bool {
+	var netErr net.Error
+	return errors.Is(err, io.EOF) || errors.Is(err, net.ErrClosed) || errors.Is(err, context.Canceled) ||
+		(errors.As(err, &netErr) && netErr.Timeout())
+}
