--- /dev/null
+++ b/settings/checker.go
@@ -0,0 +1,195 @@
+package settings
+
+import (
+	"cmp"
+	"fmt"
+	"reflect"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/juju/errors"
+)
+
+// hiddenValue stands in errors for the value of a setting tagged secret.
+const hiddenValue = "(hidden)"
+
+// describer is implemented by setting types that describe their own values.
+type describer interface{ Allowed() string }
+
+// checker wraps the mapper of each flag, so that every wrong value gives an
+// InvalidError. It keeps the first one, since kong flattens errors of
+// environment variables into text.
+type checker struct {
+	flags []*kong.Flag
+	first *InvalidError
+}
+
+func (c *checker) install(k *kong.Kong) error {
+	return kong.Visit(k.Model, func(node kong.Visitable, next kong.Next) error {
+		flag, ok := node.(*kong.Flag)
+		if !ok || flag.Name == "help" {
+			return next(nil)
+		}
+		if err := checkBoundTags(flag); err != nil {
+			return errors.Annotatef(err, "bounds of --%s", flag.Name)
+		}
+		c.flags = append(c.flags, flag)
+		flag.Mapper = c.wrap(flag, flag.Mapper)
+		return next(nil)
+	})
+}
+
+func (c *checker) wrap(flag *kong.Flag, inner kong.Mapper) kong.Mapper {
+	decode := func(ctx *kong.DecodeContext, target reflect.Value) error {
+		value := fmt.Sprint(ctx.Scan.Peek().Value)
+		err := inner.Decode(ctx, target)
+		if err == nil && inAllowed(flag, target) {
+			return nil
+		}
+		invalid := newInvalid(flag)
+		invalid.Value = value
+		if flag.Tag.Has("secret") {
+			invalid.Value = hiddenValue
+		}
+		if c.first == nil {
+			c.first = invalid
+		}
+		return invalid
+	}
+	if flag.IsBool() {
+		return boolMapper{kong.MapperFunc(decode)}
+	}
+	return kong.MapperFunc(decode)
+}
+
+// boolMapper tells kong that the flag needs no value.
+type boolMapper struct{ kong.Mapper }
+
+func (boolMapper) IsBool() bool { return true }
+
+// translate turns an error of kong into one of this package.
+func (c *checker) translate(err error) error {
+	if c.first != nil {
+		return c.first
+	}
+	for _, flag := range c.flags {
+		if flag.Required && !flag.Set {
+			invalid := newInvalid(flag)
+			invalid.Missing = true
+			return invalid
+		}
+	}
+	return errors.WithType(errors.New(err.Error()), ErrUsage)
+}
+
+func newInvalid(flag *kong.Flag) *InvalidError {
+	return &InvalidError{
+		Flag:     "--" + flag.Name,
+		Variable: strings.Join(flag.Envs, ", "),
+		Allowed:  allowed(flag),
+	}
+}
+
+func inAllowed(flag *kong.Flag, target reflect.Value) bool {
+	if flag.Enum != "" && target.Kind() == reflect.String && !flag.EnumMap()[target.String()] {
+		return false
+	}
+	low, high := flag.Tag.Get("min"), flag.Tag.Get("max")
+	return (low == "" || compareBound(target, low) >= 0) && (high == "" || compareBound(target, high) <= 0)
+}
+
+// compareBound compares a value with a bound that checkBoundTags has accepted.
+func compareBound(target reflect.Value, bound string) int {
+	if target.Type() == reflect.TypeFor[time.Duration]() {
+		limit, _ := time.ParseDuration(bound)
+		return cmp.Compare(time.Duration(target.Int()), limit)
+	}
+	limit, _ := strconv.ParseFloat(bound, 64)
+	value := numberOf(target)
+	if value != value {
+		return cmp.Compare(limit, limit+1) // NaN is below every bound
+	}
+	return cmp.Compare(value, limit)
+}
+
+func numberOf(target reflect.Value) float64 {
+	switch {
+	case target.CanInt():
+		return float64(target.Int())
+	case target.CanUint():
+		return float64(target.Uint())
+	default:
+		return target.Float()
+	}
+}
+
+func checkBoundTags(flag *kong.Flag) error {
+	for _, name := range []string{"min", "max"} {
+		bound := flag.Tag.Get(name)
+		if bound == "" {
+			continue
+		}
+		var err error
+		switch {
+		case flag.Target.Type() == reflect.TypeFor[time.Duration]():
+			_, err = time.ParseDuration(bound)
+		case flag.Target.CanInt(), flag.Target.CanUint(), flag.Target.CanFloat():
+			_, err = strconv.ParseFloat(bound, 64)
+		default:
+			err = errors.NotSupportedf("%s for type %s", name, flag.Target.Type())
+		}
+		if err != nil {
+			return errors.Trace(err)
+		}
+	}
+	return nil
+}
+
+func allowed(flag *kong.Flag) string {
+	if flag.Enum != "" {
+		return "one of " + strings.Join(flag.EnumSlice(), ", ")
+	}
+	kind := flag.Target.Type()
+	prefix := ""
+	if kind.Kind() == reflect.Slice {
+		kind, prefix = kind.Elem(), "a list, separated by commas, of: "
+	}
+	return prefix + describe(kind) + boundText(flag)
+}
+
+func describe(kind reflect.Type) string {
+	if own, ok := reflect.Zero(kind).Interface().(describer); ok {
+		return own.Allowed()
+	}
+	if kind == reflect.TypeFor[time.Duration]() {
+		return "a duration such as 250ms or 2s"
+	}
+	switch kind.Kind() {
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Float32, reflect.Float64:
+		return "a number"
+	case reflect.Int, reflect.Int8, reflect.Int16, reflect.Int32, reflect.Int64:
+		return "a whole number"
+	case reflect.Uint, reflect.Uint8, reflect.Uint16, reflect.Uint32, reflect.Uint64:
+		return "a whole number, not negative"
+	default:
+		return "text"
+	}
+}
+
+func boundText(flag *kong.Flag) string {
+	low, high := flag.Tag.Get("min"), flag.Tag.Get("max")
+	switch {
+	case low != "" && high != "":
+		return fmt.Sprintf(" from %s to %s", low, high)
+	case low != "":
+		return " of at least " + low
+	case high != "":
+		return " of at most " + high
+	default:
+		return ""
+	}
+}
--- /dev/null
+++ b/settings/data_dir.go
@@ -0,0 +1,49 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+
+	"github.com/juju/errors"
+)
+
+// dataDirMode keeps the state of a daemon from other users.
+const dataDirMode = 0o700
+
+// DataDir is the absolute path of the directory that holds a daemon's files.
+type DataDir string
+
+// UnmarshalText accepts a directory or a path where none exists yet.
+func (d *DataDir) UnmarshalText(text []byte) error {
+	if len(text) == 0 {
+		return errors.NotValidf("empty path")
+	}
+	path, err := filepath.Abs(string(text))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	info, err := os.Stat(path)
+	if err == nil && !info.IsDir() {
+		return errors.NotValidf("file %q", path)
+	}
+	if err != nil && !os.IsNotExist(err) {
+		return errors.Trace(err)
+	}
+	*d = DataDir(path)
+	return nil
+}
+
+// Allowed describes the accepted values.
+func (DataDir) Allowed() string {
+	return "the path of a readable directory or of one to be created"
+}
+
+// Create makes the directory where it is missing.
+func (d DataDir) Create() error {
+	return errors.Annotate(os.MkdirAll(string(d), dataDirMode), "create data directory")
+}
+
+// Join returns the path of a file in the directory.
+func (d DataDir) Join(elements ...string) string {
+	return filepath.Join(append([]string{string(d)}, elements...)...)
+}
--- /dev/null
+++ b/settings/listen.go
@@ -0,0 +1,24 @@
+package settings
+
+import (
+	"context"
+	"net"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+)
+
+// Listen opens a TCP listener and logs the bound address as one line with
+// message "listening", from which scripts and tests read the chosen port.
+func Listen(address Address, name string, logger logrus.FieldLogger) (net.Listener, error) {
+	var config net.ListenConfig
+	listener, err := config.Listen(context.Background(), "tcp", address.String())
+	if err != nil {
+		return nil, errors.WithType(errors.Annotatef(err, "listener %s", name), ErrListen)
+	}
+	logger.WithFields(logrus.Fields{
+		"listener": name,
+		"address":  listener.Addr().String(),
+	}).Info("listening")
+	return listener, nil
+}
--- /dev/null
+++ b/settings/ready.go
@@ -0,0 +1,64 @@
+package settings
+
+import (
+	"encoding/json"
+	"maps"
+	"net"
+	"net/http"
+	"sync"
+)
+
+// Ready serves GET /ready: the state of the process and its bound addresses.
+// It answers 200 when ready and 503 otherwise. It is safe for concurrent use.
+type Ready struct {
+	mu     sync.Mutex
+	report ReadyReport
+}
+
+// ReadyReport is the JSON answer of GET /ready.
+type ReadyReport struct {
+	Ready bool `json:"ready"`
+	// State is the life-cycle state of the process, such as "serving".
+	State string `json:"state"`
+	// Listeners maps the name of each listener to its bound address.
+	Listeners map[string]string `json:"listeners"`
+}
+
+// NewReady returns a handler that reports state "starting" and not ready.
+func NewReady() *Ready {
+	return &Ready{report: ReadyReport{State: "starting", Listeners: map[string]string{}}}
+}
+
+// SetState changes the reported state.
+func (r *Ready) SetState(state string, ready bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.report.State, r.report.Ready = state, ready
+}
+
+// AddListener adds a bound address to the report.
+func (r *Ready) AddListener(name string, address net.Addr) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.report.Listeners[name] = address.String()
+}
+
+// Report returns a copy of the current report.
+func (r *Ready) Report() ReadyReport {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	report := r.report
+	report.Listeners = maps.Clone(report.Listeners)
+	return report
+}
+
+// ServeHTTP answers with the report.
+func (r *Ready) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	report := r.Report()
+	w.Header().Set("Content-Type", "application/json")
+	if !report.Ready {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	// An error here means that the client has gone.
+	_ = json.NewEncoder(w).Encode(report)
+}
