--- /dev/null
+++ b/grant/holder.go
@@ -0,0 +1,249 @@
+package grant
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"pistachiomount.example/pistachiomount/apipb"
+	"pistachiomount.example/pistachiomount/clock"
+)
+
+// HolderConfig identifies the entry daemon.
+type HolderConfig struct {
+	Environment apipb.Environment
+	VM          string
+	// Incarnation is higher for each later process of the same VM.
+	Incarnation uint64
+	// Weight scales the part of this VM where demand exceeds a cap; 0 means 1.
+	Weight float64
+}
+
+// Holder keeps the grants of one entry daemon. It is safe for concurrent use.
+type Holder struct {
+	cfg   HolderConfig
+	clock clock.Clock
+
+	// mu is held before the locks of buckets and units.
+	mu               sync.RWMutex
+	buckets          map[ResourceID]*Bucket
+	units            map[ResourceID]*Units
+	order            []ResourceID // registration order, so that requests are alike
+	sequence         uint64       // of the most recent request
+	sentAt           clock.Instant
+	answered         bool
+	term             uint64 // highest term seen
+	acceptedSequence uint64
+	acceptedTerm     uint64
+	stopped          bool
+}
+
+// NewHolder returns a holder without grants.
+func NewHolder(cfg HolderConfig, c clock.Clock) *Holder {
+	return &Holder{
+		cfg: cfg, clock: c,
+		buckets: map[ResourceID]*Bucket{},
+		units:   map[ResourceID]*Units{},
+	}
+}
+
+// Bucket returns the bucket of a rate, which takes part in renewals from the
+// first call on. Callers on the request path keep the pointer.
+func (h *Holder) Bucket(id ResourceID) *Bucket {
+	h.mu.RLock()
+	b := h.buckets[id]
+	h.mu.RUnlock()
+	if b != nil {
+		return b
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if b = h.buckets[id]; b == nil {
+		b = newBucket(h.clock, id)
+		b.closed = h.stopped
+		h.buckets[id] = b
+		h.register(id)
+	}
+	return b
+}
+
+// Units returns the units of a resource, which take part in renewals from the
+// first call on. Callers on the request path keep the pointer.
+func (h *Holder) Units(id ResourceID) *Units {
+	h.mu.RLock()
+	u := h.units[id]
+	h.mu.RUnlock()
+	if u != nil && !u.isClosed() {
+		return u
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if u = h.units[id]; u == nil {
+		u = newUnits(h.clock, id)
+		h.units[id] = u
+		h.register(id)
+	}
+	u.setClosed(h.stopped)
+	return u
+}
+
+func (h *Holder) register(id ResourceID) {
+	if !slices.Contains(h.order, id) {
+		h.order = append(h.order, id)
+	}
+}
+
+// Forget hands the grants of a resource back with the next renewal. Units stay
+// reported until the last one in use is released.
+func (h *Holder) Forget(id ResourceID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if b := h.buckets[id]; b != nil {
+		b.handBack()
+		delete(h.buckets, id)
+	}
+	if u := h.units[id]; u != nil {
+		u.handBack()
+	}
+	h.prune(id)
+}
+
+// prune drops a resource of which nothing remains to be reported.
+func (h *Holder) prune(id ResourceID) {
+	if u := h.units[id]; u != nil && u.isClosed() && u.idle() {
+		delete(h.units, id)
+	}
+	if h.units[id] == nil && h.buckets[id] == nil {
+		h.order = slices.DeleteFunc(h.order, func(o ResourceID) bool { return o == id })
+	}
+}
+
+// Stop hands everything back for a planned stop: nothing can be taken any more
+// and the next request reports nothing as held. Units in use are reported until
+// they are released.
+func (h *Holder) Stop() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.stopped = true
+	for _, b := range h.buckets {
+		b.handBack()
+	}
+	for _, u := range h.units {
+		u.handBack()
+	}
+}
+
+// NeedsRenewal reports whether a renewal is due: each RenewInterval, or after
+// MinRenewInterval if demand jumped, a bucket ran low, units were refused or a
+// decrease that others wait for is to be acknowledged.
+func (h *Holder) NeedsRenewal() bool {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	now := h.clock.Now()
+	since := now.ElapsedSince(h.sentAt)
+	switch {
+	case h.sequence == 0 || since >= RenewInterval:
+		return true
+	case since < MinRenewInterval:
+		return false
+	}
+	return h.anyWantsRenewal(now)
+}
+
+func (h *Holder) anyWantsRenewal(now clock.Instant) bool {
+	for _, b := range h.buckets {
+		if b.wantsRenewal(now) {
+			return true
+		}
+	}
+	for _, u := range h.units {
+		if u.wantsRenewal(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// BuildRequest returns the next renewal. The lease of its reply counts from this
+// call, and replies to earlier requests are no longer accepted.
+func (h *Holder) BuildRequest() *apipb.RenewRequest {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.clock.Now()
+	h.sequence++
+	h.sentAt, h.answered = now, false
+	for _, id := range slices.Clone(h.order) {
+		h.prune(id)
+	}
+	return &apipb.RenewRequest{
+		Environment: h.cfg.Environment,
+		Vm:          &apipb.Vm{Name: h.cfg.VM, Incarnation: h.cfg.Incarnation},
+		Sequence:    h.sequence, AcceptedSequence: h.acceptedSequence,
+		AcceptedTerm: h.acceptedTerm, Needs: h.needs(now), HandingBack: h.stopped,
+	}
+}
+
+func (h *Holder) needs(now clock.Instant) []*apipb.Need {
+	needs := make([]*apipb.Need, 0, len(h.order))
+	for _, id := range h.order {
+		if b := h.buckets[id]; b != nil {
+			needs = append(needs, b.report(now, h.sequence))
+		}
+		if u := h.units[id]; u != nil {
+			needs = append(needs, u.report(now, h.sequence))
+		}
+	}
+	for _, n := range needs {
+		n.Weight = h.cfg.Weight
+	}
+	return needs
+}
+
+// Accept puts the shares of a reply in force. It rejects replies that do not
+// answer the most recent request, come from a lower term, or arrive after their
+// lease has ended; the grants in force then stay as they are.
+func (h *Holder) Accept(reply *apipb.RenewReply) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.clock.Now()
+	if err := h.check(reply); err != nil {
+		return err
+	}
+	h.answered, h.term = true, reply.GetTerm()
+	leaseEnd := h.sentAt.Add(time.Duration(reply.GetLeaseMs()) * time.Millisecond)
+	if !now.Before(leaseEnd) {
+		return ErrLeaseOver
+	}
+	h.acceptedSequence, h.acceptedTerm = reply.GetSequence(), reply.GetTerm()
+	for _, share := range reply.GetShares() {
+		h.apply(now, share, leaseEnd)
+	}
+	return nil
+}
+
+func (h *Holder) check(reply *apipb.RenewReply) error {
+	switch {
+	case reply.GetSequence() != h.sequence || h.answered || reply.GetStaleSequence():
+		return ErrOutdatedReply
+	case reply.GetTerm() < h.term:
+		return ErrLowerTerm
+	case reply.GetNotLeader():
+		return ErrNotLeader
+	case reply.GetStaleIncarnation():
+		return ErrStaleIncarnation
+	}
+	return nil
+}
+
+func (h *Holder) apply(now clock.Instant, share *apipb.Share, leaseEnd clock.Instant) {
+	id := ResourceID(share.GetResource())
+	if share.GetKind() == apipb.ResourceKind_RESOURCE_KIND_UNITS {
+		if u := h.units[id]; u != nil {
+			u.apply(now, h.sequence, share, leaseEnd)
+		}
+		return
+	}
+	if b := h.buckets[id]; b != nil {
+		b.apply(now, h.sequence, share, leaseEnd)
+	}
+}
--- /dev/null
+++ b/grant/member.go
@@ -0,0 +1,46 @@
+package grant
+
+import "pistachiomount.example/pistachiomount/clock"
+
+type memberKey struct {
+	vm          string
+	incarnation uint64
+}
+
+// member is one process of a VM at the owner. Two incarnations of a VM are two
+// members, since the earlier process may still run.
+type member struct {
+	key         memberKey
+	sequence    uint64 // of the last request processed
+	received    clock.Instant
+	live        bool // its lease may be valid
+	handingBack bool
+	holdings    map[ResourceID]*holding
+	order       []*holding
+}
+
+func (m *member) add(p *pool) *holding {
+	h := &holding{member: m, pool: p, poolIndex: len(p.holdings), memberIndex: len(m.order), weight: 1}
+	p.holdings = append(p.holdings, h)
+	m.order = append(m.order, h)
+	m.holdings[p.cap.Resource] = h
+	p.dirty = true
+	return h
+}
+
+// remove drops a holding from the ledger together with what it counts for.
+func (m *member) remove(h *holding) {
+	p := h.pool
+	p.sum.subtract(h.committed())
+	last := p.holdings[len(p.holdings)-1]
+	p.holdings[h.poolIndex], last.poolIndex = last, h.poolIndex
+	p.holdings[len(p.holdings)-1] = nil
+	p.holdings = p.holdings[:len(p.holdings)-1]
+	p.dirty = true
+
+	tail := m.order[len(m.order)-1]
+	m.order[h.memberIndex], tail.memberIndex = tail, h.memberIndex
+	m.order[len(m.order)-1] = nil
+	m.order = m.order[:len(m.order)-1]
+	delete(m.holdings, p.cap.Resource)
+}
--- /dev/null
+++ b/grant/pool.go
@@ -0,0 +1,180 @@
+package grant
+
+import (
+	"time"
+
+	"pistachiomount.example/pistachiomount/apipb"
+	"pistachiomount.example/pistachiomount/clock"
+)
+
+const (
+	// smallFleet is the number of holders up to which each change is planned at
+	// once. Above, a plan is made each planCost per holder, which bounds the
+	// owner's work.
+	smallFleet = 64
+	planCost   = 100 * time.Microsecond
+
+	// rateBand and depthBand are the relative differences from the target that
+	// are left alone. The band of depth is wider because tokens above a reduced
+	// depth are lost.
+	rateBand  = 0.1
+	depthBand = 0.2
+
+	// sumTolerance covers rounding in sums of rates.
+	sumTolerance = 1e-9
+)
+
+// total is the sum of the portions of a pool.
+type total struct {
+	rate, depth float64
+	units       int64
+}
+
+func (t *total) add(p portion) {
+	t.rate += p.rate
+	t.depth += p.depth
+	t.units += int64(p.units)
+}
+
+func (t *total) subtract(p portion) {
+	t.rate -= p.rate
+	t.depth -= p.depth
+	t.units -= int64(p.units)
+}
+
+// pool is one cap and all that is held of it.
+type pool struct {
+	cap      Cap
+	holdings []*holding
+	sum      total // of committed portions
+
+	unreported         int64 // units that holders of an earlier term may use
+	predecessorSettled bool
+
+	dirty     bool
+	plannedAt clock.Instant
+	rotatedAt clock.Instant
+	rotate    bool // left-over pieces are due to change hands
+	shortRate shortage
+	// shortDepth is separate, since reducing depth loses tokens.
+	shortDepth shortage
+	shortUnits shortage
+	claims     []claim    // scratch
+	ranked     []*holding // scratch
+}
+
+func (p *pool) setCap(c Cap) {
+	c.Rate, c.Burst = amount(c.Rate), amount(c.Burst)
+	if p.predecessorSettled && c.Units > p.cap.Units {
+		p.unreported = p.unreportedAfterGrowth(int64(c.Units) - int64(p.cap.Units))
+	}
+	p.dirty = p.dirty || c != p.cap
+	p.cap = c
+}
+
+// unreportedAfterGrowth sets growth aside while units of an earlier term may be
+// in use: the cap may have been as large before.
+func (p *pool) unreportedAfterGrowth(growth int64) int64 {
+	if p.unreported == 0 {
+		return 0
+	}
+	return p.unreported + growth
+}
+
+func (p *pool) rates() bool { return p.cap.Kind == apipb.ResourceKind_RESOURCE_KIND_RATE }
+
+// reconfirm returns what is held, reduced in proportion where the cap is smaller
+// than what holders report.
+func (p *pool) reconfirm(h *holding) portion {
+	next := h.held
+	if p.sum.rate > p.cap.Rate {
+		next.rate *= p.cap.Rate / p.sum.rate
+	}
+	if p.sum.depth > p.cap.Burst {
+		next.depth *= p.cap.Burst / p.sum.depth
+	}
+	if limit := int64(p.cap.Units); p.sum.units > limit {
+		next.units = uint32(int64(next.units) * limit / p.sum.units)
+	}
+	return next
+}
+
+// next returns the portion that moves h towards its target within what is free.
+func (p *pool) next(h *holding, now clock.Instant) portion {
+	if p.rates() {
+		return p.nextRate(h, now)
+	}
+	return portion{units: p.nextUnits(h, now)}
+}
+
+func (p *pool) nextRate(h *holding, now clock.Instant) (next portion) {
+	committed := h.committed()
+	freeRate := max(0, p.cap.Rate-p.sum.rate+committed.rate)
+	freeDepth := max(0, p.cap.Burst-p.sum.depth+committed.depth)
+	tightRate := p.shortRate.lasts(now) || p.sum.rate > p.cap.Rate*(1+sumTolerance)
+	tightDepth := p.shortDepth.lasts(now) || p.sum.depth > p.cap.Burst*(1+sumTolerance)
+	next.rate = min(within(h.held.rate, h.target.rate, rateBand, tightRate), freeRate)
+	next.depth = min(within(h.held.depth, h.target.depth, depthBand, tightDepth), freeDepth)
+	if next.rate < h.target.rate*(1-rateBand) {
+		p.shortRate.begin(now)
+	}
+	if next.depth < h.target.depth*(1-depthBand) {
+		p.shortDepth.begin(now)
+	}
+	return next
+}
+
+// nextUnits keeps up to one unit or a tenth above the target unless others lack
+// units, so that units do not move for each change of demand.
+func (p *pool) nextUnits(h *holding, now clock.Instant) uint32 {
+	limit := int64(p.cap.Units) - p.unreported
+	free := max(0, limit-p.sum.units+int64(h.committed().units))
+	tight := p.shortUnits.lasts(now) || p.sum.units > limit
+	want := h.target.units
+	if slack := max(1, h.held.units/10); !tight && h.held.units > want && h.held.units-want <= slack {
+		want = h.held.units
+	}
+	next := uint32(min(int64(want), free))
+	if next < h.target.units && h.demand > float64(next) {
+		p.shortUnits.begin(now)
+	}
+	return next
+}
+
+// within keeps the present value if it is close to the target.
+func within(present, target, band float64, tight bool) float64 {
+	if !tight && present > 0 && max(present, target)*(1-band) <= min(present, target) {
+		return present
+	}
+	return target
+}
+
+// planIfDue divides the cap anew if something changed since the last plan.
+func (p *pool) planIfDue(now clock.Instant) {
+	if passed(now, p.rotatedAt, RenewInterval) {
+		p.rotatedAt, p.rotate, p.dirty = now, true, true
+	}
+	count := len(p.holdings)
+	if !p.dirty || count > smallFleet && !passed(now, p.plannedAt, time.Duration(count)*planCost) {
+		return
+	}
+	p.dirty, p.plannedAt = false, now
+	p.sum = total{}
+	p.ranked = p.ranked[:0]
+	for _, h := range p.holdings {
+		p.sum.add(h.committed())
+		h.target, h.plannedDemand = portion{}, h.demand
+		if h.planned() {
+			p.ranked = append(p.ranked, h)
+		}
+	}
+	if len(p.ranked) == 0 {
+		return
+	}
+	if p.rates() {
+		p.planRates()
+	} else {
+		p.planUnits()
+	}
+	p.rotate = false
+}
--- /dev/null
+++ b/grant/safety_test.go
@@ -0,0 +1,214 @@
+package grant
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"pistachiomount.example/pistachiomount/apipb"
+)
+
+const (
+	simRate   = ResourceID("customer/a")
+	simUnits  = ResourceID("slots/u")
+	simLife   = 2 * time.Second // longest route deadline
+	simSlack  = 1e-6
+	simTick   = 20 * time.Millisecond
+	maxFaults = 24
+)
+
+func simCaps() []Cap {
+	return []Cap{
+		{Resource: simRate, Rate: 100, Burst: 60},
+		{Resource: simUnits, Kind: apipb.ResourceKind_RESOURCE_KIND_UNITS, Units: 11},
+	}
+}
+
+// running is a request at an upstream; it ends there at its deadline at the
+// latest, whatever happens to the holder.
+type running struct {
+	holder   *simHolder
+	deadline time.Duration
+}
+
+// safetyOracle checks the invariants of the caps in reference time.
+type safetyOracle struct {
+	caps    []Cap
+	tokens  float64
+	last    time.Duration
+	running []running
+}
+
+// admit checks that no window admits more than burst + rate * window, which is
+// to say that a bucket of that rate and burst never runs into debt.
+func (o *safetyOracle) admit(now time.Duration, n int) error {
+	o.tokens = min(o.caps[0].Burst, o.tokens+o.caps[0].Rate*(now-o.last).Seconds()) - float64(n)
+	o.last = now
+	if o.tokens < -simSlack {
+		return fmt.Errorf("at %v: %.3f admissions above burst and rate", now, -o.tokens)
+	}
+	return nil
+}
+
+func (o *safetyOracle) check(w *simWorld) error {
+	var rate, depth float64
+	for _, h := range w.holders {
+		b := h.holder.Bucket(simRate)
+		if b.valid(b.clock.Now()) {
+			rate, depth = rate+b.rate, depth+b.depth
+		}
+	}
+	if rate > o.caps[0].Rate+simSlack || depth > o.caps[0].Burst+simSlack {
+		return fmt.Errorf("at %v: rates in force %.3f, depths %.3f", w.now, rate, depth)
+	}
+	if n := len(o.running); n > int(o.caps[1].Units) {
+		return fmt.Errorf("at %v: %d units in flight", w.now, n)
+	}
+	return nil
+}
+
+// end ends requests at their deadline or before. A holder that is stopped
+// releases the unit when it runs again.
+func (o *safetyOracle) end(w *simWorld, rng *rand.Rand) {
+	kept := o.running[:0]
+	for _, r := range o.running {
+		stopped := w.now < r.holder.frozen
+		switch {
+		case w.now >= r.deadline || !stopped && rng.IntN(40) == 0:
+			r.holder.owed++
+		default:
+			kept = append(kept, r)
+		}
+	}
+	o.running = kept
+}
+
+// use lets every running holder take all that it can.
+func (o *safetyOracle) use(w *simWorld, rng *rand.Rand) error {
+	for _, h := range w.holders {
+		if w.now < h.frozen {
+			continue
+		}
+		for ; h.owed > 0; h.owed-- {
+			h.holder.Units(simUnits).Release()
+		}
+		n := 0
+		for limit := rng.IntN(h.appetite + 1); n < limit && h.holder.Bucket(simRate).TryTake(1); n++ {
+		}
+		if err := o.admit(w.now, n); err != nil {
+			return err
+		}
+		for i := rng.IntN(h.appetite + 1); i > 0 && h.holder.Units(simUnits).TryAcquire(); i-- {
+			o.running = append(o.running, running{holder: h, deadline: w.now + simLife})
+		}
+	}
+	return nil
+}
+
+// simFault is one disturbance of a schedule.
+type simFault struct{ step, kind, who, length int }
+
+func drawFaults(t *rapid.T, steps int) []simFault {
+	fault := rapid.Custom(func(t *rapid.T) simFault {
+		return simFault{
+			step: rapid.IntRange(0, steps).Draw(t, "step"), kind: rapid.IntRange(0, 7).Draw(t, "kind"),
+			who: rapid.IntRange(0, 3).Draw(t, "who"), length: rapid.IntRange(1, 300).Draw(t, "length"),
+		}
+	})
+	return rapid.SliceOfN(fault, 0, maxFaults).Draw(t, "faults")
+}
+
+func (w *simWorld) apply(f simFault, incarnations map[string]uint64) {
+	h := w.holders[f.who%len(w.holders)]
+	until := w.now + time.Duration(f.length)*simTick
+	switch f.kind {
+	case 0: // election; the earlier owner may stall with a request it has checked
+		w.elect()
+	case 1: // the process stops for a while, its clocks run on
+		h.frozen = until
+	case 2: // the VM is suspended
+		h.frozen, h.suspended = until, until
+	case 3: // the process is lost and another one takes over its name
+		h.frozen = 1 << 60
+		w.restart(h.vm, incarnations)
+	case 4: // another process takes over the name while the earlier one runs on
+		w.restart(h.vm, incarnations)
+	case 5: // the newest owner stops for a while
+		w.owners[len(w.owners)-1].frozen = until
+	case 6: // demand moves
+		h.appetite = f.length % 12
+	case 7: // a cap vanishes or appears again
+		w.owners[len(w.owners)-1].owner.SetCaps([][]Cap{w.caps, w.caps[:1], w.caps[1:], w.caps}[f.length%4])
+	}
+}
+
+func (w *simWorld) restart(vm string, incarnations map[string]uint64) {
+	incarnations[vm]++
+	w.addHolder(vm, incarnations[vm]).appetite = 6
+}
+
+// Guards against any schedule of lost, late and duplicated replies, stopped and
+// suspended holders, restarts, elections and stalled owners that lets the fleet
+// use more than a cap.
+func TestCapsHoldUnderAnySchedule(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const steps = 900
+		faults := drawFaults(t, steps)
+		w := newSimWorld(rapid.Uint64().Draw(t, "seed"), OwnerConfig{Quarantine: simLife}, simCaps())
+		loss := rapid.Float64Range(0, 0.4).Draw(t, "loss")
+		if err := runSchedule(w, faults, loss, steps); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+func runSchedule(w *simWorld, faults []simFault, loss float64, steps int) error {
+	w.speed = func() float64 { return 1 - w.rng.Float64()*(1-1/(1+driftMargin)) }
+	w.delays = func() []time.Duration { return faultyDelays(w.rng, loss) }
+	w.stall = func() time.Duration {
+		return time.Duration(max(0, w.rng.IntN(100)-96)) * time.Second
+	}
+	oracle := &safetyOracle{caps: w.caps, tokens: w.caps[0].Burst}
+	incarnations := map[string]uint64{}
+	w.elect()
+	for i := range 4 {
+		w.restart(fmt.Sprintf("vm%d", i), incarnations)
+	}
+	for step := range steps {
+		for _, f := range faults {
+			if f.step == step {
+				w.apply(f, incarnations)
+			}
+		}
+		w.step(simTick)
+		oracle.end(w, w.rng)
+		if err := oracle.use(w, w.rng); err != nil {
+			return err
+		}
+		if err := oracle.check(w); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// faultyDelays loses, delays, reorders and duplicates messages.
+func faultyDelays(rng *rand.Rand, loss float64) []time.Duration {
+	if rng.Float64() < loss {
+		return nil
+	}
+	delay := func() time.Duration {
+		if rng.IntN(10) == 0 {
+			return time.Duration(rng.IntN(5000)) * time.Millisecond
+		}
+		return time.Duration(rng.IntN(150)) * time.Millisecond
+	}
+	delays := []time.Duration{delay()}
+	if rng.IntN(10) == 0 {
+		delays = append(delays, delay())
+	}
+	return delays
+}
--- /dev/null
+++ b/grant/sim_test.go
@@ -0,0 +1,171 @@
+package grant
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"pistachiomount.example/pistachiomount/apipb"
+	"pistachiomount.example/pistachiomount/clock"
+)
+
+// simNode is a process with its own clock, which runs at speed times the
+// reference time.
+type simNode struct {
+	clock     clock.Manual
+	speed     float64
+	frozen    time.Duration // does nothing until then
+	suspended time.Duration // its monotonic clock stands still until then
+}
+
+func (n *simNode) advance(now, dt time.Duration) {
+	dt = time.Duration(float64(dt) * n.speed)
+	if now < n.suspended {
+		n.clock.Suspend(dt)
+		return
+	}
+	n.clock.Advance(dt)
+}
+
+type simOwner struct {
+	simNode
+	owner *Owner
+}
+
+type simHolder struct {
+	simNode
+	holder *Holder
+	vm     string
+	target int // owner that it sends to
+	// appetite is how much the holder tries to take at each step.
+	appetite int
+	owed     int // units to release once it runs again
+}
+
+// simMessage is a request or a reply on its way.
+type simMessage struct {
+	at      time.Duration
+	owner   int
+	holder  *simHolder
+	request *apipb.RenewRequest
+	checked bool // the owner checked its leader lease before it stalled
+	reply   *apipb.RenewReply
+}
+
+// simWorld runs owners of successive terms and holders in virtual time.
+type simWorld struct {
+	rng      *rand.Rand
+	now      time.Duration
+	caps     []Cap
+	cfg      OwnerConfig
+	owners   []*simOwner
+	holders  []*simHolder
+	messages []simMessage
+	// delays returns when copies of a message arrive; none means that it is lost.
+	delays func() []time.Duration
+	// stall returns how long an owner stalls between lease check and handling.
+	stall func() time.Duration
+	speed func() float64
+	bytes int
+	sent  int
+}
+
+func newSimWorld(seed uint64, cfg OwnerConfig, caps []Cap) *simWorld {
+	return &simWorld{
+		rng: rand.New(rand.NewPCG(seed, 1)), cfg: cfg, caps: caps,
+		delays: func() []time.Duration { return []time.Duration{0} },
+		stall:  func() time.Duration { return 0 },
+		speed:  func() float64 { return 1 },
+	}
+}
+
+// elect starts the owner of the next term; owners before it have no valid leader
+// lease from now on.
+func (w *simWorld) elect() {
+	o := &simOwner{simNode: simNode{speed: w.speed()}}
+	cfg := w.cfg
+	cfg.Term = uint64(len(w.owners) + 1)
+	cfg.NoPredecessor = len(w.owners) == 0
+	o.owner = NewOwner(cfg, &o.clock)
+	o.owner.SetCaps(w.caps)
+	w.owners = append(w.owners, o)
+}
+
+func (w *simWorld) addHolder(vm string, incarnation uint64) *simHolder {
+	h := &simHolder{simNode: simNode{speed: w.speed()}, vm: vm}
+	h.holder = NewHolder(HolderConfig{VM: vm, Incarnation: incarnation}, &h.clock)
+	for _, c := range w.caps {
+		if c.Kind == apipb.ResourceKind_RESOURCE_KIND_UNITS {
+			h.holder.Units(c.Resource)
+		} else {
+			h.holder.Bucket(c.Resource)
+		}
+	}
+	w.holders = append(w.holders, h)
+	return h
+}
+
+func (w *simWorld) send(m simMessage) {
+	for _, d := range w.delays() {
+		m.at = w.now + d
+		w.messages = append(w.messages, m)
+	}
+}
+
+func (w *simWorld) renew(h *simHolder) {
+	req := h.holder.BuildRequest()
+	w.sent++
+	w.send(simMessage{owner: h.target, holder: h, request: req})
+}
+
+// step advances the reference time and lets messages arrive and holders renew.
+func (w *simWorld) step(dt time.Duration) {
+	w.now += dt
+	for _, o := range w.owners {
+		o.advance(w.now, dt)
+	}
+	for _, h := range w.holders {
+		h.advance(w.now, dt)
+	}
+	w.deliver()
+	for _, h := range w.holders {
+		if w.now >= h.frozen && h.holder.NeedsRenewal() {
+			w.renew(h)
+		}
+	}
+}
+
+func (w *simWorld) deliver() {
+	pending := w.messages
+	w.messages = nil
+	for _, m := range pending {
+		receiver := &m.holder.simNode
+		if m.request != nil {
+			receiver = &w.owners[m.owner].simNode
+		}
+		switch {
+		case m.at > w.now || receiver.frozen > w.now:
+			w.messages = append(w.messages, m)
+		case m.request != nil:
+			w.handle(m)
+		default:
+			w.accept(m)
+		}
+	}
+}
+
+func (w *simWorld) handle(m simMessage) {
+	valid := m.checked || m.owner == len(w.owners)-1
+	if d := w.stall(); valid && !m.checked && d > 0 {
+		m.checked, m.at = true, w.now+d
+		w.messages = append(w.messages, m)
+		return
+	}
+	reply := w.owners[m.owner].owner.Renew(m.request, valid)
+	w.send(simMessage{holder: m.holder, reply: reply})
+}
+
+func (w *simWorld) accept(m simMessage) {
+	if m.holder.holder.Accept(m.reply) == ErrNotLeader {
+		m.holder.target = len(w.owners) - 1
+	}
+}
--- /dev/null
+++ b/grant/timing.go
@@ -0,0 +1,36 @@
+package grant
+
+import (
+	"time"
+
+	"pistachiomount.example/pistachiomount/clock"
+)
+
+const (
+	// DefaultLease is the validity of a grant from the send time of its request.
+	DefaultLease = 3 * time.Second
+	// RenewInterval is the regular time between renewals of a holder.
+	RenewInterval = time.Second
+	// MinRenewInterval is the shortest time between renewals of a holder.
+	MinRenewInterval = 200 * time.Millisecond
+	// driftMargin covers clocks of two VMs that differ by 2% in speed.
+	driftMargin = 0.02
+)
+
+// withMargin lengthens a wait that ends on this clock so that d has also passed
+// on any clock up to driftMargin slower.
+func withMargin(d time.Duration) time.Duration {
+	return d + time.Duration(float64(d)*driftMargin)
+}
+
+// leastElapsed returns the time that has certainly passed: the smaller of the
+// monotonic and the boot-time difference. The owner must not end a wait early,
+// and a bucket must not fill too fast, because a wall clock jumped forward.
+func leastElapsed(now, earlier clock.Instant) time.Duration {
+	return max(0, min(now.Mono-earlier.Mono, now.Boot-earlier.Boot))
+}
+
+// passed reports whether at least d has certainly passed since earlier.
+func passed(now, earlier clock.Instant, d time.Duration) bool {
+	return leastElapsed(now, earlier) >= d
+}
--- /dev/null
+++ b/grant/units.go
@@ -0,0 +1,149 @@
+package grant
+
+import (
+	"math"
+	"sync"
+
+	"pistachiomount.example/pistachiomount/apipb"
+	"pistachiomount.example/pistachiomount/clock"
+)
+
+// Units is the holder's part of a number of units. It is safe for concurrent use.
+type Units struct {
+	clock    clock.Clock
+	resource ResourceID
+
+	mu       sync.Mutex
+	granted  uint32
+	used     uint32
+	peak     uint32 // largest use since the last report
+	refused  bool   // a unit was refused since the last report
+	want     float64
+	reported clock.Instant
+	leaseEnd clock.Instant
+	leased   bool
+	early    earlyTrigger
+	asked    uint64
+	closed   bool
+}
+
+func newUnits(c clock.Clock, id ResourceID) *Units {
+	return &Units{clock: c, resource: id, reported: c.Now()}
+}
+
+// TryAcquire takes one unit. It fails without a valid lease and while as many
+// units as granted are in use.
+func (u *Units) TryAcquire() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if !u.valid(u.clock.Now()) || u.used >= u.granted {
+		u.refused = true
+		u.early.set()
+		return false
+	}
+	u.used++
+	u.peak = max(u.peak, u.used)
+	return true
+}
+
+// Release gives one unit back. Each successful TryAcquire is followed by
+// exactly one Release, also when the lease expired in between.
+func (u *Units) Release() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.used > 0 {
+		u.used--
+	}
+}
+
+// InUse returns the units in use and the units granted at present.
+func (u *Units) InUse() (used, granted uint32) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if !u.valid(u.clock.Now()) {
+		return u.used, 0
+	}
+	return u.used, u.granted
+}
+
+func (u *Units) valid(now clock.Instant) bool {
+	return u.leased && now.Before(u.leaseEnd)
+}
+
+func (u *Units) expire(now clock.Instant) {
+	if !u.valid(now) {
+		u.leased, u.granted = false, 0
+	}
+}
+
+func (u *Units) report(now clock.Instant, sequence uint64) *apipb.Need {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.expire(now)
+	u.early.asked(now, float64(u.granted))
+	u.asked = sequence
+	return &apipb.Need{
+		Resource: string(u.resource), Kind: apipb.ResourceKind_RESOURCE_KIND_UNITS,
+		HeldUnits: u.granted, UsedUnits: u.used, Demand: u.rollDemand(now),
+	}
+}
+
+// rollDemand returns the units wanted: the peak use, half as much again after a
+// refusal, falling slowly so that shares do not follow each short dip.
+func (u *Units) rollDemand(now clock.Instant) float64 {
+	wanted := float64(u.peak)
+	if u.refused {
+		wanted += 1 + wanted/2
+	}
+	decay := math.Exp(-leastElapsed(now, u.reported).Seconds() / demandTau.Seconds())
+	u.want = max(wanted, wanted+(u.want-wanted)*decay)
+	if u.want < 0.05 {
+		u.want = 0
+	}
+	u.reported, u.peak, u.refused = now, u.used, false
+	return u.want
+}
+
+func (u *Units) apply(now clock.Instant, sequence uint64, share *apipb.Share, leaseEnd clock.Instant) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.asked != sequence {
+		return
+	}
+	u.expire(now)
+	if u.closed {
+		return
+	}
+	u.early.answered(float64(share.GetUnits()), float64(u.granted))
+	u.granted, u.leaseEnd, u.leased = share.GetUnits(), leaseEnd, true
+}
+
+func (u *Units) handBack() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.closed, u.leased, u.granted = true, false, 0
+}
+
+func (u *Units) wantsRenewal(now clock.Instant) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.early.due(now)
+}
+
+func (u *Units) idle() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.used == 0
+}
+
+func (u *Units) isClosed() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.closed
+}
+
+func (u *Units) setClosed(closed bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.closed = closed
+}
