--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,110 @@
+#!/usr/bin/env bash
+# Runs the whole system on loopback: 3 control VMs, 6 entry VMs (3 regions, 2
+# failure domains each), stand-in upstreams and platform. An operator's document
+# is tried and promoted, callers are served, a key is revoked, a region is
+# drained, and a summary is printed. Everything stops at the end.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+bin=$PWD/bin
+dir=$(mktemp -d)
+pids=()
+cleanup() {
+  kill "${pids[@]}" 2>/dev/null || true
+  wait 2>/dev/null || true
+  rm -rf "$dir"
+}
+trap cleanup EXIT
+
+start() { # start NAME PROGRAM ARGS...
+  local name=$1
+  shift
+  "$@" >"$dir/$name.out" 2>"$dir/$name.log" &
+  pids+=($!)
+}
+address() { # address NAME LISTENER: waits for the bound address in the log
+  for _ in $(seq 200); do
+    found=$(sed -n "s/.*\"address\":\"\([^\"]*\)\".*\"listener\":\"$2\".*/\1/p" "$dir/$1.log" 2>/dev/null | head -1)
+    [ -n "$found" ] && { echo "$found"; return; }
+    sleep 0.05
+  done
+  echo "demo: $1 did not start:" >&2
+  cat "$dir/$1.log" >&2
+  exit 1
+}
+step() { printf '\n== %s\n' "$*"; }
+
+regions=(bogota medellin cali)
+export PM_INSECURE=true PM_TOKEN=demo-operator-token
+digest=$(printf %s "$PM_TOKEN" | sha256sum | cut -d' ' -f1)
+
+step "platform and upstreams"
+start platform "$bin/standin-platform"
+platform=$(address platform http)
+for region in "${regions[@]}"; do
+  for service in records billing; do
+    start "upstreams-$service-$region" "$bin/standin-upstream" --platform "$platform" --count 5 \
+      --service "$service" --region "$region" --failure-domain "$region-1" --slots 6 --service-time 5ms
+    address "upstreams-$service-$region" control >/dev/null
+  done
+done
+
+step "control VMs"
+peers=
+for i in 0 1 2; do
+  start "control-$i" "$bin/pm-control" --vm "control-$i" --region "${regions[$i]}" --failure-domain "${regions[$i]}-1" \
+    --deployment bancas --data-dir "$dir/control-$i" --operator-tokens "demo:$digest" \
+    --platform-trial "$platform" --platform-production "$platform" ${peers:+--peers "$peers"}
+  rpc=$(address "control-$i" rpc)
+  http=$(address "control-$i" http)
+  peers=${peers:+$peers,}$rpc
+  if [ "$i" = 0 ]; then
+    export PM_CONTROL=$http
+    "$bin/pmctl" init
+  fi
+done
+
+step "entry VMs"
+for i in 0 1 2; do
+  for n in 1 2; do
+    start "entry-$i-$n" "$bin/pm-entry" --vm "entry-$i-$n" --region "${regions[$i]}" \
+      --failure-domain "${regions[$i]}-$n" --deployment bancas --environment production \
+      --controls "$peers" --platform "$platform"
+  done
+done
+entry=$(address entry-0-1 callers)
+
+step "document: trial, then production"
+"$bin/pmctl" validate examples/bancas.yaml
+"$bin/pmctl" apply examples/bancas.yaml
+"$bin/pmctl" promote examples/bancas.yaml
+for _ in $(seq 200); do
+  serving=$("$bin/pmctl" --output json status | grep -c '"state": "serving"' || true)
+  [ "$serving" = 6 ] && break
+  sleep 0.1
+done
+"$bin/pmctl" status
+
+step "callers"
+keys=catedral-primada=demo-key-catedral-primada,san-ignacio=demo-key-san-ignacio,belen=demo-key-belen
+"$bin/demo-caller" --entry "$entry" --service records --path /records/1 --keys "$keys" --rate 100 --duration 5s
+
+step "a key is revoked"
+sed -e 's/^number: 1$/number: 2/' -e '/name: belen$/,$ s/sha256: .*/sha256: '"$(printf other | sha256sum | cut -d' ' -f1)"'/' \
+  examples/bancas.yaml >"$dir/2.yaml"
+"$bin/pmctl" apply "$dir/2.yaml"
+"$bin/pmctl" promote "$dir/2.yaml"
+for _ in $(seq 200); do
+  code=$(curl -s -o "$dir/answer" -w '%{http_code}' -H 'X-Api-Key: demo-key-belen' "http://$entry/records/1")
+  [ "$code" = 401 ] && break
+  sleep 0.1
+done
+echo "revoked key: $code $(cat "$dir/answer")"
+
+step "a region is drained"
+"$bin/pmctl" drain --region cali --to "$dir/3.yaml"
+"$bin/pmctl" apply "$dir/3.yaml"
+"$bin/pmctl" promote "$dir/3.yaml"
+"$bin/demo-caller" --entry "$entry" --service records --path /records/1 --keys "$keys" --rate 100 --duration 5s
+
+step "status at the end"
+"$bin/pmctl" status
--- a/store/claims.go
+++ b/store/claims.go
@@ -136,7 +136,10 @@
 		return
 	}
 	c.bodyBytes -= len(record.Outcome.Body)
-	record.Outcome.Body, record.Outcome.BodyOmitted = nil, true
+	// Answers that are still being sent share the old outcome.
+	record.Outcome = &apipb.Outcome{
+		StatusCode: record.Outcome.StatusCode, Headers: record.Outcome.Headers, BodyOmitted: true,
+	}
 }
 
 func (c *claims) expire(nowMS int64) {
--- a/store/jobs.go
+++ b/store/jobs.go
@@ -213,11 +213,19 @@
 }
 
 func (q *jobs) queued(env apipb.Environment) int {
-	count := 0
-	for _, job := range q.queue {
+	return count(q.queue, env)
+}
+
+func (q *jobs) unfinished(env apipb.Environment) int {
+	return count(q.queue, env) + count(q.started, env)
+}
+
+func count(jobs []*apipb.Job, env apipb.Environment) int {
+	total := 0
+	for _, job := range jobs {
 		if job.Environment == env {
-			count++
+			total++
 		}
 	}
-	return count
+	return total
 }
--- a/store/store.go
+++ b/store/store.go
@@ -84,11 +84,14 @@
 // QueuedJobs returns how many jobs of the environment wait for a worker.
 func (s *Store) QueuedJobs(env apipb.Environment) int { return s.jobs.queued(env) }
 
-// Job returns the job, if it belongs to the customer.
+// UnfinishedJobs returns how many jobs of the environment wait or run.
+func (s *Store) UnfinishedJobs(env apipb.Environment) int { return s.jobs.unfinished(env) }
+
+// Job returns a copy of the job, if it belongs to the customer.
 func (s *Store) Job(id, customer string) *apipb.Job {
 	job := s.jobs.byID[id]
 	if job == nil || job.Customer != customer {
 		return nil
 	}
-	return job
+	return proto.CloneOf(job)
 }
