Test roles, plaintext limits and silent connections of the transport

Ruled out: nothing. Conclusion: unknown roles, other authorities and plaintext are refused; one timeout replaces every idle connection to the peer.

--- /dev/null
+++ b/transport/pki_test.go
@@ -0,0 +1,82 @@
+package transport_test
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"pistachiomount.example/pistachiomount/transport"
+)
+
+// authority signs certificates for tests.
+type authority struct {
+	t    testing.TB
+	dir  string
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+func newAuthority(t testing.TB) *authority {
+	a := &authority{t: t, dir: t.TempDir()}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "test authority"},
+		NotAfter: time.Now().Add(time.Hour), IsCA: true, BasicConstraintsValid: true,
+		KeyUsage: x509.KeyUsageCertSign,
+	}
+	a.key = a.newKey()
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &a.key.PublicKey, a.key)
+	a.must(err)
+	a.cert, err = x509.ParseCertificate(der)
+	a.must(err)
+	a.write("ca.pem", "CERTIFICATE", der)
+	return a
+}
+
+// security returns settings with a certificate of the role.
+func (a *authority) security(role string) *transport.Security {
+	key := a.newKey()
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(time.Now().UnixNano()),
+		Subject:      pkix.Name{CommonName: role, OrganizationalUnit: []string{role}},
+		NotAfter:     time.Now().Add(time.Hour),
+		IPAddresses:  []net.IP{net.IPv4(127, 0, 0, 1)},
+		ExtKeyUsage:  []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key)
+	a.must(err)
+	keyDER, err := x509.MarshalECPrivateKey(key)
+	a.must(err)
+	return &transport.Security{
+		CertFile: a.write(role+".pem", "CERTIFICATE", der),
+		KeyFile:  a.write(role+".key", "EC PRIVATE KEY", keyDER),
+		CAFile:   filepath.Join(a.dir, "ca.pem"),
+	}
+}
+
+func (a *authority) newKey() *ecdsa.PrivateKey {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	a.must(err)
+	return key
+}
+
+func (a *authority) write(name, kind string, der []byte) string {
+	path := filepath.Join(a.dir, name)
+	a.must(os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600))
+	return path
+}
+
+func (a *authority) must(err error) {
+	a.t.Helper()
+	if err != nil {
+		a.t.Fatal(err)
+	}
+}
--- /dev/null
+++ b/transport/transport_test.go
@@ -0,0 +1,185 @@
+package transport_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcmux"
+
+	"pistachiomount.example/pistachiomount/apipb"
+	"pistachiomount.example/pistachiomount/transport"
+)
+
+type service struct {
+	apipb.DRPCControlUnimplementedServer
+	calls atomic.Int64
+	// together holds calls back until all of them have arrived, so that each has
+	// a connection of its own.
+	together sync.WaitGroup
+	hold     atomic.Bool
+}
+
+func (s *service) Watch(context.Context, *apipb.WatchRequest) (*apipb.WatchReply, error) {
+	if s.calls.Add(1) <= 3 && s.hold.Load() {
+		s.together.Done()
+		s.together.Wait()
+	}
+	return &apipb.WatchReply{Revision: 7}, nil
+}
+
+func quiet() *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
+
+// serve starts a server that offers its service to entry daemons only.
+func serve(t *testing.T, security *transport.Security, role transport.Role) (string, *service) {
+	t.Helper()
+	s := &service{}
+	mux := drpcmux.New()
+	if err := apipb.DRPCRegisterControl(mux, s); err != nil {
+		t.Fatal(err)
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = transport.NewServer(security, map[transport.Role]drpc.Handler{role: mux}, quiet()).Serve(ctx, listener)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return listener.Addr().String(), s
+}
+
+func watch(t *testing.T, address string, security *transport.Security) error {
+	t.Helper()
+	client, err := transport.NewClient(address, security)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = client.Close() }()
+	_, err = apipb.NewDRPCControlClient(client).Watch(context.Background(), &apipb.WatchRequest{})
+	return err
+}
+
+// Guards against a process of an unknown role, or of none, that is served.
+func TestRoles(t *testing.T) {
+	is := is.New(t)
+	a := newAuthority(t)
+	address, s := serve(t, a.security("control"), transport.RoleEntry)
+	is.NoErr(watch(t, address, a.security("entry")))
+	is.True(watch(t, address, a.security("operator")) != nil)              // unknown role
+	is.True(watch(t, address, a.security("control")) != nil)               // not offered to this role
+	is.True(watch(t, address, newAuthority(t).security("entry")) != nil)   // other authority
+	is.True(watch(t, address, &transport.Security{Insecure: true}) != nil) // plaintext
+	is.Equal(s.calls.Load(), int64(1))
+}
+
+// Guards against an entry daemon whose certificate passes as a control daemon's.
+func TestClientRefusesServersOfOtherRoles(t *testing.T) {
+	is := is.New(t)
+	a := newAuthority(t)
+	address, s := serve(t, a.security("entry"), transport.RoleEntry)
+	is.True(watch(t, address, a.security("entry")) != nil)
+	is.Equal(s.calls.Load(), int64(0))
+}
+
+// Guards against plaintext beyond this machine.
+func TestPlaintextOnlyOnLoopback(t *testing.T) {
+	is := is.New(t)
+	_, err := transport.NewClient("192.0.2.1:1", &transport.Security{Insecure: true})
+	is.True(errors.Is(err, transport.ErrNotLoopback))
+	is.True((&transport.Security{}).Check() != nil)
+}
+
+// silencer passes connections on until it is told to drop what they carry.
+type silencer struct {
+	target string
+	silent atomic.Bool
+	opened atomic.Int64
+}
+
+func (s *silencer) run(listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		s.opened.Add(1)
+		born := s.silent.Load()
+		upstream, err := net.Dial("tcp", s.target)
+		if err != nil {
+			return
+		}
+		go s.copy(upstream, conn, born)
+		go s.copy(conn, upstream, born)
+	}
+}
+
+// copy drops everything on connections that were open when silence began.
+func (s *silencer) copy(to, from net.Conn, born bool) {
+	buffer := make([]byte, 4096)
+	for {
+		n, err := from.Read(buffer)
+		if err != nil {
+			_ = to.Close()
+			return
+		}
+		if s.silent.Load() != born {
+			continue
+		}
+		_, _ = to.Write(buffer[:n])
+	}
+}
+
+// Guards against idle connections that went silent and are used again after one
+// of them timed out, while new connections work.
+func TestSilentConnectionsAreReplaced(t *testing.T) {
+	is := is.New(t)
+	security := &transport.Security{Insecure: true}
+	address, s := serve(t, security, transport.RoleControl)
+	proxy := &silencer{target: address}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = listener.Close() }()
+	go proxy.run(listener)
+
+	client, err := transport.NewClient(listener.Addr().String(), security)
+	is.NoErr(err)
+	defer func() { _ = client.Close() }()
+	call := func(timeout time.Duration) error {
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
+		defer cancel()
+		_, err := apipb.NewDRPCControlClient(client).Watch(ctx, &apipb.WatchRequest{})
+		return err
+	}
+	s.together.Add(3)
+	s.hold.Store(true)
+	results := make(chan error, 3)
+	for range 3 {
+		go func() { results <- call(transport.CallTimeout) }()
+	}
+	for range 3 {
+		is.NoErr(<-results)
+	}
+	proxy.silent.Store(true)
+	is.True(call(50*time.Millisecond) != nil) // the silent connection is found out
+	is.NoErr(call(transport.CallTimeout))     // no other of its age is tried
+	is.Equal(s.calls.Load(), int64(4))
+}
