--- a/settings/checker.go
+++ b/settings/checker.go
@@ -184,11 +184,11 @@
 	low, high := flag.Tag.Get("min"), flag.Tag.Get("max")
 	switch {
 	case low != "" && high != "":
-		return fmt.Sprintf(" from %s to %s", low, high)
+		return fmt.Sprintf(", from %s to %s", low, high)
 	case low != "":
-		return " of at least " + low
+		return ", at least " + low
 	case high != "":
-		return " of at most " + high
+		return ", at most " + high
 	default:
 		return ""
 	}
--- a/settings/errors.go
+++ b/settings/errors.go
@@ -40,9 +40,9 @@
 // Error names the flag, the variable, the value and what is allowed.
 func (e *InvalidError) Error() string {
 	if e.Missing {
-		return fmt.Sprintf("%s (%s) is not set: allowed is %s", e.Flag, e.Variable, e.Allowed)
+		return fmt.Sprintf("%s (%s) is not set; allowed: %s", e.Flag, e.Variable, e.Allowed)
 	}
-	return fmt.Sprintf("%s (%s): %q is not allowed: allowed is %s", e.Flag, e.Variable, e.Value, e.Allowed)
+	return fmt.Sprintf("%s (%s): invalid value %q; allowed: %s", e.Flag, e.Variable, e.Value, e.Allowed)
 }
 
 // ExitCode returns the exit code for the result of a program.
--- a/settings/program_test.go
+++ b/settings/program_test.go
@@ -96,7 +96,7 @@
 func TestMissingUnknownAndHelp(t *testing.T) {
 	is := is.New(t)
 	_, err := parse()
-	is.Equal(err.Error(), "--data-dir (PM_DATA_DIR) is not set: allowed is the path of a readable directory or of one to be created")
+	is.Equal(err.Error(), "--data-dir (PM_DATA_DIR) is not set; allowed: the path of a readable directory or of one to be created")
 	is.Equal(settings.ExitCode(err), settings.ExitUsage)
 	_, err = parse("--data-dir", "..", "--unknown")
 	is.True(errors.Is(err, settings.ErrUsage))
