--- a/settings/ready.go
+++ b/settings/ready.go
@@ -2,8 +2,8 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"maps"
-	"net"
 	"net/http"
 	"sync"
 )
@@ -37,7 +37,7 @@
 }
 
 // AddListener adds a bound address to the report.
-func (r *Ready) AddListener(name string, address net.Addr) {
+func (r *Ready) AddListener(name string, address fmt.Stringer) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.report.Listeners[name] = address.String()
--- /dev/null
+++ b/standin/fleet.go
@@ -0,0 +1,140 @@
+package standin
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/alexedwards/flow"
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"pistachiomount.example/pistachiomount/platform"
+)
+
+// Fleet runs many upstreams in one process. It is an http.Handler for their
+// control requests, which works also while the upstreams refuse connections.
+type Fleet struct {
+	servers []*UpstreamServer
+	byID    map[string]*UpstreamServer
+	handler http.Handler
+}
+
+// StartFleet starts every upstream of the configuration, or none.
+func StartFleet(config FleetConfig, logger logrus.FieldLogger) (*Fleet, error) {
+	if err := config.check(); err != nil {
+		return nil, errors.Trace(err)
+	}
+	f := &Fleet{byID: map[string]*UpstreamServer{}}
+	for _, member := range config.Upstreams {
+		if err := f.start(member, logger); err != nil {
+			f.Close()
+			return nil, errors.Trace(err)
+		}
+	}
+	f.handler = f.routes()
+	return f, nil
+}
+
+func (f *Fleet) start(member FleetMember, logger logrus.FieldLogger) error {
+	upstream, err := NewUpstream(member.UpstreamConfig)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	server, err := StartUpstream(upstream, member.Address, logger)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	f.servers = append(f.servers, server)
+	f.byID[member.ID] = server
+	return nil
+}
+
+// Entries returns the entries for the platform's list.
+func (f *Fleet) Entries() []platform.Upstream {
+	entries := make([]platform.Upstream, len(f.servers))
+	for i, server := range f.servers {
+		entries[i] = server.Entry()
+	}
+	return entries
+}
+
+// Server returns the server of an upstream, or nil if there is none.
+func (f *Fleet) Server(id string) *UpstreamServer {
+	return f.byID[id]
+}
+
+// Shutdown stops all upstreams gracefully.
+func (f *Fleet) Shutdown(ctx context.Context) error {
+	var group errgroup.Group
+	for _, server := range f.servers {
+		group.Go(func() error { return server.Shutdown(ctx) })
+	}
+	return group.Wait()
+}
+
+// Close stops all upstreams at once.
+func (f *Fleet) Close() {
+	for _, server := range f.servers {
+		server.Close()
+	}
+}
+
+// ServeHTTP serves GET /upstreams, the control requests of one upstream under
+// /upstreams/{id}/, PUT /standin for all, and GET /standin/record with the
+// records of all.
+func (f *Fleet) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.handler.ServeHTTP(w, r)
+}
+
+func (f *Fleet) routes() http.Handler {
+	mux := flow.New()
+	mux.HandleFunc("/upstreams", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, f.Entries())
+	}, http.MethodGet)
+	mux.HandleFunc("/upstreams/:id/...", f.controlOne)
+	mux.HandleFunc("/standin", f.putAll, http.MethodPut)
+	mux.HandleFunc("/standin/record", f.getRecords, http.MethodGet)
+	return mux
+}
+
+func (f *Fleet) controlOne(w http.ResponseWriter, r *http.Request) {
+	id := r.PathValue("id")
+	server := f.Server(id)
+	if server == nil {
+		writeError(w, errors.WithType(errors.Errorf("upstream %q", id), ErrUnknown))
+		return
+	}
+	http.StripPrefix("/upstreams/"+id, server.Upstream().ControlHandler()).ServeHTTP(w, r)
+}
+
+// putAll sets the behaviour of all upstreams that match the query parameters
+// service, region and failure_domain; one that is not given matches all.
+func (f *Fleet) putAll(w http.ResponseWriter, r *http.Request) {
+	var b Behaviour
+	err := decodeBody(r, &b)
+	for _, server := range f.servers {
+		if err != nil {
+			break
+		}
+		entry := server.Entry()
+		if matches(r, "service", entry.Service) && matches(r, "region", entry.Region) &&
+			matches(r, "failure_domain", entry.FailureDomain) {
+			err = server.Upstream().SetBehaviour(b)
+		}
+	}
+	answerChange(w, err)
+}
+
+func matches(r *http.Request, parameter, value string) bool {
+	wanted := r.URL.Query().Get(parameter)
+	return wanted == "" || wanted == value
+}
+
+func (f *Fleet) getRecords(w http.ResponseWriter, _ *http.Request) {
+	records := make([]Record, len(f.servers))
+	for i, server := range f.servers {
+		records[i] = server.Upstream().Record()
+	}
+	writeJSON(w, http.StatusOK, records)
+}
--- /dev/null
+++ b/standin/recorder.go
@@ -0,0 +1,126 @@
+package standin
+
+import (
+	"maps"
+	"net/http"
+	"slices"
+	"sync"
+)
+
+const (
+	// maxCustomers, maxHeaderNames and maxSecretPlaces bound the sets of a
+	// record against clients that invent names.
+	maxCustomers    = 1000
+	maxHeaderNames  = 1000
+	maxSecretPlaces = 100
+)
+
+// recorder collects a Record within fixed bounds.
+type recorder struct {
+	maxRecords int
+
+	mu          sync.Mutex
+	index       map[RequestKey]int
+	requests    []RequestCount
+	unrecorded  int
+	customers   map[string]int
+	totals      Totals
+	headerNames map[string]bool
+	places      map[string]bool
+}
+
+func newRecorder(maxRecords int) *recorder {
+	return &recorder{
+		maxRecords:  maxRecords,
+		index:       map[RequestKey]int{},
+		customers:   map[string]int{},
+		headerNames: map[string]bool{},
+		places:      map[string]bool{},
+	}
+}
+
+// count applies an increment to the totals.
+func (c *recorder) count(increment func(*Totals)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	increment(&c.totals)
+}
+
+// start records that a request begins to run.
+func (c *recorder) start(key RequestKey) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.totals.Started++
+	c.totals.Running++
+	c.totals.HighestRunning = max(c.totals.HighestRunning, c.totals.Running)
+	if _, known := c.customers[key.Customer]; known || len(c.customers) < maxCustomers {
+		c.customers[key.Customer]++
+	}
+	i, known := c.index[key]
+	switch {
+	case known:
+		c.requests[i].Started++
+	case len(c.requests) < c.maxRecords:
+		c.index[key] = len(c.requests)
+		c.requests = append(c.requests, RequestCount{RequestKey: key, Started: 1})
+	default:
+		c.unrecorded++
+	}
+}
+
+// stop records that a request no longer runs, and whether it ran to its end.
+func (c *recorder) stop(key RequestKey, finished bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.totals.Running--
+	if !finished {
+		return
+	}
+	c.totals.Finished++
+	if i, known := c.index[key]; known {
+		c.requests[i].Finished++
+	}
+}
+
+func (c *recorder) running() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.totals.Running
+}
+
+// sawHeaders records names of headers or trailers.
+func (c *recorder) sawHeaders(header http.Header) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for name := range header {
+		addBounded(c.headerNames, name, maxHeaderNames)
+	}
+}
+
+// sawSecret records where a secret arrived, never the secret.
+func (c *recorder) sawSecret(place string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	addBounded(c.places, place, maxSecretPlaces)
+}
+
+func (c *recorder) snapshot(upstream string) Record {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return Record{
+		Upstream:          upstream,
+		Requests:          append([]RequestCount{}, c.requests...),
+		Unrecorded:        c.unrecorded,
+		StartedByCustomer: maps.Clone(c.customers),
+		Totals:            c.totals,
+		HeaderNames:       slices.Sorted(maps.Keys(c.headerNames)),
+		SecretSeen:        len(c.places) > 0,
+		SecretPlaces:      slices.Sorted(maps.Keys(c.places)),
+	}
+}
+
+func addBounded(set map[string]bool, name string, limit int) {
+	if len(set) < limit {
+		set[bounded(name)] = true
+	}
+}
--- /dev/null
+++ b/standin/upstream_server.go
@@ -0,0 +1,122 @@
+package standin
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"pistachiomount.example/pistachiomount/platform"
+	"pistachiomount.example/pistachiomount/settings"
+)
+
+// UpstreamServer serves an Upstream on a TCP address.
+type UpstreamServer struct {
+	upstream *Upstream
+	logger   logrus.FieldLogger
+	server   *http.Server
+	// address is the bound address, which a reopened socket uses again.
+	address settings.Address
+	open    atomic.Int64
+	serving sync.WaitGroup
+
+	mu       sync.Mutex
+	listener net.Listener
+	stopped  bool
+}
+
+// StartUpstream listens on the address and serves the upstream until Shutdown or Close.
+func StartUpstream(upstream *Upstream, address settings.Address, logger logrus.FieldLogger) (*UpstreamServer, error) {
+	s := &UpstreamServer{upstream: upstream, logger: logger, address: address}
+	s.server = &http.Server{Handler: upstream, ConnContext: upstream.ConnContext, ReadHeaderTimeout: readHeaderTimeout}
+	upstream.setListening = s.setListening
+	if err := s.setListening(true); err != nil {
+		return nil, errors.Trace(err)
+	}
+	return s, nil
+}
+
+// Upstream returns the served upstream.
+func (s *UpstreamServer) Upstream() *Upstream {
+	return s.upstream
+}
+
+// Entry returns the entry for the platform's list.
+func (s *UpstreamServer) Entry() platform.Upstream {
+	c := s.upstream.config
+	return platform.Upstream{
+		ID: c.ID, Service: c.Service, Address: s.Address(),
+		Region: c.Region, FailureDomain: c.FailureDomain, State: platform.Live,
+	}
+}
+
+// Address returns the bound address.
+func (s *UpstreamServer) Address() netip.AddrPort {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.address.AddrPort
+}
+
+// Shutdown stops listening and waits for running requests.
+func (s *UpstreamServer) Shutdown(ctx context.Context) error {
+	s.stop()
+	err := s.server.Shutdown(ctx)
+	s.serving.Wait()
+	return errors.Annotate(err, "graceful stop")
+}
+
+// Close closes the socket and all connections.
+func (s *UpstreamServer) Close() {
+	s.stop()
+	_ = s.server.Close()
+	s.serving.Wait()
+}
+
+func (s *UpstreamServer) stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopped = true
+}
+
+// setListening opens or closes the socket. Closing it also closes idle
+// connections, as a stopping endpoint does.
+func (s *UpstreamServer) setListening(open bool) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopped || open == (s.listener != nil) {
+		return nil
+	}
+	if !open {
+		err := s.listener.Close()
+		s.listener = nil
+		s.server.SetKeepAlivesEnabled(false)
+		return errors.Annotate(err, "close socket")
+	}
+	listener, err := settings.Listen(s.address, "upstream "+s.upstream.ID(), s.logger)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	s.listener = listener
+	s.address.AddrPort = listener.Addr().(*net.TCPAddr).AddrPort()
+	s.server.SetKeepAlivesEnabled(true)
+	s.serving.Go(func() { s.serve(listener) })
+	return nil
+}
+
+func (s *UpstreamServer) serve(listener net.Listener) {
+	limited := &limitListener{
+		Listener: listener,
+		limit:    int64(s.upstream.config.MaxConnections),
+		open:     &s.open,
+		refused:  func() { s.upstream.recorder.count(func(t *Totals) { t.RefusedConnections++ }) },
+	}
+	err := s.server.Serve(limited)
+	if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		s.logger.WithError(err).Error("upstream stopped serving")
+	}
+}
