Hold the port of an upstream stand-in that refuses connections

Cause: while the socket was closed, any outgoing connection on the machine could take its port, and switching back to normal would then fail. Ruled out: accepting and resetting, since callers must see a refused connection; retrying to listen, since the port may stay taken. Conclusion: a bound socket that does not listen keeps the port.

--- a/standin/upstream_server.go
+++ b/standin/upstream_server.go
@@ -21,23 +21,28 @@
 	logger   logrus.FieldLogger
 	server   *http.Server
 	// address is the bound address, which a reopened socket uses again.
-	address settings.Address
+	address netip.AddrPort
 	open    atomic.Int64
 	serving sync.WaitGroup
 
 	mu       sync.Mutex
 	listener net.Listener
-	stopped  bool
+	// held holds the port in ModeRefuse and is nil otherwise.
+	held    *heldPort
+	stopped bool
 }
 
 // StartUpstream listens on the address and serves the upstream until Shutdown or Close.
 func StartUpstream(upstream *Upstream, address settings.Address, logger logrus.FieldLogger) (*UpstreamServer, error) {
-	s := &UpstreamServer{upstream: upstream, logger: logger, address: address}
+	s := &UpstreamServer{upstream: upstream, logger: logger}
 	s.server = &http.Server{Handler: upstream, ConnContext: upstream.ConnContext, ReadHeaderTimeout: readHeaderTimeout}
-	upstream.setListening = s.setListening
-	if err := s.setListening(true); err != nil {
+	listener, err := settings.Listen(address, "upstream "+upstream.ID(), logger)
+	if err != nil {
 		return nil, errors.Trace(err)
 	}
+	s.address = listener.Addr().(*net.TCPAddr).AddrPort()
+	upstream.setListening = s.setListening
+	s.start(listener)
 	return s, nil
 }
 
@@ -57,9 +62,7 @@
 
 // Address returns the bound address.
 func (s *UpstreamServer) Address() netip.AddrPort {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.address.AddrPort
+	return s.address
 }
 
 // Shutdown stops listening and waits for running requests.
@@ -81,6 +84,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.stopped = true
+	if s.held != nil {
+		s.held.release()
+		s.held = nil
+	}
 }
 
 // setListening opens or closes the socket. Closing it also closes idle
@@ -88,26 +95,43 @@
 func (s *UpstreamServer) setListening(open bool) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.stopped || open == (s.listener != nil) {
+	switch {
+	case s.stopped || open == (s.held == nil):
 		return nil
+	case open:
+		return s.reopen()
+	default:
+		return s.refuse()
 	}
-	if !open {
-		err := s.listener.Close()
-		s.listener = nil
-		s.server.SetKeepAlivesEnabled(false)
+}
+
+// refuse closes the socket and holds its port for reopen.
+func (s *UpstreamServer) refuse() error {
+	s.server.SetKeepAlivesEnabled(false)
+	if err := s.listener.Close(); err != nil {
 		return errors.Annotate(err, "close socket")
 	}
-	listener, err := settings.Listen(s.address, "upstream "+s.upstream.ID(), s.logger)
+	held, err := holdPort(s.address)
+	s.held = held
+	return errors.Trace(err)
+}
+
+func (s *UpstreamServer) reopen() error {
+	listener, err := s.held.listen()
+	s.held = nil
 	if err != nil {
 		return errors.Trace(err)
 	}
-	s.listener = listener
-	s.address.AddrPort = listener.Addr().(*net.TCPAddr).AddrPort()
 	s.server.SetKeepAlivesEnabled(true)
-	s.serving.Go(func() { s.serve(listener) })
+	s.start(listener)
 	return nil
 }
 
+func (s *UpstreamServer) start(listener net.Listener) {
+	s.listener = listener
+	s.serving.Go(func() { s.serve(listener) })
+}
+
 func (s *UpstreamServer) serve(listener net.Listener) {
 	limited := &limitListener{
 		Listener: listener,
--- a/standin/upstream_test.go
+++ b/standin/upstream_test.go
@@ -4,12 +4,14 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -234,7 +236,7 @@
 	s := startUpstream(t, standin.UpstreamConfig{})
 	s.mode(t, standin.ModeRefuse)
 	_, err := net.Dial("tcp", s.Address().String())
-	is.True(err != nil)
+	is.True(errors.Is(err, syscall.ECONNREFUSED))
 	s.mode(t, standin.ModeNormal)
 	status, _, err := s.send(context.Background(), "/", "", nil)
 	is.NoErr(err)
