Add the consensus step function and its property test

Ruled out: refusing votes of unknown ids as such (a new voter whose change has not reached a lagging member could then never be elected after a second loss); granting a vote in the own term while a leader's lease may rest on the member; resuming the lease after a transfer whose TIMEOUT_NOW may still arrive (the leader moves to a new term instead).

--- /dev/null
+++ b/consensus/checks_test.go
@@ -0,0 +1,134 @@
+package consensus
+
+import (
+	"hash/fnv"
+	"strconv"
+
+	"pistachiomount.example/pistachiomount/apipb"
+)
+
+// simChecks holds what the safety properties are checked against.
+type simChecks struct {
+	leaders   map[uint64]uint64       // term: leader
+	written   map[[2]uint64]logRecord // index, term
+	committed map[uint64]logRecord    // by index
+	digests   map[uint64]uint64       // state machine after index
+	maxCommit uint64
+	served    int // reads
+	leases    int // observations of a valid lease
+}
+
+type logRecord struct {
+	term, prevTerm uint64
+	data           string
+}
+
+func newSimChecks() simChecks {
+	return simChecks{
+		leaders: map[uint64]uint64{}, written: map[[2]uint64]logRecord{},
+		committed: map[uint64]logRecord{}, digests: map[uint64]uint64{bootstrapIndex: 0, 0: 0},
+	}
+}
+
+// entries checks log matching: an index and term determine the entry and the one before it.
+func (c *simChecks) entries(t failer, disk *Persisted, rd Ready) {
+	for i, e := range rd.Entries {
+		prev, known := uint64(0), true
+		switch base := disk.Snapshot.GetMeta(); {
+		case i > 0:
+			prev = rd.Entries[i-1].GetTerm()
+		case rd.Snapshot != nil || e.GetIndex() == base.GetIndex()+1:
+			known = false
+		default:
+			prev = disk.Entries[e.GetIndex()-base.GetIndex()-2].GetTerm()
+		}
+		if !known {
+			continue
+		}
+		key := [2]uint64{e.GetIndex(), e.GetTerm()}
+		rec := logRecord{e.GetTerm(), prev, string(e.GetData())}
+		if old, ok := c.written[key]; ok && old != rec {
+			t.Fatalf("log matching: entry %v is %+v and %+v", key, old, rec)
+		}
+		c.written[key] = rec
+	}
+}
+
+// observe checks what must hold after every event.
+func (c *simChecks) observe(s *sim, m *simMember) {
+	st := m.node.Status()
+	c.maxCommit = max(c.maxCommit, st.Commit)
+	if st.Role == RoleLeader {
+		c.electionSafety(s.t, m, st)
+	}
+	holders := 0
+	for _, id := range s.order {
+		if x := s.members[id]; x.node != nil && !x.frozen && x.node.leaseTicksLeft() > 0 {
+			holders++
+		}
+	}
+	if holders > 1 {
+		s.t.Fatalf("%d members hold a valid lease at time %d", holders, s.now)
+	}
+	c.leases += holders
+}
+
+// electionSafety checks that a term has one leader and that it holds every
+// committed entry.
+func (c *simChecks) electionSafety(t failer, m *simMember, st Status) {
+	old, ok := c.leaders[st.Term]
+	if ok && old != m.id {
+		t.Fatalf("term %d has leaders %d and %d", st.Term, old, m.id)
+	}
+	if ok {
+		return
+	}
+	c.leaders[st.Term] = m.id
+	for i := m.node.log.baseIndex() + 1; i <= c.maxCommit; i++ {
+		rec, applied := c.committed[i]
+		if term, held := m.node.log.term(i); applied && (!held || term != rec.term) {
+			t.Fatalf("leader completeness: leader %d of term %d lacks committed entry %d of term %d", m.id, st.Term, i, rec.term)
+		}
+	}
+}
+
+// apply checks state machine safety and returns the new state.
+func (c *simChecks) apply(t failer, id uint64, e *apipb.LogEntry, digest uint64) uint64 {
+	rec := logRecord{term: e.GetTerm(), data: string(e.GetData())}
+	if old, ok := c.committed[e.GetIndex()]; ok && old != rec {
+		t.Fatalf("state machine safety: member %d applies %+v at %d, another applied %+v", id, rec, e.GetIndex(), old)
+	}
+	c.committed[e.GetIndex()] = rec
+	h := fnv.New64a()
+	_, _ = h.Write(strconv.AppendUint(nil, digest, 10))
+	_, _ = h.Write(e.GetData())
+	sum := h.Sum64()
+	if old, ok := c.digests[e.GetIndex()]; ok && old != sum {
+		t.Fatalf("state of member %d differs after entry %d", id, e.GetIndex())
+	}
+	c.digests[e.GetIndex()] = sum
+	return sum
+}
+
+// digestAt returns the state in a snapshot after comparing it with the one that
+// was reached by applying.
+func (c *simChecks) digestAt(t failer, s *apipb.Snapshot) uint64 {
+	digest, _ := strconv.ParseUint(string(s.GetData()), 10, 64)
+	if want, ok := c.digests[s.GetMeta().GetIndex()]; !ok || want != digest {
+		t.Fatalf("snapshot at %d holds state %x, want %x", s.GetMeta().GetIndex(), digest, want)
+	}
+	return digest
+}
+
+// read checks that a read sees all that was committed when it was asked.
+func (c *simChecks) read(t failer, m *simMember, r ReadState) {
+	asked, ok := m.reads[r.RequestID]
+	if !ok {
+		t.Fatalf("member %d: answer to unknown read %d", m.id, r.RequestID)
+	}
+	if r.Index < asked {
+		t.Fatalf("stale read at member %d: index %d, committed before the request: %d", m.id, r.Index, asked)
+	}
+	c.served++
+	m.served = append(m.served, r)
+}
--- /dev/null
+++ b/consensus/log.go
@@ -0,0 +1,124 @@
+package consensus
+
+import "pistachiomount.example/pistachiomount/apipb"
+
+// entryLog is the part of the log held in memory. entries[0] is a placeholder
+// with the index and term just before the first entry.
+type entryLog struct {
+	entries   []*apipb.LogEntry
+	stable    uint64 // durable on this member
+	committed uint64
+	applied   uint64
+}
+
+func newEntryLog(index, term uint64) *entryLog {
+	l := &entryLog{}
+	l.reset(index, term)
+	return l
+}
+
+// reset empties the log after a snapshot at index.
+func (l *entryLog) reset(index, term uint64) {
+	l.entries = []*apipb.LogEntry{{Index: index, Term: term}}
+	l.stable, l.committed, l.applied = index, index, index
+}
+
+func (l *entryLog) baseIndex() uint64 { return l.entries[0].GetIndex() }
+
+func (l *entryLog) lastIndex() uint64 { return l.entries[len(l.entries)-1].GetIndex() }
+
+func (l *entryLog) lastTerm() uint64 { return l.entries[len(l.entries)-1].GetTerm() }
+
+// term returns the term of an entry; ok is false when it is not in memory.
+func (l *entryLog) term(index uint64) (term uint64, ok bool) {
+	if index < l.baseIndex() || index > l.lastIndex() {
+		return 0, false
+	}
+	return l.entries[index-l.baseIndex()].GetTerm(), true
+}
+
+func (l *entryLog) matches(index, term uint64) bool {
+	t, ok := l.term(index)
+	return ok && t == term
+}
+
+// from returns the entries after index prev, at least one if there is any, and
+// otherwise as many as fit in maxBytes.
+func (l *entryLog) from(prev uint64, maxBytes int) []*apipb.LogEntry {
+	all := l.entries[prev-l.baseIndex()+1:]
+	size := 0
+	for i, e := range all {
+		size += entrySize(e)
+		if i > 0 && size > maxBytes {
+			return all[:i:i]
+		}
+	}
+	return all[:len(all):len(all)]
+}
+
+func entrySize(e *apipb.LogEntry) int { return len(e.GetData()) + entryOverheadBytes }
+
+func (l *entryLog) append(entries ...*apipb.LogEntry) {
+	l.entries = append(l.entries, entries...)
+}
+
+// truncate drops the entries from index on. The slice is copied because messages
+// and Ready values may still refer to the old one.
+func (l *entryLog) truncate(index uint64) {
+	keep := index - l.baseIndex()
+	l.entries = append([]*apipb.LogEntry(nil), l.entries[:keep]...)
+	l.stable = min(l.stable, index-1)
+}
+
+func (l *entryLog) unstable() []*apipb.LogEntry {
+	s := l.entries[l.stable-l.baseIndex()+1:]
+	return s[:len(s):len(s)]
+}
+
+func (l *entryLog) unapplied() []*apipb.LogEntry {
+	s := l.entries[l.applied-l.baseIndex()+1 : l.committed-l.baseIndex()+1]
+	return s[:len(s):len(s)]
+}
+
+// markStable records that the log is durable up to index, unless that entry was
+// truncated since it was handed out.
+func (l *entryLog) markStable(index, term uint64) {
+	if l.matches(index, term) {
+		l.stable = max(l.stable, index)
+	}
+}
+
+func (l *entryLog) commitTo(index uint64) {
+	l.committed = max(l.committed, min(index, l.lastIndex()))
+}
+
+// atLeastAsNew reports whether a log that ends at index and term may lead.
+func (l *entryLog) atLeastAsNew(index, term uint64) bool {
+	return term > l.lastTerm() || (term == l.lastTerm() && index >= l.lastIndex())
+}
+
+// conflictHint returns the last index not above index whose term is not above
+// term. Two logs cannot agree between it and index, so a leader and a follower
+// that exchange hints skip whole terms in each round trip. The hint lies below the
+// entries in memory when even the first of them is excluded: the member then
+// needs a snapshot.
+func (l *entryLog) conflictHint(index, term uint64) (hint, hintTerm uint64) {
+	i := min(index, l.lastIndex())
+	for {
+		t, ok := l.term(i)
+		if !ok || t <= term {
+			return i, t
+		}
+		i--
+	}
+}
+
+// compact drops entries up to index, which must be applied and in memory.
+func (l *entryLog) compact(index uint64) {
+	if index <= l.baseIndex() {
+		return
+	}
+	t, _ := l.term(index)
+	rest := l.entries[index-l.baseIndex()+1:]
+	l.entries = append([]*apipb.LogEntry{{Index: index, Term: t}}, rest...)
+}
--- /dev/null
+++ b/consensus/members.go
@@ -0,0 +1,105 @@
+package consensus
+
+import (
+	"cmp"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"pistachiomount.example/pistachiomount/apipb"
+)
+
+// memberHistory holds the member sets by the log index at which they took
+// effect, so that a truncated change is undone. The first one is from a snapshot
+// or the empty set.
+type memberHistory struct {
+	records []memberRecord
+}
+
+type memberRecord struct {
+	index uint64
+	set   *apipb.MemberSet
+}
+
+func newMemberHistory(index uint64, set *apipb.MemberSet) memberHistory {
+	if set == nil {
+		set = &apipb.MemberSet{}
+	}
+	return memberHistory{records: []memberRecord{{index, set}}}
+}
+
+func (h *memberHistory) last() memberRecord { return h.records[len(h.records)-1] }
+
+func (h *memberHistory) current() *apipb.MemberSet { return h.last().set }
+
+// at returns the set in force at index.
+func (h *memberHistory) at(index uint64) *apipb.MemberSet {
+	i := len(h.records) - 1
+	for i > 0 && h.records[i].index > index {
+		i--
+	}
+	return h.records[i].set
+}
+
+// appended records the effect of a member change entry. A change that does not
+// fit is skipped: it is so on every member, since all have the same log.
+func (h *memberHistory) appended(e *apipb.LogEntry) {
+	change := &apipb.MemberChange{}
+	if proto.Unmarshal(e.GetData(), change) != nil {
+		return
+	}
+	if set, err := applyChange(h.current(), change); err == nil {
+		h.records = append(h.records, memberRecord{e.GetIndex(), set})
+	}
+}
+
+// truncate undoes the changes at index and above.
+func (h *memberHistory) truncate(index uint64) {
+	for len(h.records) > 1 && h.last().index >= index {
+		h.records = h.records[:len(h.records)-1]
+	}
+}
+
+// compact drops sets that were superseded at or below index.
+func (h *memberHistory) compact(index uint64) {
+	for len(h.records) > 1 && h.records[1].index <= index {
+		h.records = h.records[1:]
+	}
+}
+
+func compareMembers(a, b *apipb.Member) int { return cmp.Compare(a.GetId(), b.GetId()) }
+
+func cloneMember(m *apipb.Member) *apipb.Member { return proto.Clone(m).(*apipb.Member) }
+
+func cloneSet(s *apipb.MemberSet) *apipb.MemberSet { return proto.Clone(s).(*apipb.MemberSet) }
+
+func findMember(s *apipb.MemberSet, id uint64) *apipb.Member {
+	for _, m := range s.GetMembers() {
+		if m.GetId() == id {
+			return m
+		}
+	}
+	return nil
+}
+
+func isVoter(s *apipb.MemberSet, id uint64) bool {
+	return findMember(s, id).GetVoter() || slices.Contains(s.GetOutgoingVoters(), id)
+}
+
+func isJoint(s *apipb.MemberSet) bool { return len(s.GetOutgoingVoters()) > 0 }
+
+func voterIDs(s *apipb.MemberSet) []uint64 {
+	var ids []uint64
+	for _, m := range s.GetMembers() {
+		if m.GetVoter() {
+			ids = append(ids, m.GetId())
+		}
+	}
+	return ids
+}
+
+// soleVoter reports whether id decides alone.
+func soleVoter(s *apipb.MemberSet, id uint64) bool {
+	ids := voterIDs(s)
+	return !isJoint(s) && len(ids) == 1 && ids[0] == id
+}
--- /dev/null
+++ b/consensus/node.go
@@ -0,0 +1,185 @@
+package consensus
+
+import (
+	"math/rand/v2"
+
+	"github.com/juju/errors"
+
+	"pistachiomount.example/pistachiomount/apipb"
+)
+
+// Node is one member's part of the protocol.
+type Node struct {
+	cfg     Config
+	rng     *rand.Rand
+	roles   *roleMachine
+	log     *entryLog
+	members memberHistory
+
+	term     uint64
+	votedFor uint64
+	leader   uint64
+
+	// now counts ticks. It starts at ElectionTicks so that 0 is long ago.
+	now uint64
+	// heardLeaderAt is the tick of the last message from a leader. It survives
+	// changes of term: the leader's lease rests on it.
+	heardLeaderAt uint64
+	// electionStart is the tick from which electionTimeout counts.
+	electionStart   uint64
+	electionTimeout uint64
+	votes           map[uint64]bool
+
+	leaderState
+	readState
+	incoming incomingSnapshot
+
+	latestSnapshot  *apipb.Snapshot // to send to lagging members
+	pendingSnapshot *apipb.Snapshot // received, not yet persisted
+	savedHardState  *apipb.HardState
+	messages        []*apipb.ConsensusMessage
+	readStates      []ReadState
+}
+
+// leaderState is used by a leader only and reset at each election.
+type leaderState struct {
+	progress          map[uint64]*progress
+	leaderSince       uint64 // tick
+	termStart         uint64 // index of the first entry of its term
+	lastHeartbeat     uint64 // tick
+	rounds            heartbeatRounds
+	commitAtHeartbeat uint64 // commit index at the last heartbeat
+	caughtUpIndex     uint64 // commit index at the heartbeat before it
+	uncommittedBytes  int
+
+	transferee     uint64
+	transferStart  uint64 // tick
+	timeoutNowSent bool   // at any time in this term
+}
+
+// New makes a Node from what was persisted.
+func New(cfg Config, p Persisted) (*Node, error) {
+	cfg = cfg.withDefaults()
+	if err := cfg.validate(); err != nil {
+		return nil, err
+	}
+	meta := p.Snapshot.GetMeta()
+	n := &Node{
+		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, cfg.ID)), roles: newRoleMachine(),
+		log:            newEntryLog(meta.GetIndex(), meta.GetTerm()),
+		members:        newMemberHistory(meta.GetIndex(), meta.GetMembers()),
+		term:           p.HardState.GetTerm(),
+		votedFor:       p.HardState.GetVotedFor(),
+		now:            uint64(cfg.ElectionTicks),
+		latestSnapshot: p.Snapshot,
+		savedHardState: p.HardState,
+	}
+	n.readState.init(n.rng)
+	if err := n.loadEntries(p); err != nil {
+		return nil, err
+	}
+	if n.term > bootstrapTerm {
+		// The member may have answered a leader just before it restarted.
+		n.heardLeaderAt = n.now
+	}
+	n.resetElectionTimer()
+	n.refreshRole()
+	return n, nil
+}
+
+func (n *Node) loadEntries(p Persisted) error {
+	for _, e := range p.Entries {
+		if e.GetIndex() != n.log.lastIndex()+1 || e.GetTerm() < n.log.lastTerm() {
+			return errors.Annotatef(ErrState, "entry %d of term %d follows entry %d of term %d",
+				e.GetIndex(), e.GetTerm(), n.log.lastIndex(), n.log.lastTerm())
+		}
+		n.appendToLog(e)
+	}
+	n.log.stable = n.log.lastIndex()
+	if c := p.HardState.GetCommit(); c > n.log.lastIndex() {
+		return errors.Annotatef(ErrState, "commit index %d is above the last entry %d", c, n.log.lastIndex())
+	}
+	if n.log.lastTerm() > n.term && len(p.Entries) > 0 {
+		return errors.Annotatef(ErrState, "entry of term %d with hard state of term %d", n.log.lastTerm(), n.term)
+	}
+	n.term = max(n.term, n.log.lastTerm()) // a snapshot is saved before the hard state
+	n.log.commitTo(p.HardState.GetCommit())
+	return nil
+}
+
+// Tick advances the node's time by one tick interval.
+func (n *Node) Tick() {
+	n.now++
+	n.expireReads()
+	if n.role() == RoleLeader {
+		n.tickLeader()
+		return
+	}
+	if !n.heardLeaderRecently() {
+		n.leader = 0
+	}
+	if n.now-n.electionStart >= n.electionTimeout || soleVoter(n.members.current(), n.cfg.ID) {
+		n.resetElectionTimer()
+		n.campaign()
+	}
+}
+
+func (n *Node) tickLeader() {
+	if !n.quorumActive() {
+		n.becomeFollower(n.term, 0)
+		return
+	}
+	n.tickTransfer()
+	if n.role() == RoleLeader && n.now-n.lastHeartbeat >= uint64(n.cfg.HeartbeatTicks) {
+		n.lastHeartbeat = n.now
+		n.caughtUpIndex, n.commitAtHeartbeat = n.commitAtHeartbeat, n.log.committed
+		n.startRound()
+	}
+}
+
+func (n *Node) role() Role { return n.roles.current }
+
+// refreshRole makes the role fit the membership.
+func (n *Node) refreshRole() {
+	if isVoter(n.members.current(), n.cfg.ID) {
+		n.roles.fire(triggerVoterGained)
+	} else {
+		n.roles.fire(triggerVoterLost)
+	}
+}
+
+func (n *Node) resetElectionTimer() {
+	n.electionStart = n.now
+	n.electionTimeout = uint64(n.cfg.ElectionTicks + n.rng.IntN(n.cfg.ElectionTicks))
+}
+
+func (n *Node) send(m *apipb.ConsensusMessage) {
+	m.From = n.cfg.ID
+	if m.Term == 0 {
+		m.Term = n.term
+	}
+	n.messages = append(n.messages, m)
+}
+
+// appendToLog adds entries and lets member changes among them take effect.
+func (n *Node) appendToLog(entries ...*apipb.LogEntry) {
+	n.log.append(entries...)
+	changed := false
+	for _, e := range entries {
+		if e.GetType() == apipb.EntryType_ENTRY_TYPE_MEMBER_CHANGE {
+			n.members.appended(e)
+			changed = true
+		}
+	}
+	if changed {
+		n.membersChanged()
+	}
+}
+
+// membersChanged follows every change of the member set in force.
+func (n *Node) membersChanged() {
+	n.refreshRole()
+	if n.role() == RoleLeader {
+		n.syncProgress()
+	}
+}
--- /dev/null
+++ b/consensus/persisted.go
@@ -0,0 +1,50 @@
+package consensus
+
+import (
+	"slices"
+
+	"github.com/juju/errors"
+
+	"pistachiomount.example/pistachiomount/apipb"
+)
+
+// Bootstrap writes the first members as a snapshot at this index and term. Any
+// leader has a higher term, so a member still at this term never heard one.
+const (
+	bootstrapIndex = 1
+	bootstrapTerm  = 1
+)
+
+// Persisted is what a member has on disk when it starts. The zero value is that
+// of a member that waits to be added to a group.
+type Persisted struct {
+	HardState *apipb.HardState
+	Snapshot  *apipb.Snapshot
+	// Entries follow the snapshot without a gap.
+	Entries []*apipb.LogEntry
+}
+
+// Bootstrap returns the initial state of a new group. Every first member starts
+// from the same state; members that join later start empty. The snapshot has no
+// data, which stands for the empty state machine.
+func Bootstrap(members []*apipb.Member) (Persisted, error) {
+	set := &apipb.MemberSet{}
+	for _, m := range members {
+		if m.GetId() == 0 || findMember(set, m.GetId()) != nil {
+			return Persisted{}, errors.Annotatef(ErrConfig, "member id %x is zero or used twice", m.GetId())
+		}
+		c := cloneMember(m)
+		c.Voter = true
+		set.Members = append(set.Members, c)
+	}
+	if len(set.Members) == 0 {
+		return Persisted{}, errors.Annotate(ErrConfig, "a group needs at least one voter")
+	}
+	slices.SortFunc(set.Members, compareMembers)
+	return Persisted{
+		HardState: &apipb.HardState{Term: bootstrapTerm, Commit: bootstrapIndex},
+		Snapshot: &apipb.Snapshot{
+			Meta: &apipb.SnapshotMeta{Index: bootstrapIndex, Term: bootstrapTerm, Members: set},
+		},
+	}, nil
+}
--- /dev/null
+++ b/consensus/quorum.go
@@ -0,0 +1,57 @@
+package consensus
+
+import (
+	"slices"
+
+	"pistachiomount.example/pistachiomount/apipb"
+)
+
+// voterBufferSize keeps the values of usual group sizes on the stack.
+const voterBufferSize = 16
+
+// quorumValue returns the largest value that a majority of the voters has
+// reached; while a replacement is under way, a majority of the old and of the
+// new voters.
+func quorumValue(set *apipb.MemberSet, value func(id uint64) uint64) uint64 {
+	var buf [voterBufferSize]uint64
+	vals := buf[:0]
+	for _, m := range set.GetMembers() {
+		if m.GetVoter() {
+			vals = append(vals, value(m.GetId()))
+		}
+	}
+	v := majorityValue(vals)
+	if len(set.GetOutgoingVoters()) == 0 {
+		return v
+	}
+	vals = buf[:0]
+	for _, id := range set.GetOutgoingVoters() {
+		vals = append(vals, value(id))
+	}
+	return min(v, majorityValue(vals))
+}
+
+func majorityValue(vals []uint64) uint64 {
+	if len(vals) == 0 {
+		return 0
+	}
+	slices.Sort(vals)
+	return vals[(len(vals)-1)/2]
+}
+
+// voteOutcome tells whether the votes decide an election.
+func voteOutcome(set *apipb.MemberSet, votes map[uint64]bool) (won, lost bool) {
+	granted := quorumValue(set, func(id uint64) uint64 { return b2u(votes[id]) })
+	possible := quorumValue(set, func(id uint64) uint64 {
+		v, answered := votes[id]
+		return b2u(v || !answered)
+	})
+	return granted == 1, possible == 0
+}
+
+func b2u(b bool) uint64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/consensus/read_index.go
@@ -0,0 +1,150 @@
+package consensus
+
+import (
+	"math/rand/v2"
+
+	"github.com/juju/errors"
+
+	"pistachiomount.example/pistachiomount/apipb"
+)
+
+// readState holds the reads in progress.
+type readState struct {
+	// waiting are reads at the leader, in the order they came in.
+	waiting []leaderRead
+	// forwarded are own reads sent to the leader, by the number they were sent
+	// under. Numbers begin at a random value, so that an answer meant for an
+	// earlier start of this member is not taken for a new one.
+	forwarded  map[uint64]forwardedRead
+	nextNumber uint64
+}
+
+type leaderRead struct {
+	from    uint64 // member that asked; own id for own reads
+	context uint64
+	index   uint64 // commit index to wait for; 0 until the term has a commit
+	round   uint64 // heartbeat round that confirms it; 0 until one is started
+}
+
+type forwardedRead struct {
+	requestID uint64
+	sent      uint64 // tick
+}
+
+func (r *readState) init(rng *rand.Rand) {
+	r.forwarded = map[uint64]forwardedRead{}
+	r.nextNumber = rng.Uint64()
+}
+
+// ReadIndex asks for an index at which a read sees everything that was committed
+// before this call. The answer comes in ReadStates; it does not come when the
+// leader changes or a message is lost, so the caller asks again after a timeout.
+func (n *Node) ReadIndex(requestID uint64) error {
+	if n.role() == RoleLeader {
+		return n.addRead(leaderRead{from: n.cfg.ID, context: requestID})
+	}
+	if n.leader == 0 {
+		return &NotLeaderError{}
+	}
+	if len(n.forwarded) >= n.cfg.MaxPendingReads {
+		return errors.Annotatef(ErrBusy, "%d reads pending", len(n.forwarded))
+	}
+	n.nextNumber++
+	n.forwarded[n.nextNumber] = forwardedRead{requestID, n.now}
+	n.send(&apipb.ConsensusMessage{
+		Type: apipb.MessageType_MESSAGE_TYPE_READ_INDEX, To: n.leader, Context: n.nextNumber,
+	})
+	return nil
+}
+
+func (n *Node) addRead(r leaderRead) error {
+	if len(n.waiting) >= n.cfg.MaxPendingReads {
+		return errors.Annotatef(ErrBusy, "%d reads pending", len(n.waiting))
+	}
+	if n.termCommitted() {
+		r.index = n.log.committed
+	}
+	n.waiting = append(n.waiting, r)
+	return nil
+}
+
+func (n *Node) handleReadIndex(m *apipb.ConsensusMessage) {
+	// A refused read is not answered; the asking member times out.
+	_ = n.addRead(leaderRead{from: m.GetFrom(), context: m.GetContext()})
+}
+
+func (n *Node) handleReadIndexReply(m *apipb.ConsensusMessage) {
+	if f, ok := n.forwarded[m.GetContext()]; ok {
+		delete(n.forwarded, m.GetContext())
+		n.readStates = append(n.readStates, ReadState{f.requestID, m.GetIndex()})
+	}
+}
+
+// flushReads starts a heartbeat round for new reads unless one is on its way;
+// reads that come in meanwhile share the next one.
+func (n *Node) flushReads() {
+	if n.role() != RoleLeader || len(n.waiting) == 0 || !n.termCommitted() {
+		return
+	}
+	fresh, confirming := false, false
+	for i := range n.waiting {
+		r := &n.waiting[i]
+		if r.index == 0 {
+			r.index = n.log.committed
+		}
+		fresh = fresh || r.round == 0
+		confirming = confirming || r.round != 0
+	}
+	if fresh && !confirming {
+		n.startRound()
+	}
+}
+
+// assignReads lets a round that is about to be sent confirm the reads so far.
+func (n *Node) assignReads(round uint64) {
+	for i := range n.waiting {
+		if r := &n.waiting[i]; r.round == 0 && r.index != 0 {
+			r.round = round
+		}
+	}
+}
+
+// releaseReads answers the reads whose round a quorum has acknowledged.
+func (n *Node) releaseReads() {
+	confirmed := quorumValue(n.members.current(), n.roundOf)
+	keep := n.waiting[:0]
+	for _, r := range n.waiting {
+		switch {
+		case r.round == 0 || r.round > confirmed:
+			keep = append(keep, r)
+		case r.from == n.cfg.ID:
+			n.readStates = append(n.readStates, ReadState{r.context, r.index})
+		default:
+			n.send(&apipb.ConsensusMessage{
+				Type: apipb.MessageType_MESSAGE_TYPE_READ_INDEX_REPLY, To: r.from, Context: r.context, Index: r.index,
+			})
+		}
+	}
+	n.waiting = keep
+}
+
+func (n *Node) roundOf(id uint64) uint64 {
+	if id == n.cfg.ID {
+		return n.rounds.last()
+	}
+	if pr := n.progress[id]; pr != nil {
+		return pr.ackedRound
+	}
+	return 0
+}
+
+// expireReads forgets forwarded reads whose answer was lost.
+func (n *Node) expireReads() {
+	for number, f := range n.forwarded {
+		if n.now-f.sent >= 2*uint64(n.cfg.ElectionTicks) {
+			delete(n.forwarded, number)
+		}
+	}
+}
+
+func (n *Node) dropLeaderReads() { n.waiting = nil }
--- /dev/null
+++ b/consensus/replication.go
@@ -0,0 +1,174 @@
+package consensus
+
+import (
+	"github.com/juju/errors"
+
+	"pistachiomount.example/pistachiomount/apipb"
+)
+
+// Propose appends a command on the leader. Whether it was accepted shows when it
+// comes back in Committed. It may still be lost after a change of leader.
+func (n *Node) Propose(data []byte) error {
+	if err := n.mayPropose(); err != nil {
+		return err
+	}
+	if len(data) > n.cfg.maxEntryBytes() {
+		return errors.Annotatef(ErrTooLarge, "%d bytes, at most %d", len(data), n.cfg.maxEntryBytes())
+	}
+	if n.uncommittedBytes > 0 && n.uncommittedBytes+len(data)+entryOverheadBytes > n.cfg.MaxUncommittedBytes {
+		return errors.Annotatef(ErrBusy, "%d bytes are not committed", n.uncommittedBytes)
+	}
+	n.appendEntry(apipb.EntryType_ENTRY_TYPE_COMMAND, data)
+	return nil
+}
+
+func (n *Node) mayPropose() error {
+	if n.role() != RoleLeader {
+		return &NotLeaderError{Leader: n.leader}
+	}
+	if n.transferee != 0 {
+		return errors.Trace(ErrTransferring)
+	}
+	return nil
+}
+
+func (n *Node) appendEntry(t apipb.EntryType, data []byte) {
+	e := &apipb.LogEntry{Index: n.log.lastIndex() + 1, Term: n.term, Type: t, Data: data}
+	n.uncommittedBytes += entrySize(e)
+	n.appendToLog(e)
+}
+
+// eachPeer visits the other members in the order of their ids.
+func (n *Node) eachPeer(visit func(id uint64, pr *progress)) {
+	for _, m := range n.members.current().GetMembers() {
+		if pr := n.progress[m.GetId()]; pr != nil {
+			visit(m.GetId(), pr)
+		}
+	}
+}
+
+// syncProgress makes the leader replicate to exactly the current members.
+func (n *Node) syncProgress() {
+	set := n.members.current()
+	for id := range n.progress {
+		if findMember(set, id) == nil {
+			delete(n.progress, id)
+		}
+	}
+	for _, m := range set.GetMembers() {
+		if id := m.GetId(); id != n.cfg.ID && n.progress[id] == nil {
+			n.progress[id] = &progress{next: n.log.lastIndex() + 1}
+		}
+	}
+}
+
+// flushAppends sends what is due to every member.
+func (n *Node) flushAppends() {
+	if n.role() != RoleLeader {
+		return
+	}
+	n.eachPeer(func(id uint64, pr *progress) {
+		for n.sendDue(id, pr) {
+		}
+	})
+}
+
+// sendDue sends one message if one is due and reports whether more may follow.
+func (n *Node) sendDue(id uint64, pr *progress) bool {
+	if pr.state != progressSnapshot && pr.next <= n.log.baseIndex() {
+		pr.becomeSnapshot(n.latestSnapshot)
+	}
+	switch pr.state {
+	case progressSnapshot:
+		n.sendSnapshotChunk(id, pr)
+		return false
+	case progressProbe:
+		if len(pr.window) == 0 {
+			n.sendAppend(id, pr)
+		}
+		return false
+	default:
+		if pr.next > n.log.lastIndex() || len(pr.window) >= n.cfg.MaxInflight {
+			return false
+		}
+		pr.next += n.sendAppend(id, pr)
+		return true
+	}
+}
+
+// sendAppend returns the number of entries sent. A probe may send none.
+func (n *Node) sendAppend(id uint64, pr *progress) uint64 {
+	prev := pr.next - 1
+	prevTerm, _ := n.log.term(prev)
+	entries := n.log.from(prev, n.cfg.MaxMessageBytes-messageOverheadBytes)
+	n.send(&apipb.ConsensusMessage{
+		Type: apipb.MessageType_MESSAGE_TYPE_APPEND, To: id,
+		Index: prev, LogTerm: prevTerm, Entries: entries, Commit: n.log.committed,
+	})
+	count := uint64(len(entries))
+	pr.window = append(pr.window, inflightAppend{last: prev + count, round: n.rounds.last()})
+	return count
+}
+
+func (n *Node) handleAppendReply(pr *progress, m *apipb.ConsensusMessage) error {
+	if m.GetReject() {
+		hint, _ := n.log.conflictHint(m.GetRejectHint(), m.GetLogTerm())
+		pr.rejected(m.GetIndex(), hint+1)
+		return nil
+	}
+	if m.GetIndex() > n.log.lastIndex() {
+		return errors.Annotatef(ErrMessage, "member %x acknowledges entry %d of %d", m.GetFrom(), m.GetIndex(), n.log.lastIndex())
+	}
+	if m.GetIndex() < pr.match {
+		return nil
+	}
+	pr.acknowledge(m.GetIndex())
+	n.maybeCommit()
+	n.maybeSendTimeoutNow()
+	return nil
+}
+
+// maybeCommit commits what a quorum holds. Only an entry of the leader's own
+// term is counted; it commits those before it.
+func (n *Node) maybeCommit() {
+	index := quorumValue(n.members.current(), n.matchOf)
+	if t, ok := n.log.term(index); index <= n.log.committed || !ok || t != n.term {
+		return
+	}
+	for _, e := range n.log.entries[n.log.committed-n.log.baseIndex()+1 : index-n.log.baseIndex()+1] {
+		n.uncommittedBytes = max(n.uncommittedBytes-entrySize(e), 0)
+	}
+	n.log.commitTo(index)
+	n.membersCommitted()
+}
+
+func (n *Node) matchOf(id uint64) uint64 {
+	if id == n.cfg.ID {
+		return n.log.stable
+	}
+	if pr := n.progress[id]; pr != nil {
+		return pr.match
+	}
+	return 0
+}
+
+// termCommitted reports whether the leader has committed an entry of its term:
+// from then on its commit index covers all that earlier leaders committed.
+func (n *Node) termCommitted() bool { return n.log.committed >= n.termStart }
+
+// membersCommitted ends a replacement whose entry is committed, and resigns when
+// the leader is no longer part of the committed membership.
+func (n *Node) membersCommitted() {
+	last := n.members.last()
+	if last.index > n.log.committed || !n.termCommitted() {
+		return
+	}
+	if isJoint(last.set) {
+		// Encoding a message without contents cannot fail.
+		_ = n.appendChange(&apipb.MemberChange{Type: apipb.MemberChangeType_MEMBER_CHANGE_TYPE_LEAVE_JOINT})
+		return
+	}
+	if !isVoter(last.set, n.cfg.ID) {
+		n.resign()
+	}
+}
--- /dev/null
+++ b/consensus/sim_test.go
@@ -0,0 +1,318 @@
+package consensus
+
+import (
+	"container/heap"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+
+	"google.golang.org/protobuf/proto"
+
+	"pistachiomount.example/pistachiomount/apipb"
+)
+
+// tickUnits is the nominal length of a tick in simulated time.
+const tickUnits = 10000
+
+// failer is the part of testing.T and rapid.T that the simulation needs.
+type failer interface {
+	Fatalf(format string, args ...any)
+	Helper()
+}
+
+// sim runs a group over a lossy network in simulated time and checks the safety
+// properties after every event.
+type sim struct {
+	t       failer
+	rng     *rand.Rand
+	cfg     Config
+	now     int64
+	members map[uint64]*simMember
+	order   []uint64
+	queue   packetQueue
+	seq     int
+
+	loss, dup float64
+	maxDelay  int64
+	blocked   func(from, to uint64) bool
+
+	lost     map[uint64]bool // ids whose disk was lost
+	nextID   uint64
+	proposed int
+	checks   simChecks
+	sent     map[apipb.MessageType]int
+	tap      func(*apipb.ConsensusMessage) // sees every message sent
+}
+
+type simMember struct {
+	id       uint64
+	node     *Node
+	disk     Persisted
+	interval int64
+	nextTick int64
+	frozen   bool
+	// crashAt makes the member crash at its next work: 1 before it persisted, 2 after.
+	crashAt int
+	starts  uint64
+	digest  uint64 // of the applied commands
+	readNo  uint64
+	reads   map[uint64]uint64 // request id: commit index when it was asked
+	served  []ReadState
+}
+
+type packet struct {
+	at  int64
+	seq int
+	msg *apipb.ConsensusMessage
+}
+
+type packetQueue []packet
+
+func (q packetQueue) Len() int { return len(q) }
+func (q packetQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || (q[i].at == q[j].at && q[i].seq < q[j].seq)
+}
+func (q packetQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *packetQueue) Push(x any)   { *q = append(*q, x.(packet)) }
+func (q *packetQueue) Pop() any {
+	p := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return p
+}
+
+func newSim(t failer, seed uint64, voters int) *sim {
+	s := &sim{
+		t: t, rng: rand.New(rand.NewPCG(seed, 1)), cfg: Config{ElectionTicks: 10, HeartbeatTicks: 1, KeepEntries: 5},
+		members: map[uint64]*simMember{}, maxDelay: tickUnits / 10, lost: map[uint64]bool{},
+		blocked: func(uint64, uint64) bool { return false },
+		checks:  newSimChecks(), sent: map[apipb.MessageType]int{},
+	}
+	var set []*apipb.Member
+	for range voters {
+		s.nextID++
+		set = append(set, &apipb.Member{Id: s.nextID})
+	}
+	p, err := Bootstrap(set)
+	if err != nil {
+		t.Fatalf("bootstrap: %v", err)
+	}
+	for _, m := range set {
+		s.addMember(m.GetId(), p)
+	}
+	return s
+}
+
+func (s *sim) addMember(id uint64, p Persisted) *simMember {
+	m := &simMember{id: id, disk: p, reads: map[uint64]uint64{}}
+	m.interval = tickUnits*98/100 + s.rng.Int64N(tickUnits*4/100+1)
+	s.members[id] = m
+	s.order = append(s.order, id)
+	s.start(m)
+	return m
+}
+
+func (s *sim) start(m *simMember) {
+	cfg := s.cfg
+	cfg.ID, cfg.Seed = m.id, s.rng.Uint64()
+	m.starts++
+	node, err := New(cfg, m.disk)
+	if err != nil {
+		s.t.Fatalf("member %d does not start: %v", m.id, err)
+	}
+	m.node, m.frozen, m.crashAt = node, false, 0
+	m.reads = map[uint64]uint64{}
+	m.digest = s.checks.digestAt(s.t, m.disk.Snapshot)
+	m.nextTick = s.now + 1 + s.rng.Int64N(m.interval)
+}
+
+func (s *sim) crash(m *simMember) { m.node = nil }
+
+// thaw lets a frozen member make up for the ticks it missed before anything else.
+func (s *sim) thaw(m *simMember) {
+	m.frozen = false
+	for m.node != nil && m.nextTick <= s.now {
+		m.nextTick += m.interval
+		m.node.Tick()
+	}
+	s.work(m)
+}
+
+// run advances simulated time by the given number of nominal ticks.
+func (s *sim) run(ticks int) {
+	end := s.now + int64(ticks)*tickUnits
+	for {
+		m, at := s.nextTicker()
+		if len(s.queue) > 0 && s.queue[0].at < at {
+			m, at = nil, s.queue[0].at
+		}
+		if at > end {
+			s.now = end
+			return
+		}
+		s.now = max(s.now, at)
+		if m != nil {
+			m.nextTick += m.interval
+			m.node.Tick()
+		} else if m = s.deliver(heap.Pop(&s.queue).(packet)); m == nil {
+			continue
+		}
+		s.work(m)
+	}
+}
+
+func (s *sim) nextTicker() (best *simMember, at int64) {
+	at = 1 << 62
+	for _, id := range s.order {
+		if m := s.members[id]; m.node != nil && !m.frozen && m.nextTick < at {
+			best, at = m, m.nextTick
+		}
+	}
+	return best, at
+}
+
+func (s *sim) deliver(p packet) *simMember {
+	m := s.members[p.msg.GetTo()]
+	if m == nil || m.node == nil || s.blocked(p.msg.GetFrom(), m.id) {
+		return nil
+	}
+	if m.frozen {
+		s.push(p.msg, s.now+tickUnits/2)
+		return nil
+	}
+	if err := m.node.Step(p.msg); err != nil {
+		s.t.Fatalf("member %d: step %v: %v", m.id, p.msg.GetType(), err)
+	}
+	return m
+}
+
+// work drains a member: persist, send, apply, as a driver does.
+func (s *sim) work(m *simMember) {
+	for m.node != nil {
+		s.checks.observe(s, m)
+		rd, ok := m.node.Ready()
+		if !ok {
+			return
+		}
+		if m.crashAt == 1 {
+			s.crash(m)
+			return
+		}
+		s.checks.entries(s.t, &m.disk, rd)
+		m.persist(rd)
+		if m.crashAt == 2 {
+			s.crash(m)
+			return
+		}
+		for _, msg := range rd.Messages {
+			s.send(msg)
+		}
+		s.apply(m, rd)
+		m.node.Advance(rd)
+	}
+}
+
+func (m *simMember) persist(rd Ready) {
+	d := &m.disk
+	if rd.Snapshot != nil {
+		d.Snapshot, d.Entries = rd.Snapshot, nil
+	}
+	if rd.HardState != nil {
+		d.HardState = rd.HardState
+	}
+	if len(rd.Entries) > 0 {
+		keep := rd.Entries[0].GetIndex() - d.Snapshot.GetMeta().GetIndex() - 1
+		d.Entries = append(d.Entries[:keep:keep], rd.Entries...)
+	}
+}
+
+func (s *sim) send(msg *apipb.ConsensusMessage) {
+	s.sent[msg.GetType()]++
+	if s.tap != nil {
+		s.tap(msg)
+	}
+	copies := 1
+	if s.rng.Float64() < s.dup {
+		copies = 2
+	}
+	for range copies {
+		if s.rng.Float64() >= s.loss && !s.blocked(msg.GetFrom(), msg.GetTo()) {
+			s.push(msg, s.now+1+s.rng.Int64N(s.maxDelay))
+		}
+	}
+}
+
+func (s *sim) push(msg *apipb.ConsensusMessage, at int64) {
+	s.seq++
+	heap.Push(&s.queue, packet{at, s.seq, msg})
+}
+
+func (s *sim) apply(m *simMember, rd Ready) {
+	if rd.Snapshot != nil {
+		m.digest = s.checks.digestAt(s.t, rd.Snapshot)
+	}
+	for _, e := range rd.Committed {
+		m.digest = s.checks.apply(s.t, m.id, e, m.digest)
+	}
+	for _, r := range rd.ReadStates {
+		s.checks.read(s.t, m, r)
+	}
+}
+
+// compact makes a snapshot of all that a member applied.
+func (s *sim) compact(m *simMember) {
+	st := m.node.Status()
+	snap, err := m.node.MakeSnapshot(st.Applied, fmt.Appendf(nil, "%d", m.digest))
+	if err != nil {
+		s.t.Fatalf("member %d: snapshot: %v", m.id, err)
+	}
+	m.disk.Entries = m.disk.Entries[st.Applied-m.disk.Snapshot.GetMeta().GetIndex():]
+	m.disk.Snapshot = snap
+	m.node.Compact(snap)
+}
+
+// leader returns the live leader of the highest term, or nil.
+func (s *sim) leader() (best *simMember) {
+	for _, id := range s.order {
+		m := s.members[id]
+		if m.node != nil && !m.frozen && m.node.role() == RoleLeader && (best == nil || m.node.term > best.node.term) {
+			best = m
+		}
+	}
+	return best
+}
+
+// mustLead runs until a leader has committed an entry of its term.
+func (s *sim) mustLead() *simMember {
+	s.t.Helper()
+	for range 400 {
+		if l := s.leader(); l != nil && l.node.termCommitted() {
+			return l
+		}
+		s.run(1)
+	}
+	s.t.Fatalf("no leader after 400 ticks")
+	return nil
+}
+
+func (s *sim) propose(m *simMember) error {
+	s.proposed++
+	err := m.node.Propose(fmt.Appendf(nil, "command %d", s.proposed))
+	s.work(m)
+	return err
+}
+
+func (s *sim) change(m *simMember, c *apipb.MemberChange) error {
+	if m.node == nil {
+		return errors.New("member is down")
+	}
+	err := m.node.ProposeMember(proto.Clone(c).(*apipb.MemberChange))
+	s.work(m)
+	return err
+}
+
+func (s *sim) read(m *simMember) {
+	m.readNo++
+	m.reads[m.readNo] = s.checks.maxCommit
+	_ = m.node.ReadIndex(m.readNo)
+	s.work(m)
+}
--- /dev/null
+++ b/consensus/transfer.go
@@ -0,0 +1,76 @@
+package consensus
+
+import (
+	"github.com/juju/errors"
+
+	"pistachiomount.example/pistachiomount/apipb"
+)
+
+// TransferLeadership hands leadership to a voter, or to the voter with the
+// longest log when to is 0. The lease ends at once and proposals are refused
+// until the transfer succeeded or an election timeout passed.
+func (n *Node) TransferLeadership(to uint64) error {
+	if err := n.mayPropose(); err != nil {
+		return err
+	}
+	if to == 0 {
+		to = n.bestSuccessor()
+	}
+	if to == n.cfg.ID || !findMember(n.members.current(), to).GetVoter() {
+		return errors.Annotatef(ErrTransferTarget, "member %x", to)
+	}
+	n.transferee, n.transferStart = to, n.now
+	n.maybeSendTimeoutNow()
+	return nil
+}
+
+// bestSuccessor returns the voter that holds most of the log, or 0.
+func (n *Node) bestSuccessor() uint64 {
+	best, match := uint64(0), uint64(0)
+	n.eachPeer(func(id uint64, pr *progress) {
+		if findMember(n.members.current(), id).GetVoter() && (best == 0 || pr.match > match) {
+			best, match = id, pr.match
+		}
+	})
+	return best
+}
+
+// maybeSendTimeoutNow orders the election once the transferee has the whole log.
+func (n *Node) maybeSendTimeoutNow() {
+	if n.transferee == 0 || n.timeoutNowSent || n.matchOf(n.transferee) < n.log.lastIndex() {
+		return
+	}
+	n.timeoutNowSent = true
+	n.sendTimeoutNow(n.transferee)
+}
+
+func (n *Node) sendTimeoutNow(to uint64) {
+	n.send(&apipb.ConsensusMessage{Type: apipb.MessageType_MESSAGE_TYPE_TIMEOUT_NOW, To: to})
+}
+
+// tickTransfer gives a transfer up after an election timeout. If TIMEOUT_NOW was
+// sent, the leader moves to a new term, in which a late copy has no effect and a
+// lease is possible again.
+func (n *Node) tickTransfer() {
+	if n.transferee == 0 || n.now-n.transferStart < uint64(n.cfg.ElectionTicks) {
+		return
+	}
+	n.transferee = 0
+	if n.timeoutNowSent {
+		n.startElection(triggerTransferOrdered, true)
+	}
+}
+
+// resign ends leadership and lets the best voter follow without a timeout.
+func (n *Node) resign() {
+	if to := n.bestSuccessor(); to != 0 {
+		n.sendTimeoutNow(to)
+	}
+	n.becomeFollower(n.term, 0)
+}
+
+func (n *Node) handleTimeoutNow(m *apipb.ConsensusMessage) {
+	if n.role() == RoleFollower && n.leader == m.GetFrom() {
+		n.startElection(triggerTransferOrdered, true)
+	}
+}
