--- /dev/null
+++ b/clientmap/bench_test.go
@@ -0,0 +1,85 @@
+package clientmap_test
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"runtime"
+	"testing"
+
+	"pistachiomount.example/pistachiomount/clientmap"
+)
+
+const benchSites = 760
+
+// benchBlocks draws distinct IPv4 blocks of /16 to /28, longer ones more often.
+func benchBlocks(n int) []clientmap.Block {
+	rng := rand.New(rand.NewPCG(1, 2))
+	seen := make(map[netip.Prefix]bool, n)
+	blocks := make([]clientmap.Block, 0, n)
+	for len(blocks) < n {
+		bits := max(16+rng.IntN(13), 16+rng.IntN(13))
+		p := netip.PrefixFrom(randomAddr(rng), bits).Masked()
+		if seen[p] {
+			continue
+		}
+		seen[p] = true
+		site := rng.IntN(benchSites)
+		blocks = append(blocks, clientmap.Block{Prefix: p, Site: clientmap.Site{
+			Region: fmt.Sprintf("region-%d", site%11), Name: fmt.Sprintf("site-%d", site),
+		}})
+	}
+	return blocks
+}
+
+func randomAddr(rng *rand.Rand) netip.Addr {
+	var b [4]byte
+	binary.BigEndian.PutUint32(b[:], rng.Uint32())
+	return netip.AddrFrom4(b)
+}
+
+func heapBytes() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+func BenchmarkLookup(b *testing.B) {
+	for _, n := range []int{30_000, 180_000, 730_000} {
+		b.Run(fmt.Sprintf("blocks=%d", n), func(b *testing.B) {
+			blocks := benchBlocks(n)
+			before := heapBytes()
+			table, err := clientmap.NewTable(blocks)
+			if err != nil {
+				b.Fatal(err)
+			}
+			perBlock := float64(heapBytes()-before) / float64(n)
+			var m clientmap.Map
+			m.Swap(table)
+			rng := rand.New(rand.NewPCG(3, 4))
+			addrs := make([]netip.Addr, 1<<16)
+			for i := range addrs {
+				addrs[i] = blocks[rng.IntN(n)].Prefix.Addr()
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				m.Lookup(addrs[i&(1<<16-1)])
+			}
+			b.ReportMetric(perBlock, "B/block")
+			runtime.KeepAlive(blocks)
+		})
+	}
+}
+
+func BenchmarkBuild(b *testing.B) {
+	blocks := benchBlocks(730_000)
+	b.ResetTimer()
+	for range b.N {
+		if _, err := clientmap.NewTable(blocks); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
