--- /dev/null
+++ b/steering/budget.go
@@ -0,0 +1,57 @@
+package steering
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// A token is kept in thousandths so that the budget is one integer.
+	budgetToken = 1000
+	// budgetPerRequest grants retries and hedges for 10% of the requests.
+	budgetPerRequest = budgetToken / 10
+	// budgetFloor lets a service with few requests retry: one every 5 s.
+	budgetFloor = budgetToken / 5
+	// budgetCap bounds the retries that follow at once after a quiet time.
+	budgetCap = 10 * budgetToken
+	// budgetStart is what a restarted process may spend at once.
+	budgetStart = 3 * budgetToken
+)
+
+// Budget limits retries and hedges of one service to a part of its requests. It
+// is safe for concurrent use.
+type Budget struct {
+	tokens atomic.Int64
+}
+
+func (b *Budget) reset() { b.tokens.Store(budgetStart) }
+
+// Request counts a first attempt.
+func (b *Budget) Request() { b.add(budgetPerRequest) }
+
+// TryRetry takes the permission for one retry or hedge.
+func (b *Budget) TryRetry() bool {
+	for {
+		have := b.tokens.Load()
+		if have < budgetToken {
+			return false
+		}
+		if b.tokens.CompareAndSwap(have, have-budgetToken) {
+			return true
+		}
+	}
+}
+
+func (b *Budget) tick(step time.Duration) {
+	b.add(int64(budgetFloor * step.Seconds()))
+}
+
+func (b *Budget) add(n int64) {
+	for {
+		have := b.tokens.Load()
+		next := min(have+n, budgetCap)
+		if next == have || b.tokens.CompareAndSwap(have, next) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/steering/configure.go
@@ -0,0 +1,179 @@
+package steering
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/juju/errors"
+)
+
+// SetConfig puts a configuration in force. The first one starts at its target
+// shares; later ones ramp from the shares in force. On an error nothing changes.
+func (s *Steerer) SetConfig(c Config) error {
+	if err := c.validate(); err != nil {
+		return errors.Trace(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.indexRegions(c.Regions); err != nil {
+		return errors.Trace(err)
+	}
+	s.pace = c.PointsPerSecond
+	if s.pace == 0 {
+		s.pace = DefaultPointsPerSecond
+	}
+	s.config = c
+	old := s.tables.Load()
+	next := s.nextTables(old)
+	s.buildLeaves(old, next)
+	s.setCapacities(next)
+	s.publishAll(next)
+	s.tables.Store(next)
+	s.applyDrains(next)
+	return nil
+}
+
+// indexRegions gives each new region a position. Positions are never reused,
+// because requests under way may still refer to them.
+func (s *Steerer) indexRegions(names []string) error {
+	fresh := 0
+	for _, name := range names {
+		if _, ok := s.regionIndex[name]; !ok {
+			fresh++
+		}
+	}
+	if len(s.regionIndex)+fresh > MaxRegions {
+		return errors.Annotatef(ErrInvalidConfig, "%d regions, at most %d", len(s.regionIndex)+fresh, MaxRegions)
+	}
+	for _, name := range names {
+		if _, ok := s.regionIndex[name]; !ok {
+			s.regionIndex[name] = len(s.regionIndex)
+		}
+	}
+	return nil
+}
+
+// nextTables copies the tables with the present regions and no leaves.
+func (s *Steerer) nextTables(old *tables) *tables {
+	next := &tables{
+		regions:  make([]string, len(s.regionIndex)),
+		leaves:   make(map[leafKey]*leaf),
+		services: make(map[string]*service),
+	}
+	maps.Copy(next.services, old.services)
+	for name, i := range s.regionIndex {
+		next.regions[i] = name
+	}
+	return next
+}
+
+func (t *tables) service(name string) *service {
+	svc := t.services[name]
+	if svc == nil {
+		svc = newService(name)
+		t.services[name] = svc
+	}
+	return svc
+}
+
+func (s *Steerer) buildLeaves(old, next *tables) {
+	rules := s.ruleSet()
+	for key := range s.leafKeys() {
+		if target, ok := rules.target(key); ok {
+			next.leaves[key] = nextLeaf(old, next, key, target)
+		}
+	}
+	for key, l := range old.leaves {
+		if next.leaves[key] != nil || l.orphan && l.settled() {
+			continue
+		}
+		if target, ok := rules.target(key); ok {
+			l.target, l.orphan = target, true
+			next.leaves[key] = l
+		}
+	}
+}
+
+// nextLeaf returns the leaf of a key with its new target. A new leaf begins at
+// the shares that its requests had so far.
+func nextLeaf(old, next *tables, key leafKey, target vector) *leaf {
+	if l := old.leaves[key]; l != nil {
+		l.target, l.orphan = target, false
+		return l
+	}
+	l := &leaf{key: key, service: next.service(key.service), current: target, target: target}
+	if before := old.resolve(key.service, key.customer, key.from); before != nil {
+		l.current = before.current
+	}
+	return l
+}
+
+func (s *Steerer) ruleSet() *ruleSet {
+	set := &ruleSet{targets: make(map[leafKey]vector, len(s.config.Rules))}
+	drained := make(map[string]bool, len(s.config.DrainedRegions))
+	for _, r := range s.config.DrainedRegions {
+		drained[r] = true
+	}
+	for _, r := range s.config.Rules {
+		set.targets[r.key()] = drainedTarget(r.Weights, func(name string) int { return s.regionIndex[name] }, drained)
+	}
+	return set
+}
+
+// leafKeys returns every combination of a service with the customers that its
+// rules name and the regions, wildcards included.
+func (s *Steerer) leafKeys() map[leafKey]bool {
+	keys := make(map[leafKey]bool)
+	for _, r := range s.config.Rules {
+		k := r.key()
+		for _, customer := range [...]string{k.customer, Any} {
+			keys[leafKey{k.service, customer, Any}] = true
+			for _, from := range s.config.Regions {
+				keys[leafKey{k.service, customer, from}] = true
+			}
+		}
+	}
+	return keys
+}
+
+func (s *Steerer) setCapacities(t *tables) {
+	for _, svc := range t.services {
+		for i := range svc.regions {
+			svc.regions[i].capacity = 0
+		}
+	}
+	for _, c := range s.config.Capacities {
+		if i, ok := s.regionIndex[c.Region]; ok {
+			t.service(c.Service).regions[i].capacity = c.RequestsPerSecond
+		}
+	}
+}
+
+func (s *Steerer) publishAll(t *tables) {
+	for _, l := range t.leaves {
+		l.publish(len(t.regions))
+	}
+}
+
+func (t *tables) withoutSettledOrphans() *tables {
+	next := *t
+	next.leaves = make(map[leafKey]*leaf, len(t.leaves))
+	for k, l := range t.leaves {
+		if !l.orphan || !l.settled() {
+			next.leaves[k] = l
+		}
+	}
+	return &next
+}
+
+// applyDrains marks drained regions and upstreams. Steerer.mu is held.
+func (s *Steerer) applyDrains(t *tables) {
+	for _, svc := range t.services {
+		total := svc.rate()
+		for i := range svc.pools {
+			if p := svc.pools[i].Load(); p != nil {
+				p.applyDrains(slices.Contains(s.config.DrainedRegions, p.name), s.config.DrainedUpstreams, total)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/steering/headroom.go
@@ -0,0 +1,168 @@
+package steering
+
+import (
+	"math"
+	"time"
+)
+
+// clampRounds is how often shares are recomputed per tick when a limit moves
+// traffic to another region that then reaches its own limit.
+const clampRounds = 3
+
+// predict returns the load that a region has now: the reported one plus the
+// effect of share changes since the measurement (a Smith predictor). Acting on
+// the bare report would repeat each correction until the report shows it.
+func (r *regionControl) predict(demand float64) float64 {
+	if r.capacity <= 0 {
+		return r.load
+	}
+	return max(0, r.load+demand*(r.share-r.measuredShare)/r.capacity)
+}
+
+// scaleShare returns the factor on a region's weight that scales its share by
+// scale. Because shares are normalised, that is the ratio of the odds.
+func scaleShare(share, scale float64) float64 {
+	scaled := min(share*scale, 0.999)
+	if share <= 0 || share >= 1 {
+		return 1
+	}
+	return scaled / (1 - scaled) * (1 - share) / share
+}
+
+// fleetDemand estimates the requests per second of the whole fleet from the
+// reports and the shares that were in force when they were measured.
+func (s *service) fleetDemand(regions int) float64 {
+	carried, share := 0.0, 0.0
+	for i := range regions {
+		r := &s.regions[i]
+		if r.reported && r.capacity > 0 {
+			carried += r.load * r.capacity
+			share += r.measuredShare
+		}
+	}
+	if share < 0.01 {
+		return 0
+	}
+	return carried / share
+}
+
+// watermark returns the high watermark, raised in proportion when the demand
+// exceeds it in all regions together. Without that, regions would push the
+// excess to each other and back.
+func (s *service) watermark(demand float64, regions int) float64 {
+	room := 0.0
+	for i := range regions {
+		r := &s.regions[i]
+		if r.share <= 0 {
+			continue
+		}
+		if !r.reported || r.capacity <= 0 {
+			return highWatermark
+		}
+		room += r.capacity
+	}
+	if room == 0 {
+		return highWatermark
+	}
+	return max(highWatermark, demand/room)
+}
+
+// measureShares computes the fraction of the service's own traffic that the
+// present limits send to each region.
+func (s *service) measureShares(leaves []*leaf, regions int) {
+	var flow vector
+	total := 0.0
+	for _, l := range leaves {
+		effective, _ := l.limited(regions)
+		w := l.weight()
+		for i := range regions {
+			flow[i] += w * effective[i]
+		}
+		total += w
+	}
+	for i := range regions {
+		s.regions[i].share = flow[i] / total
+	}
+}
+
+// tickFlows updates the limits and publishes the resulting shares. There is at
+// least one leaf.
+func (s *service) tickFlows(leaves []*leaf, now, step time.Duration, regions int) {
+	demand := s.fleetDemand(regions)
+	s.measureShares(leaves, regions)
+	for i := range regions {
+		if r := &s.regions[i]; r.reported {
+			r.adjust(r.predict(demand), s.watermark(demand, regions), now, step)
+		}
+	}
+	for range clampRounds {
+		s.measureShares(leaves, regions)
+		s.clamp(demand, regions)
+	}
+	s.normalise(regions)
+	s.measureShares(leaves, regions)
+	for i := range regions {
+		if r := &s.regions[i]; r.reported || r.share > 0 {
+			r.recordShare(now)
+		}
+	}
+	for _, l := range leaves {
+		l.publish(regions)
+	}
+}
+
+// clamp keeps share changes from raising a region above the watermark, or above
+// its reported load where that is higher.
+func (s *service) clamp(demand float64, regions int) {
+	watermark := s.watermark(demand, regions)
+	for i := range regions {
+		r := &s.regions[i]
+		if !r.reported {
+			continue
+		}
+		ceiling := max(watermark, r.load)
+		if load := r.predict(demand); load > ceiling {
+			r.limit = max(minLimit, r.limit*scaleShare(r.share, ceiling/load))
+		}
+	}
+}
+
+// normalise scales the limits so that the largest is 1. Only their ratios
+// matter, and an overload of all regions would drive all of them to the floor.
+func (s *service) normalise(regions int) {
+	highest := 0.0
+	for i := range regions {
+		highest = max(highest, s.regions[i].limit)
+	}
+	for i := range regions {
+		s.regions[i].limit /= highest
+	}
+}
+
+// adjust moves the limit according to the predicted load.
+func (r *regionControl) adjust(load, watermark float64, now, step time.Duration) {
+	stale := r.noteStale(now)
+	switch {
+	case load > watermark:
+		r.limit *= scaleShare(r.share, 1-(1-watermark/load)*smoothing(step, lowerTime))
+	case stale:
+		shrunk := r.limit * math.Exp(-step.Seconds()/staleShrinkTime.Seconds())
+		r.limit = max(min(r.limit, r.staleLimit*staleFloor), shrunk)
+	case load < lowWatermark && r.limit < 1:
+		scale := 1 + (lowWatermark/max(load, 0.01)-1)*smoothing(step, raiseTime)
+		r.limit = min(1, r.limit*scaleShare(r.share, scale))
+	}
+	r.limit = max(r.limit, minLimit)
+}
+
+// noteStale keeps the limit at which the reports stopped.
+func (r *regionControl) noteStale(now time.Duration) bool {
+	switch {
+	case !r.stale(now):
+		r.staleLimit = 0
+		return false
+	case r.staleLimit == 0:
+		r.staleLimit = r.limit
+	}
+	return true
+}
--- /dev/null
+++ b/steering/headroom_test.go
@@ -0,0 +1,204 @@
+package steering_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"pistachiomount.example/pistachiomount/clock"
+	"pistachiomount.example/pistachiomount/steering"
+)
+
+const simStep = 100 * time.Millisecond
+
+var simRegions = []string{"a", "b", "c"}
+
+// fluid simulates a fleet whose traffic follows the shares of one Steerer, with
+// load reports that arrive late.
+type fluid struct {
+	clk     clock.Manual
+	s       *steering.Steerer
+	caps    map[string]float64
+	demand  float64
+	lag     time.Duration
+	silent  bool
+	steps   int
+	history []map[string]float64 // load by region
+}
+
+func newFluid(demand float64, lag time.Duration, caps map[string]float64, weights map[string]float64) *fluid {
+	f := &fluid{demand: demand, lag: lag, caps: caps}
+	f.s = steering.New(&f.clk, nil)
+	f.configure(weights)
+	f.run(8 * time.Second)
+	return f
+}
+
+func (f *fluid) configure(weights map[string]float64, drained ...string) {
+	c := steering.Config{Regions: simRegions, DrainedRegions: drained}
+	rule := steering.Rule{Service: "records"}
+	for _, r := range simRegions {
+		rule.Weights = append(rule.Weights, steering.Weight{Region: r, Percent: weights[r]})
+		c.Capacities = append(c.Capacities, steering.Capacity{Service: "records", Region: r, RequestsPerSecond: f.caps[r]})
+	}
+	c.Rules = []steering.Rule{rule}
+	if err := f.s.SetConfig(c); err != nil {
+		panic(err)
+	}
+}
+
+func (f *fluid) loads() map[string]float64 {
+	loads := make(map[string]float64)
+	for _, w := range f.s.Shares(steering.Request{Service: "records"}) {
+		loads[w.Region] = w.Percent / 100 * f.demand / f.caps[w.Region]
+	}
+	return loads
+}
+
+// run advances the time and returns the history of the period.
+func (f *fluid) run(d time.Duration) []map[string]float64 {
+	from := len(f.history)
+	for range int(d / simStep) {
+		f.clk.Advance(simStep)
+		f.s.Tick()
+		f.history = append(f.history, f.loads())
+		f.steps++
+		if then := f.steps - 1 - int(f.lag/simStep); f.steps%10 == 0 && then >= 0 && !f.silent {
+			for _, r := range simRegions {
+				f.s.ReportRegion(steering.RegionReport{Service: "records", Region: r, Load: f.history[then][r], Age: f.lag})
+			}
+		}
+	}
+	return f.history[from:]
+}
+
+func peak(history []map[string]float64, region string) float64 {
+	top := 0.0
+	for _, loads := range history {
+		top = max(top, loads[region])
+	}
+	return top
+}
+
+// reversals counts changes of direction that are larger than 2% of the capacity.
+func reversals(history []map[string]float64, region string) int {
+	count, direction, extreme := 0, 0.0, history[0][region]
+	for _, loads := range history {
+		v := loads[region]
+		switch {
+		case math.Abs(v-extreme) > 0.02 && (v-extreme)*direction <= 0:
+			if direction != 0 {
+				count++
+			}
+			direction, extreme = v-extreme, v
+		case (v-extreme)*direction > 0:
+			extreme = v
+		}
+	}
+	return count
+}
+
+func largestStep(history []map[string]float64, region string) float64 {
+	top := 0.0
+	for i := 1; i < len(history); i++ {
+		top = max(top, math.Abs(history[i][region]-history[i-1][region]))
+	}
+	return top
+}
+
+// Guards against a ramp that passes a region's cap because its load reports lag,
+// and against a limit that swings while they do.
+func TestRampStaysBelowCapWithLateReports(t *testing.T) {
+	is := is.New(t)
+	f := newFluid(1000, 5*time.Second, map[string]float64{"a": 700, "b": 700, "c": 700}, map[string]float64{"a": 40, "b": 40, "c": 20})
+	f.configure(map[string]float64{"a": 90, "b": 5, "c": 5})
+	history := f.run(3 * time.Minute)
+	is.True(peak(history, "a") <= 0.95)
+	is.True(history[len(history)-1]["a"] >= 0.7) // the weights count up to the watermark
+	for _, r := range simRegions {
+		is.True(peak(history, r) <= 1)
+		is.True(reversals(history, r) <= 1)
+	}
+}
+
+// Guards against headroom that is taken for granted when reports stop in the
+// middle of a ramp, and against jumps when they stop and when they resume.
+func TestReportsStopDuringRamp(t *testing.T) {
+	is := is.New(t)
+	f := newFluid(1000, 5*time.Second, map[string]float64{"a": 700, "b": 700, "c": 700}, map[string]float64{"a": 40, "b": 40, "c": 20})
+	f.configure(map[string]float64{"a": 90, "b": 5, "c": 5})
+	history := f.run(4 * time.Second)
+	f.silent = true
+	history = append(history, f.run(5*time.Minute)...)
+	f.silent = false
+	history = append(history, f.run(time.Minute)...)
+	for _, r := range simRegions {
+		is.True(peak(history, r) <= 1)
+		is.True(largestStep(history, r) <= 0.02) // 5 points per second of 1000/700 are 0.007 a step
+		is.True(reversals(history, r) <= 2)
+	}
+}
+
+// Guards against shares that move although nothing is known to have changed.
+func TestSharesHoldWithoutReports(t *testing.T) {
+	is := is.New(t)
+	f := newFluid(1000, time.Second, map[string]float64{"a": 700, "b": 700, "c": 700}, map[string]float64{"a": 50, "b": 30, "c": 20})
+	f.silent = true
+	before := f.loads()
+	history := f.run(10 * time.Minute)
+	for _, r := range simRegions {
+		is.True(math.Abs(history[len(history)-1][r]-before[r]) < 0.001)
+	}
+}
+
+// Guards against overload by any shift that the capacities can carry, and
+// against hunting, over weights, capacities and report lags.
+func TestShiftsNeverOverload(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		draw := func(name string) map[string]float64 {
+			return map[string]float64{
+				"a": float64(rapid.IntRange(1, 100).Draw(t, name+"a")),
+				"b": float64(rapid.IntRange(1, 100).Draw(t, name+"b")),
+				"c": float64(rapid.IntRange(1, 100).Draw(t, name+"c")),
+			}
+		}
+		before, after := draw("before"), draw("after")
+		caps := make(map[string]float64)
+		sum := before["a"] + before["b"] + before["c"]
+		for _, r := range simRegions {
+			// Every region carries the load before the shift at 50% to 80%.
+			caps[r] = 1000 * before[r] / sum / (float64(rapid.IntRange(50, 80).Draw(t, "load")) / 100)
+		}
+		lag := time.Duration(rapid.IntRange(0, 60).Draw(t, "lag")) * simStep
+		f := newFluid(1000, lag, caps, before)
+		f.configure(after)
+		f.run(time.Duration(rapid.IntRange(0, 200).Draw(t, "quiet")) * simStep)
+		f.silent = rapid.Bool().Draw(t, "silent")
+		f.run(time.Minute)
+		for _, r := range simRegions {
+			if top := peak(f.history, r); top > 1 {
+				t.Fatalf("%s: load %v", r, top)
+			}
+			if n := reversals(f.history[80:], r); n > 3 {
+				t.Fatalf("%s: %d reversals", r, n)
+			}
+		}
+	})
+}
+
+// Guards against regions that push an excess to each other and back when the
+// demand exceeds all capacities.
+func TestOverloadOfAllRegionsDoesNotOscillate(t *testing.T) {
+	is := is.New(t)
+	f := newFluid(600, 5*time.Second, map[string]float64{"a": 500, "b": 200, "c": 300}, map[string]float64{"a": 50, "b": 25, "c": 25})
+	f.demand = 1500
+	f.run(time.Minute)
+	history := f.run(5 * time.Minute)
+	for _, r := range simRegions {
+		is.True(reversals(history, r) <= 2)
+		is.True(largestStep(history, r) <= 0.15)
+	}
+}
--- /dev/null
+++ b/steering/pool.go
@@ -0,0 +1,119 @@
+package steering
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Pool is the set of upstreams of one service in one region. Its methods are
+// safe for concurrent use.
+type Pool struct {
+	service *service
+	region  int
+	name    string
+	rng     Rand
+
+	eligible  atomic.Pointer[[]*Target]
+	suspended atomic.Bool
+	probe     atomic.Bool
+	hedge     atomic.Int64 // hedge delay in nanoseconds, 0 when unknown
+
+	mu       sync.Mutex
+	now      time.Duration // of the last tick
+	members  map[string]*Target
+	typical  time.Duration // median latency over the members
+	mean     float64       // mean reported load of others
+	breaker  breaker
+	latency  latencyWindow
+	rate     float64 // requests per second
+	total    float64 // of the whole service
+	draining bool    // the region is drained
+	// shareBefore is the region's share of the service's requests when its drain began.
+	shareBefore float64
+}
+
+func newPool(s *service, region int, name string, rng Rand) *Pool {
+	p := &Pool{service: s, region: region, name: name, rng: rng, members: make(map[string]*Target)}
+	p.eligible.Store(new([]*Target))
+	p.latency.reset()
+	return p
+}
+
+// Region returns the name of the pool's region.
+func (p *Pool) Region() string { return p.name }
+
+func (p *Pool) hasTargets() bool { return len(*p.eligible.Load()) > 0 }
+
+func (p *Pool) usable() bool { return p.hasTargets() && !p.suspended.Load() }
+
+// takeProbe takes the permission to send one request to a suspended region.
+func (p *Pool) takeProbe() bool {
+	return p.probe.Load() && p.probe.CompareAndSwap(true, false)
+}
+
+// HedgeDelay returns how long to wait for a response before a hedge: the 95th
+// percentile of recent latencies. It is false while there are too few samples.
+func (p *Pool) HedgeDelay() (time.Duration, bool) {
+	d := p.hedge.Load()
+	return time.Duration(d), d > 0
+}
+
+// Pick returns the better of two randomly chosen upstreams that are not in
+// excluded, which may be nil. It is false when there is none.
+func (p *Pool) Pick(excluded *Exclusion) (*Target, bool) {
+	targets := *p.eligible.Load()
+	n := len(targets)
+	if n == 0 {
+		return nil, false
+	}
+	bits := p.rng.Uint64()
+	first := index(uint32(bits), n)
+	a := p.candidate(targets, first, excluded)
+	if a == nil {
+		return nil, false
+	}
+	if n == 1 {
+		return a, true
+	}
+	second := (first + 1 + index(uint32(bits>>32), n-1)) % n
+	b := p.candidate(targets, second, excluded)
+	if b != a && b.cost() < a.cost() {
+		return b, true
+	}
+	return a, true
+}
+
+// candidate returns the first acceptable target from position at on. A target in
+// slow start is accepted with a probability that grows with time; if every other
+// one is excluded or in slow start as well, the first that is not excluded is taken.
+func (p *Pool) candidate(targets []*Target, at int, excluded *Exclusion) *Target {
+	var fallback *Target
+	for range targets {
+		t := targets[at]
+		if at++; at == len(targets) {
+			at = 0
+		}
+		if excluded.contains(t) {
+			continue
+		}
+		if w := t.warmth.Load(); w >= fullWarmth || uint32(p.rng.Uint64()%fullWarmth) < w {
+			return t
+		}
+		if fallback == nil {
+			fallback = t
+		}
+	}
+	return fallback
+}
+
+// rebuild publishes the eligible targets. Pool.mu is held.
+func (p *Pool) rebuild() {
+	list := make([]*Target, 0, len(p.members))
+	for _, id := range sortedKeys(p.members) {
+		if t := p.members[id]; t.eligible() {
+			list = append(list, t)
+		}
+	}
+	p.eligible.Store(&list)
+}
--- /dev/null
+++ b/steering/poolfinish.go
@@ -0,0 +1,169 @@
+package steering
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+func sortedKeys[V any](m map[string]V) []string {
+	return slices.Sorted(maps.Keys(m))
+}
+
+// finish learns from the end of a request.
+func (p *Pool) finish(t *Target, o Outcome) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if t.removed {
+		return
+	}
+	switch o.Result {
+	case Success:
+		t.health.succeeded(p.now)
+		t.health.observe(o.Latency, p.now)
+		p.latency.observe(o.Latency)
+		p.finishPool(false)
+	case Failure:
+		t.health.observe(o.Latency, p.now)
+		p.failed(t, true)
+	case Rejected:
+		// A region that sheds load is alive, so its breaker does not count this.
+		p.failed(t, false)
+	case Refused:
+		p.refused(t)
+	case Draining:
+		p.leave(t, leavingInBand)
+	case Cancelled:
+		// The true latency is unknown but at least this long.
+		if o.Latency > t.health.latency {
+			t.health.observe(o.Latency, p.now)
+		}
+	}
+	t.refresh(p.now, p.typical, p.mean)
+}
+
+func (p *Pool) refused(t *Target) {
+	if t.leaving.refused(p.now) {
+		p.leave(t, leavingRefused)
+		return
+	}
+	p.failed(t, true)
+}
+
+// failed counts a failure and ejects the target when that is due and permitted.
+func (p *Pool) failed(t *Target, countPool bool) {
+	t.health.failures++
+	if countPool {
+		p.finishPool(true)
+	}
+	if !t.health.ejected && t.health.mustEject() && p.mayEject() {
+		t.health.eject(p.now, fraction(p.rng.Uint64()))
+		p.rebuild()
+	}
+}
+
+// mayEject reports whether one more ejection leaves at least half of the
+// upstreams that are not leaving.
+func (p *Pool) mayEject() bool {
+	present, ejected := p.countEjected()
+	return 2*(ejected+1) <= present
+}
+
+func (p *Pool) countEjected() (present, ejected int) {
+	for _, t := range p.members {
+		if t.drained || t.leaving.active() {
+			continue
+		}
+		present++
+		if t.health.ejected {
+			ejected++
+		}
+	}
+	return present, ejected
+}
+
+// leave ends new work for a target. Pool.mu is held.
+func (p *Pool) leave(t *Target, s leaveSignal) {
+	if t.leaving.active() {
+		return
+	}
+	t.noteShare()
+	t.leaving.begin(s, p.now)
+	p.afterLeave()
+}
+
+// afterLeave publishes the change and returns ejected targets when the pool has
+// become so small that more than half of it is ejected.
+func (p *Pool) afterLeave() {
+	for _, id := range sortedKeys(p.members) {
+		if present, ejected := p.countEjected(); 2*ejected <= present {
+			break
+		}
+		if t := p.members[id]; t.health.ejected {
+			p.readmit(t)
+		}
+	}
+	p.rebuild()
+}
+
+// readmit ends an ejection. Pool.mu is held.
+func (p *Pool) readmit(t *Target) {
+	t.health.returned()
+	t.beginSlowStart(p.now)
+}
+
+// tick advances everything in the pool that depends on time.
+func (p *Pool) tick(now, dt time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.now = now
+	p.tickBreaker()
+	p.typical, p.mean = p.medianLatency(), p.meanOthers()
+	changed := false
+	p.rate = 0
+	for _, t := range p.members {
+		if t.health.ejected && now >= t.health.until {
+			p.readmit(t)
+			changed = true
+		}
+		t.health.decay(now, dt, p.typical)
+		t.warm(now)
+		t.measure(dt)
+		t.refresh(now, p.typical, p.mean)
+		p.rate += t.rate
+	}
+	if changed {
+		p.rebuild()
+	}
+	p.hedge.Store(int64(p.latency.tick(now)))
+}
+
+func (p *Pool) medianLatency() time.Duration {
+	var all []time.Duration
+	for _, t := range p.members {
+		if t.health.latency > 0 {
+			all = append(all, t.health.latency)
+		}
+	}
+	if len(all) == 0 {
+		return 0
+	}
+	slices.SortFunc(all, cmp.Compare[time.Duration])
+	// The lower median, so that with two upstreams the slow one is not the measure.
+	return all[(len(all)-1)/2]
+}
+
+func (p *Pool) meanOthers() float64 {
+	sum, n := 0.0, 0
+	for _, t := range p.members {
+		if t.report.known && p.now-t.report.measuredAt <= maxReportAge {
+			sum += t.report.others
+			n++
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return sum / float64(n)
+}
--- /dev/null
+++ b/steering/rand.go
@@ -0,0 +1,21 @@
+package steering
+
+import "math/rand/v2"
+
+// Rand yields uniformly distributed values. Implementations are safe for
+// concurrent use.
+type Rand interface {
+	Uint64() uint64
+}
+
+// SystemRand draws from the runtime's per-thread generators.
+type SystemRand struct{}
+
+// Uint64 returns a random value.
+func (SystemRand) Uint64() uint64 { return rand.Uint64() }
+
+// fraction turns 53 random bits into a value in [0, 1).
+func fraction(bits uint64) float64 { return float64(bits>>11) / (1 << 53) }
+
+// index turns 32 random bits into a value in [0, n).
+func index(bits uint32, n int) int { return int(uint64(bits) * uint64(n) >> 32) }
--- /dev/null
+++ b/steering/reconcile.go
@@ -0,0 +1,101 @@
+package steering
+
+import "github.com/juju/errors"
+
+// SetUpstreams takes over the platform's upstream list. An upstream that is
+// missing from it gets no new work. A list without any upstream is ignored.
+func (s *Steerer) SetUpstreams(list []Upstream) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(list) == 0 && len(s.targets) > 0 {
+		return ErrEmptyUpstreams
+	}
+	if err := s.indexRegions(upstreamRegions(list)); err != nil {
+		return errors.Trace(err)
+	}
+	old := s.tables.Load()
+	next := s.nextTables(old)
+	next.leaves = old.leaves
+	first := len(s.targets) == 0
+	listed := make(map[string]bool, len(list))
+	touched := make(map[*Pool]bool)
+	for _, u := range list {
+		listed[u.ID] = true
+		touched[s.reconcile(next, u, first)] = true
+	}
+	for id, t := range s.targets {
+		if !listed[id] {
+			s.remove(t)
+			touched[t.pool] = true
+		}
+	}
+	for p := range touched {
+		p.mu.Lock()
+		p.afterLeave()
+		p.mu.Unlock()
+	}
+	s.publishAll(next)
+	s.tables.Store(next)
+	s.applyDrains(next)
+	return nil
+}
+
+func upstreamRegions(list []Upstream) []string {
+	seen := make(map[string]bool)
+	var names []string
+	for _, u := range list {
+		if !seen[u.Region] {
+			seen[u.Region] = true
+			names = append(names, u.Region)
+		}
+	}
+	return names
+}
+
+// reconcile takes over one entry and returns the pool that it belongs to.
+func (s *Steerer) reconcile(next *tables, u Upstream, first bool) *Pool {
+	p := s.pool(next, u)
+	t := s.targets[u.ID]
+	if t != nil && (t.pool != p || t.info.Address != u.Address) {
+		s.remove(t)
+		t = nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if t == nil {
+		t = newTarget(u, p)
+		s.targets[u.ID], p.members[u.ID] = t, t
+		if !first {
+			t.beginSlowStart(s.now)
+		}
+	}
+	if u.State == UpstreamLeaving && !t.leaving.active() {
+		t.noteShare()
+	}
+	if t.leaving.listed(u.State, s.now) {
+		p.readmit(t)
+	}
+	return p
+}
+
+func (s *Steerer) pool(next *tables, u Upstream) *Pool {
+	svc := next.service(u.Service)
+	i := s.regionIndex[u.Region]
+	p := svc.pools[i].Load()
+	if p == nil {
+		p = newPool(svc, i, u.Region, s.rng)
+		p.now = s.now
+		svc.pools[i].Store(p)
+	}
+	return p
+}
+
+// remove takes a target out of its pool. Requests under way finish on it.
+func (s *Steerer) remove(t *Target) {
+	t.pool.mu.Lock()
+	defer t.pool.mu.Unlock()
+	t.removed = true
+	delete(t.pool.members, t.info.ID)
+	delete(s.targets, t.info.ID)
+	t.pool.rebuild()
+}
--- /dev/null
+++ b/steering/report.go
@@ -0,0 +1,20 @@
+package steering
+
+import "time"
+
+// LoadReport is an upstream's own statement of its load. InFlight includes the
+// requests of all entry VMs.
+type LoadReport struct {
+	UpstreamID string
+	InFlight   int
+	Age        time.Duration
+}
+
+// RegionReport is the measured load of a service in a region as a fraction of
+// its capacity. Age is the time since the measurement, not since its arrival.
+type RegionReport struct {
+	Service string
+	Region  string
+	Load    float64
+	Age     time.Duration
+}
--- /dev/null
+++ b/steering/service.go
@@ -0,0 +1,58 @@
+package steering
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// service holds what the leaves and pools of one service share.
+type service struct {
+	name      string
+	pools     [MaxRegions]atomic.Pointer[Pool]
+	suspended atomic.Uint32 // bit set of regions
+	budget    Budget
+	regions   [MaxRegions]regionControl
+}
+
+func newService(name string) *service {
+	s := &service{name: name}
+	for i := range s.regions {
+		s.regions[i].limit = 1
+		s.regions[i].availability = 1
+	}
+	s.budget.reset()
+	return s
+}
+
+// setSuspended sets or clears a region's bit.
+func (s *service) setSuspended(region int, on bool) {
+	if on {
+		s.suspended.Or(1 << region)
+		return
+	}
+	s.suspended.And(^uint32(1 << region))
+}
+
+// tickPools advances the pools and takes over which regions can be used.
+func (s *service) tickPools(now, dt, step time.Duration) {
+	for i := range s.pools {
+		p := s.pools[i].Load()
+		if p == nil {
+			continue
+		}
+		p.tick(now, dt)
+		s.regions[i].updateAvailability(p.usable(), step)
+	}
+	s.shareTotal(s.rate())
+}
+
+// shareTotal tells the pools the rate of the whole service.
+func (s *service) shareTotal(total float64) {
+	for i := range s.pools {
+		if p := s.pools[i].Load(); p != nil {
+			p.mu.Lock()
+			p.total = total
+			p.mu.Unlock()
+		}
+	}
+}
--- /dev/null
+++ b/steering/signals.go
@@ -0,0 +1,53 @@
+package steering
+
+// IdleClosed tells that the upstream closed an idle connection. A connection
+// that is refused shortly afterwards then means that the upstream is leaving.
+func (t *Target) IdleClosed() {
+	t.pool.mu.Lock()
+	defer t.pool.mu.Unlock()
+	t.leaving.closed, t.leaving.closedAt = true, t.pool.now
+}
+
+// Probed takes over the result of a probe that ProbesDue asked for. ok means
+// that the upstream answered and does not announce that it is leaving.
+func (t *Target) Probed(ok bool) {
+	t.pool.mu.Lock()
+	defer t.pool.mu.Unlock()
+	if t.removed || !t.leaving.probed(ok, t.pool.now) {
+		return
+	}
+	t.pool.readmit(t)
+	t.pool.rebuild()
+}
+
+// Leaving reports whether the upstream is leaving by any signal.
+func (t *Target) Leaving() bool {
+	t.pool.mu.Lock()
+	defer t.pool.mu.Unlock()
+	return t.leaving.active()
+}
+
+// ProbesDue returns the upstreams that announced that they leave, are still
+// listed as live and may come back if a probe succeeds. Each is returned once
+// per probe interval.
+func (s *Steerer) ProbesDue() []*Target {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var due []*Target
+	for _, id := range sortedKeys(s.targets) {
+		if t := s.targets[id]; t.probeDue() {
+			due = append(due, t)
+		}
+	}
+	return due
+}
+
+func (t *Target) probeDue() bool {
+	t.pool.mu.Lock()
+	defer t.pool.mu.Unlock()
+	if !t.leaving.probeDue(t.pool.now) {
+		return false
+	}
+	t.leaving.nextProbe = t.pool.now + probeInterval
+	return true
+}
--- /dev/null
+++ b/steering/steerer.go
@@ -0,0 +1,183 @@
+package steering
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"pistachiomount.example/pistachiomount/clock"
+)
+
+// Steerer chooses regions and upstreams. Choose, Budget and the methods of the
+// results are for the request path; the others may block for microseconds. All
+// are safe for concurrent use.
+type Steerer struct {
+	clock clock.Clock
+	rng   Rand
+
+	tables atomic.Pointer[tables]
+
+	mu          sync.Mutex
+	lastTick    clock.Instant
+	now         time.Duration // time counted by ticks
+	pace        float64       // percentage points per second
+	regionIndex map[string]int
+	targets     map[string]*Target // by upstream ID
+	config      Config
+}
+
+const (
+	// maxStep bounds the time that ramps and limits move in one tick, so that they
+	// do not jump after a pause of the process.
+	maxStep = time.Second
+	// stalePaceFactor slows a ramp into a region whose reports stopped. It does not
+	// halt the ramp, because an accepted document must take effect in the end.
+	stalePaceFactor = 0.1
+)
+
+// New returns a Steerer without rules and upstreams. rng may be nil, then
+// SystemRand is used.
+func New(c clock.Clock, rng Rand) *Steerer {
+	if rng == nil {
+		rng = SystemRand{}
+	}
+	s := &Steerer{
+		clock:       c,
+		rng:         rng,
+		lastTick:    c.Now(),
+		pace:        DefaultPointsPerSecond,
+		regionIndex: make(map[string]int),
+		targets:     make(map[string]*Target),
+	}
+	s.tables.Store(&tables{})
+	return s
+}
+
+// Choose returns the regions for a request in order of preference. The caller
+// takes the first for which its grants allow the request. It does not allocate.
+func (s *Steerer) Choose(r Request) (Order, error) {
+	l := s.tables.Load().resolve(r.Service, r.Customer, r.From)
+	if l == nil {
+		return Order{}, ErrNoRule
+	}
+	l.picked.Add(1)
+	o := Order{service: l.service, shares: l.shares.Load(), probe: r.Idempotent}
+	o.rng.Seed(s.rng.Uint64(), 0)
+	return o, nil
+}
+
+// Budget returns the retry and hedge budget of a service, false when unknown.
+func (s *Steerer) Budget(name string) (*Budget, bool) {
+	svc := s.tables.Load().services[name]
+	if svc == nil {
+		return nil, false
+	}
+	return &svc.budget, true
+}
+
+// Pool returns the upstreams of a service in a region, false when there are none.
+func (s *Steerer) Pool(service, region string) (*Pool, bool) {
+	t := s.tables.Load()
+	svc := t.services[service]
+	for i, name := range t.regions {
+		if svc != nil && name == region {
+			p := svc.pools[i].Load()
+			return p, p != nil
+		}
+	}
+	return nil, false
+}
+
+// Shares returns the effective shares for a request in percent, for status.
+func (s *Steerer) Shares(r Request) []Weight {
+	t := s.tables.Load()
+	l := t.resolve(r.Service, r.Customer, r.From)
+	if l == nil {
+		return nil
+	}
+	sh := l.shares.Load()
+	var out []Weight
+	for i := range sh.n {
+		if sh.effective[i] > 0 {
+			out = append(out, Weight{Region: t.regions[i], Percent: 100 * float64(sh.effective[i])})
+		}
+	}
+	return out
+}
+
+// Tick advances ramps, limits, ejections, slow starts and estimates to the
+// present. Without ticks the last shares hold.
+func (s *Steerer) Tick() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	instant := s.clock.Now()
+	dt := max(0, instant.ElapsedSince(s.lastTick))
+	s.lastTick = instant
+	s.now += dt
+	step := min(dt, maxStep)
+	t := s.tables.Load()
+	for _, svc := range t.services {
+		svc.tickPools(s.now, dt, step)
+		svc.budget.tick(step)
+	}
+	s.tickLeaves(t, dt, step)
+}
+
+func (s *Steerer) tickLeaves(t *tables, dt, step time.Duration) {
+	byService := make(map[*service][]*leaf, len(t.services))
+	orphansDone := false
+	for _, l := range t.leaves {
+		l.measure(dt)
+		l.ramp(s.points(l, step))
+		orphansDone = orphansDone || (l.orphan && l.settled())
+		byService[l.service] = append(byService[l.service], l)
+	}
+	n := len(t.regions)
+	for svc, leaves := range byService {
+		svc.tickFlows(leaves, s.now, step, n)
+	}
+	if orphansDone {
+		s.tables.Store(t.withoutSettledOrphans())
+	}
+}
+
+// points returns how far a leaf may move in a step.
+func (s *Steerer) points(l *leaf, step time.Duration) float64 {
+	points := s.pace * step.Seconds()
+	if l.entersStale(s.now) {
+		return points * stalePaceFactor
+	}
+	return points
+}
+
+// ReportRegion takes over a measured region load. Reports of unknown services
+// and regions are ignored.
+func (s *Steerer) ReportRegion(r RegionReport) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i, ok := s.regionIndex[r.Region]
+	svc := s.tables.Load().services[r.Service]
+	if ok && svc != nil {
+		svc.regions[i].report(r.Load, s.now-r.Age, s.now)
+	}
+}
+
+// ReportLoad takes over an upstream's own report. Reports of unknown upstreams
+// are ignored.
+func (s *Steerer) ReportLoad(r LoadReport) {
+	s.mu.Lock()
+	t := s.targets[r.UpstreamID]
+	now := s.now
+	s.mu.Unlock()
+	if t == nil || r.InFlight < 0 {
+		return
+	}
+	t.pool.mu.Lock()
+	defer t.pool.mu.Unlock()
+	t.report = loadState{
+		others:     max(0, float64(r.InFlight)-float64(t.inFlight.Load())),
+		measuredAt: now - r.Age,
+		known:      true,
+	}
+	t.refresh(t.pool.now, t.pool.typical, t.pool.mean)
+}
