--- a/steering/configure.go
+++ b/steering/configure.go
@@ -84,7 +84,7 @@
 		}
 	}
 	for key, l := range old.leaves {
-		if next.leaves[key] != nil || l.orphan && l.settled() {
+		if next.leaves[key] != nil {
 			continue
 		}
 		if target, ok := rules.target(key); ok {
@@ -155,11 +155,27 @@
 	}
 }
 
-func (t *tables) withoutSettledOrphans() *tables {
+// dropOrphans returns the tables without the orphans of services whose leaves
+// have all arrived. Dropping one earlier would expose its requests to another
+// leaf that is still ramping.
+func (t *tables) dropOrphans() *tables {
+	moving := make(map[*service]bool)
+	orphans := 0
+	for _, l := range t.leaves {
+		if !l.settled() {
+			moving[l.service] = true
+		}
+		if l.orphan {
+			orphans++
+		}
+	}
+	if orphans == 0 {
+		return t
+	}
 	next := *t
 	next.leaves = make(map[leafKey]*leaf, len(t.leaves))
 	for k, l := range t.leaves {
-		if !l.orphan || !l.settled() {
+		if !l.orphan || moving[l.service] {
 			next.leaves[k] = l
 		}
 	}
--- /dev/null
+++ b/steering/rig_test.go
@@ -0,0 +1,111 @@
+package steering_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"pistachiomount.example/pistachiomount/clock"
+	"pistachiomount.example/pistachiomount/steering"
+)
+
+// lockedRand is a reproducible source for tests.
+type lockedRand struct {
+	mu  sync.Mutex
+	rng *rand.PCG
+}
+
+func (l *lockedRand) Uint64() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.rng.Uint64()
+}
+
+// rig is a Steerer for service "records" with n upstreams in each region.
+type rig struct {
+	clk       clock.Manual
+	s         *steering.Steerer
+	upstreams []steering.Upstream
+}
+
+func weights(percent ...float64) []steering.Weight {
+	var out []steering.Weight
+	for i, p := range percent {
+		out = append(out, steering.Weight{Region: simRegions[i], Percent: p})
+	}
+	return out
+}
+
+func newRig(t testing.TB, n int, percent ...float64) *rig {
+	r := &rig{}
+	r.s = steering.New(&r.clk, &lockedRand{rng: rand.NewPCG(7, 11)})
+	r.set(t, steering.Rule{Service: "records", Weights: weights(percent...)})
+	for _, region := range simRegions[:len(percent)] {
+		for i := range n {
+			r.upstreams = append(r.upstreams, steering.Upstream{
+				ID: fmt.Sprintf("%s%d", region, i), Service: "records", Region: region,
+				Address: "127.0.0.1:1", Slots: 6,
+			})
+		}
+	}
+	r.list(t)
+	r.advance(time.Second)
+	return r
+}
+
+func (r *rig) set(t testing.TB, rules ...steering.Rule) {
+	if err := r.s.SetConfig(steering.Config{Regions: simRegions, Rules: rules}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (r *rig) list(t testing.TB) {
+	if err := r.s.SetUpstreams(r.upstreams); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (r *rig) advance(d time.Duration) {
+	for range int(d / simStep) {
+		r.clk.Advance(simStep)
+		r.s.Tick()
+	}
+}
+
+func (r *rig) pool(t testing.TB, region string) *steering.Pool {
+	p, ok := r.s.Pool("records", region)
+	if !ok {
+		t.Fatalf("no pool in %s", region)
+	}
+	return p
+}
+
+// target picks until the upstream with the given ID comes up.
+func (r *rig) target(t testing.TB, id string) *steering.Target {
+	p := r.pool(t, id[:1])
+	for range 10_000 {
+		if target, ok := p.Pick(nil); ok && target.Upstream().ID == id {
+			return target
+		}
+	}
+	t.Fatalf("%s is never picked", id)
+	return nil
+}
+
+// counts picks n times without load and returns how often each upstream came up.
+func (r *rig) counts(t testing.TB, region string, n int) map[string]int {
+	out := make(map[string]int)
+	for range n {
+		if target, ok := r.pool(t, region).Pick(nil); ok {
+			out[target.Upstream().ID]++
+		}
+	}
+	return out
+}
+
+func finish(target *steering.Target, result steering.Result, latency time.Duration) {
+	target.Begin()
+	target.Finish(steering.Outcome{Result: result, Latency: latency})
+}
--- a/steering/steerer.go
+++ b/steering/steerer.go
@@ -125,19 +125,17 @@
 
 func (s *Steerer) tickLeaves(t *tables, dt, step time.Duration) {
 	byService := make(map[*service][]*leaf, len(t.services))
-	orphansDone := false
 	for _, l := range t.leaves {
 		l.measure(dt)
 		l.ramp(s.points(l, step))
-		orphansDone = orphansDone || (l.orphan && l.settled())
 		byService[l.service] = append(byService[l.service], l)
 	}
 	n := len(t.regions)
 	for svc, leaves := range byService {
 		svc.tickFlows(leaves, s.now, step, n)
 	}
-	if orphansDone {
-		s.tables.Store(t.withoutSettledOrphans())
+	if next := t.dropOrphans(); next != t {
+		s.tables.Store(next)
 	}
 }
 
