--- /dev/null
+++ b/grant/directed_test.go
@@ -0,0 +1,273 @@
+package grant
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pistachiomount.example/pistachiomount/apipb"
+	"pistachiomount.example/pistachiomount/clock"
+)
+
+const directedLife = 5 * time.Second
+
+func directedOwner(c clock.Clock, term uint64) *Owner {
+	o := NewOwner(OwnerConfig{Term: term, Quarantine: directedLife, NoPredecessor: term == 1}, c)
+	o.SetCaps(simCaps())
+	return o
+}
+
+func directedHolder(c clock.Clock, vm string) (*Holder, *Bucket, *Units) {
+	h := NewHolder(HolderConfig{VM: vm, Incarnation: 1}, c)
+	return h, h.Bucket(simRate), h.Units(simUnits)
+}
+
+func exchange(h *Holder, o *Owner) error { return h.Accept(o.Renew(h.BuildRequest(), true)) }
+
+// Guards against tokens that outlive a lease: they may have gone to others.
+func TestTokensAndReservationsEndWithTheLease(t *testing.T) {
+	is := is.New(t)
+	var c clock.Manual
+	o := directedOwner(&c, 1)
+	h, b, _ := directedHolder(&c, "a")
+	is.NoErr(exchange(h, o))
+	c.Advance(time.Second)
+	is.NoErr(exchange(h, o))
+	r, ok := b.Reserve(50)
+	is.True(ok)
+	c.Advance(4 * time.Second)
+	is.True(!b.TryTake(1))
+	is.NoErr(exchange(h, o))
+	b.Refund(r, 50)
+	is.True(!b.TryTake(1)) // new depth starts empty, the old reservation is void
+	c.Advance(100 * time.Millisecond)
+	is.True(b.TryTake(1))
+}
+
+// Guards against an unused part of a reservation that is lost, or that is
+// refunded beyond the depth.
+func TestRefundFillsUpToTheDepth(t *testing.T) {
+	is := is.New(t)
+	var c clock.Manual
+	o := directedOwner(&c, 1)
+	h, b, _ := directedHolder(&c, "a")
+	is.NoErr(exchange(h, o))
+	c.Advance(900 * time.Millisecond)
+	r, ok := b.Reserve(60)
+	is.True(ok)
+	is.Equal(b.DelayFor(30), 300*time.Millisecond+1)
+	b.Refund(r, 40)
+	is.Equal(b.DelayFor(40), time.Duration(0))
+	c.Advance(time.Second)
+	b.Refund(r, 60)
+	is.True(b.TryTake(60))
+	is.True(!b.TryTake(1))
+	is.Equal(b.DelayFor(61), RenewInterval) // more than the depth
+}
+
+// Guards against a unit taken during a suspension that only some clocks counted,
+// and against a lease revived by a wall clock set back after it was reported as over.
+func TestUnitsEndOnAnyClock(t *testing.T) {
+	is := is.New(t)
+	var c clock.Manual
+	o := directedOwner(&c, 1)
+	h, b, u := directedHolder(&c, "a")
+	is.NoErr(exchange(h, o))
+	is.True(u.TryAcquire())
+	c.Suspend(DefaultLease)
+	is.True(!u.TryAcquire())
+	is.NoErr(exchange(h, o))
+	is.True(u.TryAcquire())
+	c.SetWall(DefaultLease)
+	is.Equal(h.BuildRequest().GetNeeds()[0].GetHeldRate(), 0.0)
+	c.SetWall(-DefaultLease)
+	is.True(!u.TryAcquire())
+	is.Equal(b.Depth(), 0.0)
+}
+
+// Guards against an owner's lease that ends before a holder's on a slow clock.
+func TestOwnerOutwaitsSlowHolder(t *testing.T) {
+	is := is.New(t)
+	var ownerClock, holderClock clock.Manual
+	o := directedOwner(&ownerClock, 1)
+	h, _, u := directedHolder(&holderClock, "a")
+	is.NoErr(exchange(h, o))
+	ownerClock.Advance(DefaultLease + 59*time.Millisecond)
+	holderClock.Advance((DefaultLease + 59*time.Millisecond) * 100 / 102)
+	is.True(u.TryAcquire())
+	other, _, _ := directedHolder(&ownerClock, "b")
+	reply := o.Renew(other.BuildRequest(), true)
+	is.Equal(reply.GetShares()[0].GetRate(), 0.0)
+	is.Equal(reply.GetShares()[1].GetUnits(), uint32(0))
+}
+
+// Guards against replies of an owner that was replaced, and against a second
+// use of one reply.
+func TestHolderRejectsOutdatedReplies(t *testing.T) {
+	is := is.New(t)
+	var c clock.Manual
+	first, second := directedOwner(&c, 1), directedOwner(&c, 2)
+	h, _, _ := directedHolder(&c, "a")
+	early := first.Renew(h.BuildRequest(), true)
+	reply := second.Renew(h.BuildRequest(), true)
+	is.Equal(h.Accept(early), ErrOutdatedReply)
+	is.NoErr(h.Accept(reply))
+	is.Equal(h.Accept(reply), ErrOutdatedReply)
+	req := h.BuildRequest()
+	is.True(first.Renew(req, true).GetNotLeader()) // the request names a later term
+	late := &apipb.RenewReply{Term: 1, Sequence: req.GetSequence(), LeaseMs: 3000}
+	is.Equal(h.Accept(late), ErrLowerTerm)
+	req = h.BuildRequest()
+	c.Advance(DefaultLease)
+	is.Equal(h.Accept(second.Renew(req, true)), ErrLeaseOver)
+}
+
+// Guards against a ledger changed by an owner that may have been replaced.
+func TestOwnerWithoutLeaderLeaseDoesNothing(t *testing.T) {
+	is := is.New(t)
+	var c clock.Manual
+	o := directedOwner(&c, 1)
+	h, _, _ := directedHolder(&c, "a")
+	req := h.BuildRequest()
+	reply := o.Renew(req, false)
+	is.True(reply.GetNotLeader())
+	is.Equal(len(reply.GetShares()), 0)
+	is.Equal(len(o.members), 0)
+	is.Equal(h.Accept(reply), ErrNotLeader)
+}
+
+// Guards against a late request, sent before the lease ended, that releases the
+// quarantine of units taken after it was sent.
+func TestLateRequestKeepsQuarantine(t *testing.T) {
+	is := is.New(t)
+	var c clock.Manual
+	o := directedOwner(&c, 1)
+	h, _, u := directedHolder(&c, "a")
+	is.NoErr(exchange(h, o))
+	late := h.BuildRequest()
+	for u.TryAcquire() {
+	}
+	c.Advance(DefaultLease + 100*time.Millisecond)
+	other, _, units := directedHolder(&c, "b")
+	is.NoErr(exchange(other, o))
+	o.Renew(late, true)
+	c.Advance(100 * time.Millisecond)
+	is.NoErr(exchange(other, o))
+	is.True(!units.TryAcquire())
+
+	// A report without a grant in force says exactly what is in use.
+	u.Release()
+	h.Stop()
+	is.NoErr(exchange(h, o))
+	is.NoErr(exchange(other, o))
+	is.True(units.TryAcquire())
+	is.True(!units.TryAcquire())
+}
+
+// Guards against units that a lost holder blocks for longer than the quarantine.
+func TestQuarantineEnds(t *testing.T) {
+	is := is.New(t)
+	var c clock.Manual
+	o := directedOwner(&c, 1)
+	h, _, _ := directedHolder(&c, "a")
+	is.NoErr(exchange(h, o))
+	other, _, units := directedHolder(&c, "b")
+	c.Advance(withMargin(DefaultLease))
+	is.NoErr(exchange(other, o))
+	c.Advance(withMargin(directedLife) - time.Millisecond)
+	is.NoErr(exchange(other, o))
+	is.True(!units.TryAcquire())
+	c.Advance(sweepInterval)
+	is.NoErr(exchange(other, o))
+	is.True(units.TryAcquire())
+}
+
+// Guards against a planned stop whose grants wait for their lease, and against
+// grants to a holder that is stopping.
+func TestStopHandsBackAtOnce(t *testing.T) {
+	is := is.New(t)
+	var c clock.Manual
+	o := directedOwner(&c, 1)
+	h, b, u := directedHolder(&c, "a")
+	is.NoErr(exchange(h, o))
+	is.True(u.TryAcquire())
+	h.Stop()
+	is.True(!u.TryAcquire())
+	is.NoErr(exchange(h, o))
+	is.Equal(b.Depth(), 0.0)
+	other, ob, ou := directedHolder(&c, "b")
+	is.NoErr(exchange(other, o))
+	_, granted := ou.InUse()
+	is.Equal(granted, uint32(10)) // one is in use at the holder that stops
+	is.Equal(ob.Depth(), 60.0)
+	u.Release()
+	is.NoErr(exchange(h, o))
+	is.NoErr(exchange(other, o))
+	_, granted = ou.InUse()
+	is.Equal(granted, uint32(11))
+}
+
+// Guards against a cap that shrinks or vanishes and is still held after a lease.
+func TestCapsFollowTheDocument(t *testing.T) {
+	is := is.New(t)
+	var c clock.Manual
+	o := directedOwner(&c, 1)
+	h, b, u := directedHolder(&c, "a")
+	silent, sb, _ := directedHolder(&c, "b")
+	for range 3 {
+		is.NoErr(exchange(h, o))
+		is.NoErr(exchange(silent, o))
+	}
+	is.Equal(b.Depth()+sb.Depth(), 60.0)
+
+	caps := simCaps()
+	caps[0].Burst, caps[1].Units = 20, 3
+	o.SetCaps(caps)
+	for range 4 {
+		c.Advance(time.Second)
+		is.NoErr(exchange(h, o))
+	}
+	is.Equal(b.Depth(), 20.0)
+	_, granted := u.InUse()
+	is.Equal(granted, uint32(3))
+
+	o.SetCaps(nil)
+	is.NoErr(exchange(h, o))
+	is.Equal(b.Depth(), 0.0)
+	is.True(!u.TryAcquire())
+	o.SetCaps(simCaps())
+	is.NoErr(exchange(h, o))
+	is.Equal(b.Depth(), 60.0)
+}
+
+// Guards against units that nobody can use while someone wants them.
+func TestUnitsAreNotStranded(t *testing.T) {
+	is := is.New(t)
+	var c clock.Manual
+	o := NewOwner(OwnerConfig{Term: 1, Quarantine: directedLife, NoPredecessor: true}, &c)
+	caps := simCaps()
+	caps[1].Units = 3
+	o.SetCaps(caps)
+	var holders []*Holder
+	for i := range 8 {
+		h, _, _ := directedHolder(&c, string(rune('a'+i)))
+		holders = append(holders, h)
+	}
+	served := map[int]int{}
+	for range 400 {
+		c.Advance(100 * time.Millisecond)
+		for i, h := range holders {
+			if i < 5 && h.Units(simUnits).TryAcquire() {
+				served[i]++
+				h.Units(simUnits).Release()
+			}
+			if h.NeedsRenewal() {
+				is.NoErr(exchange(h, o))
+			}
+		}
+	}
+	for i := range 5 {
+		is.True(served[i] > 40) // all that want one get one in turns
+	}
+}
