--- /dev/null
+++ b/caller/directory.go
@@ -0,0 +1,161 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"golang.org/x/sync/singleflight"
+
+	"pistachiomount.example/pistachiomount/clock"
+)
+
+const (
+	// lookupTimeout bounds one lookup at one VM, so that a silent VM does not
+	// keep the caller from asking the next.
+	lookupTimeout = time.Second
+	// maxLookupBytes bounds the answer of a lookup.
+	maxLookupBytes = 1 << 20
+	// maxTTL bounds how long a lookup is believed.
+	maxTTL = time.Minute
+)
+
+// Directory caches the ranked entry VMs for one service. It is safe for
+// concurrent use.
+type Directory struct {
+	service string
+	seeds   []netip.AddrPort
+	clock   clock.Clock
+	client  *http.Client
+	flight  singleflight.Group
+
+	lookups, failures atomic.Int64
+
+	mu        sync.Mutex
+	ranked    []netip.AddrPort
+	expiresAt clock.Instant
+}
+
+// lookupAnswer is the answer of GET /v1/lookup.
+type lookupAnswer struct {
+	TTLMS    int64 `json:"ttl_ms"`
+	EntryVMs []struct {
+		Address netip.AddrPort `json:"address"`
+	} `json:"entry_vms"`
+}
+
+// NewDirectory returns a directory that first asks the seeds.
+func NewDirectory(service string, seeds []netip.AddrPort, c clock.Clock, transport http.RoundTripper) *Directory {
+	return &Directory{
+		service: service, seeds: seeds, clock: c,
+		client: &http.Client{Transport: transport, Timeout: lookupTimeout, CheckRedirect: refuseRedirect},
+	}
+}
+
+func refuseRedirect(*http.Request, []*http.Request) error {
+	return http.ErrUseLastResponse
+}
+
+// EntryVMs returns the ranked VMs, from the cache until its TTL has passed. If
+// no VM answers the lookup, the expired answer is used.
+func (d *Directory) EntryVMs(ctx context.Context) ([]netip.AddrPort, error) {
+	if ranked, fresh := d.cached(); fresh {
+		return ranked, nil
+	}
+	// The lookup is shared, so it does not end with the request that began it.
+	shared := context.WithoutCancel(ctx)
+	result := d.flight.DoChan("lookup", func() (any, error) { return nil, d.refresh(shared) })
+	var err error
+	select {
+	case <-ctx.Done():
+		err = errors.WithType(ctx.Err(), ErrLookup)
+	case done := <-result:
+		err = done.Err
+	}
+	ranked, _ := d.cached()
+	if len(ranked) == 0 {
+		return nil, errors.Trace(err)
+	}
+	return ranked, nil
+}
+
+// Failed takes a VM out of the cached answer until the next lookup.
+func (d *Directory) Failed(vm netip.AddrPort) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.ranked = slices.DeleteFunc(slices.Clone(d.ranked), func(a netip.AddrPort) bool { return a == vm })
+}
+
+func (d *Directory) cached() (ranked []netip.AddrPort, fresh bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.ranked, len(d.ranked) > 0 && d.clock.Now().Before(d.expiresAt)
+}
+
+// refresh asks the known VMs and then the seeds until one answers.
+func (d *Directory) refresh(ctx context.Context) error {
+	known, _ := d.cached()
+	candidates := slices.Clone(known)
+	for _, seed := range d.seeds {
+		if !slices.Contains(candidates, seed) {
+			candidates = append(candidates, seed)
+		}
+	}
+	var last error
+	for _, vm := range candidates {
+		sent := d.clock.Now()
+		answer, err := d.ask(ctx, vm)
+		if err == nil {
+			d.keep(answer, sent)
+			return nil
+		}
+		d.failures.Add(1)
+		last = err
+	}
+	return errors.WithType(errors.Trace(last), ErrLookup)
+}
+
+func (d *Directory) keep(answer lookupAnswer, sent clock.Instant) {
+	ranked := make([]netip.AddrPort, len(answer.EntryVMs))
+	for i, vm := range answer.EntryVMs {
+		ranked[i] = vm.Address
+	}
+	ttl := min(time.Duration(answer.TTLMS)*time.Millisecond, maxTTL)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.ranked, d.expiresAt = ranked, sent.Add(ttl)
+}
+
+func (d *Directory) ask(ctx context.Context, vm netip.AddrPort) (lookupAnswer, error) {
+	d.lookups.Add(1)
+	var answer lookupAnswer
+	target := "http://" + vm.String() + "/v1/lookup?service=" + url.QueryEscape(d.service)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return answer, errors.Trace(err)
+	}
+	response, err := d.client.Do(request)
+	if err != nil {
+		return answer, errors.Trace(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxLookupBytes))
+	if err != nil {
+		return answer, errors.Trace(err)
+	}
+	if response.StatusCode != http.StatusOK {
+		return answer, errors.Errorf("entry VM %s: lookup status %d", vm, response.StatusCode)
+	}
+	if err := json.Unmarshal(data, &answer); err != nil || len(answer.EntryVMs) == 0 || answer.TTLMS < 0 {
+		return answer, errors.Errorf("entry VM %s: unusable lookup answer", vm)
+	}
+	return answer, nil
+}
--- a/cmd/standin-platform/main.go
+++ b/cmd/standin-platform/main.go
@@ -39,7 +39,7 @@
 	var lists standin.Lists
 	if f.Lists != "" {
 		if lists, err = standin.LoadLists(f.Lists); err != nil {
-			return err
+			return settings.InvalidFile("--lists", "PM_LISTS", f.Lists, "a JSON file with vms and upstreams", err)
 		}
 	}
 	p, err := standin.NewPlatform(clock.NewSystem(), lists, standin.PlatformOptions{LagMS: f.Lag.Milliseconds()})
--- a/cmd/standin-upstream/flags.go
+++ b/cmd/standin-upstream/flags.go
@@ -34,7 +34,11 @@
 
 func (f *flags) fleet() (standin.FleetConfig, error) {
 	if f.File != "" {
-		return standin.LoadFleet(f.File)
+		config, err := standin.LoadFleet(f.File)
+		if err != nil {
+			return config, settings.InvalidFile("--file", "PM_FILE", f.File, "a JSON file with upstreams", err)
+		}
+		return config, nil
 	}
 	if f.Count > 1 && f.Address.Port() != 0 {
 		return standin.FleetConfig{}, &settings.InvalidError{
--- a/settings/errors.go
+++ b/settings/errors.go
@@ -35,6 +35,8 @@
 	Missing bool
 	// Allowed describes the accepted values.
 	Allowed string
+	// Cause tells why the value is rejected, where Allowed does not say it all.
+	Cause error
 }
 
 // Error names the flag, the variable, the value and what is allowed.
@@ -42,7 +44,19 @@
 	if e.Missing {
 		return fmt.Sprintf("%s (%s) is not set; allowed: %s", e.Flag, e.Variable, e.Allowed)
 	}
-	return fmt.Sprintf("%s (%s): invalid value %q; allowed: %s", e.Flag, e.Variable, e.Value, e.Allowed)
+	text := fmt.Sprintf("%s (%s): invalid value %q; allowed: %s", e.Flag, e.Variable, e.Value, e.Allowed)
+	if e.Cause != nil {
+		text += ": " + e.Cause.Error()
+	}
+	return text
+}
+
+// Unwrap returns the cause.
+func (e *InvalidError) Unwrap() error { return e.Cause }
+
+// InvalidFile reports a setting that names an unusable file.
+func InvalidFile(flag, variable, path, allowed string, cause error) error {
+	return &InvalidError{Flag: flag, Variable: variable, Value: path, Allowed: allowed, Cause: cause}
 }
 
 // ExitCode returns the exit code for the result of a program.
--- a/standin/recorder.go
+++ b/standin/recorder.go
@@ -113,12 +113,19 @@
 		Unrecorded:        c.unrecorded,
 		StartedByCustomer: maps.Clone(c.customers),
 		Totals:            c.totals,
-		HeaderNames:       slices.Sorted(maps.Keys(c.headerNames)),
+		HeaderNames:       sortedNames(c.headerNames),
 		SecretSeen:        len(c.places) > 0,
-		SecretPlaces:      slices.Sorted(maps.Keys(c.places)),
+		SecretPlaces:      sortedNames(c.places),
 	}
 }
 
+// sortedNames returns an empty slice, which JSON writes as [], for an empty set.
+func sortedNames(set map[string]bool) []string {
+	names := slices.AppendSeq([]string{}, maps.Keys(set))
+	slices.Sort(names)
+	return names
+}
+
 func addBounded(set map[string]bool, name string, limit int) {
 	if len(set) < limit {
 		set[bounded(name)] = true
