Keep the log stream JSON and reject sizes that hide the echo

Cause: failed span exports and messages of net/http were written as plain text to the log stream; a flag without its value was reported as "<nil>"; demo-caller accepted answer sizes too small for the echo it compares, which would have counted every answer as wrong. Ruled out: OpenTelemetry's error handler, since it is global state. Conclusion: exports and servers log through the process's logger; the two settings errors are exact.

--- a/caller/config.go
+++ b/caller/config.go
@@ -20,6 +20,12 @@
 	maxInFlight  = 10_000
 	// maxAnswerBytes bounds the answer that is asked for and read.
 	maxAnswerBytes = 64 << 20
+	// minAnswerBytes leaves room for the echo, which shorter answers omit.
+	minAnswerBytes = 1024
+	// maxPathBytes keeps the path below what the stand-in upstreams echo whole.
+	maxPathBytes = 128
+	// maxNameBytes is the longest name of a customer in a document.
+	maxNameBytes = 63
 )
 
 // Customer is one tenant on whose behalf requests are sent.
@@ -78,16 +84,18 @@
 		return invalid("no entry VM")
 	case c.Service == "":
 		return invalid("no service")
-	case !strings.HasPrefix(c.Path, "/"):
-		return invalid("path does not start with /")
+	case !strings.HasPrefix(c.Path, "/") || len(c.Path) > maxPathBytes:
+		return invalid("path does not start with / or is longer than 128 bytes")
 	case len(c.Customers) == 0 || len(c.Customers) > maxCustomers:
 		return invalid("customers are not from 1 to 1000")
 	case c.MaxInFlight < 1 || c.MaxInFlight > maxInFlight:
 		return invalid("requests in flight are not from 1 to 10000")
 	case c.Duration <= 0 || c.Timeout <= 0:
 		return invalid("duration or timeout is not above 0")
-	case c.AnswerBytes < 0 || c.AnswerBytes > maxAnswerBytes || c.BodyBytes < 0 || c.BodyBytes > maxAnswerBytes:
-		return invalid("a size is out of bounds")
+	case c.AnswerBytes != 0 && (c.AnswerBytes < minAnswerBytes || c.AnswerBytes > maxAnswerBytes):
+		return invalid("answer size is not 0 or from 1024 to 67108864")
+	case c.BodyBytes < 0 || c.BodyBytes > maxAnswerBytes:
+		return invalid("body size is not from 0 to 67108864")
 	case c.BodyBytes > 0 && (c.Method == http.MethodGet || c.Method == http.MethodHead):
 		return invalid("a body needs a method other than GET and HEAD")
 	case c.Clock == nil:
@@ -99,8 +107,8 @@
 func checkCustomers(customers []Customer) error {
 	names := map[string]bool{}
 	for _, customer := range customers {
-		if customer.Name == "" || names[customer.Name] {
-			return invalid("a customer's name is empty or used twice")
+		if customer.Name == "" || len(customer.Name) > maxNameBytes || names[customer.Name] {
+			return invalid("a customer's name is empty, too long or used twice")
 		}
 		if !(customer.Rate > 0 && customer.Rate < float64(rate.Inf)) {
 			return invalid("customer " + customer.Name + ": rate is not above 0")
--- a/caller/run_test.go
+++ b/caller/run_test.go
@@ -218,4 +218,8 @@
 	c.Customers[0].Rate = 0
 	_, err := caller.Run(context.Background(), c)
 	is.True(errors.Is(err, caller.ErrConfig))
+	c = config(&entryVM{})
+	c.AnswerBytes = 100
+	_, err = caller.Run(context.Background(), c)
+	is.True(errors.Is(err, caller.ErrConfig))
 }
--- a/cmd/demo-caller/main.go
+++ b/cmd/demo-caller/main.go
@@ -28,7 +28,7 @@
 	Requests        int                `default:"0" min:"0" max:"100000000" help:"Requests of each customer; 0 is no limit."`
 	Timeout         time.Duration      `default:"5s" min:"1ms" max:"10m" help:"Time that one request may take."`
 	MaxInFlight     int                `default:"200" min:"1" max:"10000" help:"Requests at one time."`
-	AnswerBytes     int                `default:"0" min:"0" max:"67108864" help:"Size of the answers; 0 leaves it to the upstream."`
+	AnswerBytes     int                `default:"0" min:"0" max:"67108864" help:"Size of the answers, at least 1024; 0 leaves it to the upstream."`
 	BodyBytes       int                `default:"0" min:"0" max:"67108864" help:"Size of the bodies that are sent."`
 }
 
--- a/cmd/standin-platform/main.go
+++ b/cmd/standin-platform/main.go
@@ -57,5 +57,5 @@
 	mux.Handle("/ready", ready, http.MethodGet)
 	mux.Handle("/metrics", tel.MetricsHandler(), http.MethodGet)
 	mux.Handle("/...", p)
-	return standin.Serve(ctx, listener, mux)
+	return standin.Serve(ctx, listener, mux, tel.Logger)
 }
--- a/cmd/standin-upstream/main.go
+++ b/cmd/standin-upstream/main.go
@@ -72,5 +72,5 @@
 	mux.Handle("/ready", ready, http.MethodGet)
 	mux.Handle("/metrics", tel.MetricsHandler(), http.MethodGet)
 	mux.Handle("/...", fleet)
-	return standin.Serve(ctx, listener, mux)
+	return standin.Serve(ctx, listener, mux, tel.Logger)
 }
--- a/settings/checker.go
+++ b/settings/checker.go
@@ -43,13 +43,14 @@
 
 func (c *checker) wrap(flag *kong.Flag, inner kong.Mapper) kong.Mapper {
 	decode := func(ctx *kong.DecodeContext, target reflect.Value) error {
-		value := fmt.Sprint(ctx.Scan.Peek().Value)
+		token := ctx.Scan.Peek()
 		err := inner.Decode(ctx, target)
 		if err == nil && inAllowed(flag, target) {
 			return nil
 		}
 		invalid := newInvalid(flag)
-		invalid.Value = value
+		invalid.Missing = token.IsEOL()
+		invalid.Value = token.String()
 		if flag.Tag.Has("secret") {
 			invalid.Value = hiddenValue
 		}
--- a/settings/program_test.go
+++ b/settings/program_test.go
@@ -98,6 +98,8 @@
 	_, err := parse()
 	is.Equal(err.Error(), "--data-dir (PM_DATA_DIR) is not set; allowed: the path of a readable directory or of one to be created")
 	is.Equal(settings.ExitCode(err), settings.ExitUsage)
+	_, err = parse("--data-dir")
+	is.True(strings.HasPrefix(err.Error(), "--data-dir (PM_DATA_DIR) is not set"))
 	_, err = parse("--data-dir", "..", "--unknown")
 	is.True(errors.Is(err, settings.ErrUsage))
 	is.Equal(settings.ExitCode(err), settings.ExitUsage)
--- a/standin/serve.go
+++ b/standin/serve.go
@@ -7,6 +7,9 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"pistachiomount.example/pistachiomount/telemetry"
 )
 
 const (
@@ -18,8 +21,8 @@
 
 // Serve serves the handler on the listener until the context ends, then lets
 // running requests finish.
-func Serve(ctx context.Context, listener net.Listener, handler http.Handler) error {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+func Serve(ctx context.Context, listener net.Listener, handler http.Handler, logger logrus.FieldLogger) error {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: telemetry.ServerLog(logger)}
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(listener) }()
 	select {
--- a/standin/upstream_server.go
+++ b/standin/upstream_server.go
@@ -13,6 +13,7 @@
 
 	"pistachiomount.example/pistachiomount/platform"
 	"pistachiomount.example/pistachiomount/settings"
+	"pistachiomount.example/pistachiomount/telemetry"
 )
 
 // UpstreamServer serves an Upstream on a TCP address.
@@ -35,7 +36,10 @@
 // StartUpstream listens on the address and serves the upstream until Shutdown or Close.
 func StartUpstream(upstream *Upstream, address settings.Address, logger logrus.FieldLogger) (*UpstreamServer, error) {
 	s := &UpstreamServer{upstream: upstream, logger: logger}
-	s.server = &http.Server{Handler: upstream, ConnContext: upstream.ConnContext, ReadHeaderTimeout: readHeaderTimeout}
+	s.server = &http.Server{
+		Handler: upstream, ConnContext: upstream.ConnContext,
+		ReadHeaderTimeout: readHeaderTimeout, ErrorLog: telemetry.ServerLog(logger),
+	}
 	listener, err := settings.Listen(address, "upstream "+upstream.ID(), logger)
 	if err != nil {
 		return nil, errors.Trace(err)
--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -100,6 +100,29 @@
 	is.Equal(posts.Load(), int64(1))
 }
 
+// Guards against lines on the log stream that are not JSON.
+func TestFailedExportAndServerErrorsAreJSONLines(t *testing.T) {
+	is := is.New(t)
+	collector := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusBadRequest)
+	}))
+	defer collector.Close()
+	address := settings.Address{AddrPort: netip.MustParseAddrPort(collector.Listener.Addr().String())}
+	var out bytes.Buffer
+	tel := start(t, telemetry.Settings{Traces: telemetry.TracesOTLP, TracesRatio: 1, TracesAddress: address}, telemetry.Outputs{Logs: &out})
+	_, span := tel.TracerProvider.Tracer("test").Start(context.Background(), "hop")
+	span.End()
+	is.NoErr(tel.Shutdown(context.Background()))
+	telemetry.ServerLog(tel.Logger).Print("http: TLS handshake error")
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	is.Equal(len(lines), 2)
+	for i, message := range []string{"spans not exported", "http: TLS handshake error"} {
+		var line map[string]any
+		is.NoErr(json.Unmarshal([]byte(lines[i]), &line))
+		is.Equal(line["message"], message)
+	}
+}
+
 func TestLoggerWritesJSONLines(t *testing.T) {
 	is := is.New(t)
 	var out bytes.Buffer
--- a/telemetry/traces.go
+++ b/telemetry/traces.go
@@ -27,7 +27,7 @@
 	provider := sdktrace.NewTracerProvider(
 		sdktrace.WithResource(described),
 		sdktrace.WithSampler(sdktrace.ParentBased(sdktrace.TraceIDRatioBased(s.TracesRatio))),
-		sdktrace.WithBatcher(spans),
+		sdktrace.WithBatcher(loggedExporter{spans, t.Logger}),
 	)
 	t.TracerProvider = provider
 	t.shutdowns = append(t.shutdowns, provider.Shutdown)
