Add the write-ahead log

Cause: a consensus member must not answer before its log is synced, and must tell a torn write from lost data when it starts.

--- /dev/null
+++ b/wal/log.go
@@ -0,0 +1,186 @@
+package wal
+
+import (
+	"io"
+	"os"
+	"path/filepath"
+	"sync"
+
+	"github.com/juju/errors"
+
+	"pistachiomount.example/pistachiomount/apipb"
+	"pistachiomount.example/pistachiomount/consensus"
+)
+
+// maxKeptBuffer is how large an encoding buffer is kept between calls.
+const maxKeptBuffer = 4 << 20
+
+// Log is an open log. It is safe for concurrent use; Save waits for at most the
+// short end of a concurrent SaveSnapshot, not for the snapshot's data.
+type Log struct {
+	fs           FS
+	dir          string
+	segmentBytes int64
+	snapshotting sync.Mutex // held for a whole SaveSnapshot; taken before mu
+
+	mu       sync.Mutex
+	lock     io.Closer
+	identity Identity
+	image    image // as found by Open, until Load
+	failed   error
+
+	file     File // last segment
+	size     int64
+	salt     salt
+	segments []segment
+	buffer   []byte
+
+	hardState     *apipb.HardState
+	snapshotIndex uint64
+	terms         termIndex
+}
+
+func (l *Log) path(name string) string { return filepath.Join(l.dir, name) }
+
+// Load returns the state that Open found. The log does not keep it, so Load is
+// called once, before the first Save.
+func (l *Log) Load() (consensus.Persisted, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.failed != nil {
+		return consensus.Persisted{}, l.failed
+	}
+	p := l.image.persisted()
+	l.image = image{}
+	return p, nil
+}
+
+// Save makes a hard state (unless nil) and entries durable. An entry with an
+// index that the log already has replaces it and everything after it.
+func (l *Log) Save(hs *apipb.HardState, entries []*apipb.LogEntry) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.failed != nil {
+		return l.failed
+	}
+	if hs == nil && len(entries) == 0 {
+		return nil
+	}
+	if err := l.checkEntries(entries); err != nil {
+		return err
+	}
+	if err := l.write(&apipb.WalRecord{HardState: hs, Entries: entries}); err != nil {
+		return l.fail("saving entries", err)
+	}
+	if hs != nil {
+		l.hardState = hs
+	}
+	for _, e := range entries {
+		l.terms.append(e)
+	}
+	if k := len(entries); k > 0 {
+		seg := &l.segments[len(l.segments)-1]
+		seg.lastIndex = max(seg.lastIndex, entries[k-1].GetIndex())
+	}
+	if l.size >= l.segmentBytes {
+		return l.fail("starting a segment", l.cut())
+	}
+	return nil
+}
+
+// checkEntries refuses what Open would later take for damage.
+func (l *Log) checkEntries(entries []*apipb.LogEntry) error {
+	for i, e := range entries {
+		first := entries[0].GetIndex()
+		if e.GetIndex() != first+uint64(i) || first <= l.snapshotIndex || first > l.terms.last+1 {
+			return errors.Annotatef(ErrGap, "entry %d after snapshot %d and last entry %d", e.GetIndex(), l.snapshotIndex, l.terms.last)
+		}
+	}
+	return nil
+}
+
+// write appends one record and syncs it.
+func (l *Log) write(r *apipb.WalRecord) error {
+	buf, err := appendFrame(l.buffer[:0], l.salt, r)
+	if err != nil {
+		return err
+	}
+	if l.buffer = buf; cap(buf) > maxKeptBuffer {
+		l.buffer = nil
+	}
+	if _, err := l.file.Write(buf); err != nil {
+		return err
+	}
+	if err := l.file.Sync(); err != nil {
+		return err
+	}
+	l.size += int64(len(buf))
+	return nil
+}
+
+// cut closes the last segment and starts the next. The hard state is repeated
+// there, so that older segments can be removed.
+func (l *Log) cut() error {
+	if err := l.file.Close(); err != nil {
+		return err
+	}
+	if err := l.startSegment(l.segments[len(l.segments)-1].number + 1); err != nil {
+		return err
+	}
+	if l.hardState == nil {
+		return nil
+	}
+	return l.write(&apipb.WalRecord{HardState: l.hardState})
+}
+
+func (l *Log) startSegment(number uint64) error {
+	f, err := l.fs.Open(l.path(segmentName(number)), os.O_WRONLY|os.O_APPEND|os.O_CREATE|os.O_EXCL)
+	if err != nil {
+		return err
+	}
+	header := segmentHeader(number)
+	l.file, l.size, l.salt = f, int64(len(header)), newSalt(l.identity.MemberID, number)
+	l.segments = append(l.segments, segment{number: number})
+	if _, err := f.Write(header); err != nil {
+		return err
+	}
+	if err := f.Sync(); err != nil {
+		return err
+	}
+	return l.fs.SyncDir(l.dir)
+}
+
+// fail makes an error permanent.
+func (l *Log) fail(op string, err error) error {
+	if err == nil {
+		return nil
+	}
+	l.failed = &FailedError{Op: op, Err: err}
+	return l.failed
+}
+
+// Close releases the folder. Later calls return ErrClosed.
+func (l *Log) Close() error {
+	l.snapshotting.Lock()
+	defer l.snapshotting.Unlock()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if errors.Is(l.failed, ErrClosed) {
+		return nil
+	}
+	l.failed = ErrClosed
+	return errors.Annotatef(l.release(), "closing log in %s", l.dir)
+}
+
+func (l *Log) release() error {
+	var err error
+	if l.file != nil {
+		err = l.file.Close()
+	}
+	if l.lock != nil {
+		if lerr := l.lock.Close(); err == nil {
+			err = lerr
+		}
+	}
+	return err
+}
--- /dev/null
+++ b/wal/names.go
@@ -0,0 +1,60 @@
+package wal
+
+import (
+	"fmt"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+
+	"github.com/juju/errors"
+)
+
+const (
+	lockName       = "LOCK"
+	identityName   = "identity"
+	segmentSuffix  = ".wal"
+	snapshotSuffix = ".snap"
+	tempSuffix     = ".tmp"
+)
+
+var ownName = regexp.MustCompile(`^(LOCK|identity(\.tmp)?|[0-9a-f]{16}\.wal|[0-9a-f]{16}\.snap(\.tmp)?)$`)
+
+func segmentName(number uint64) string { return fmt.Sprintf("%016x%s", number, segmentSuffix) }
+
+func snapshotName(index uint64) string { return fmt.Sprintf("%016x%s", index, snapshotSuffix) }
+
+// folder is the content of a log folder by name.
+type folder struct {
+	segments  []uint64 // numbers, ascending
+	snapshots []uint64 // indexes, ascending
+	temporary []string
+	identity  bool
+}
+
+// readFolder refuses a folder with files of another origin, so that a wrong
+// setting does not mix a log into someone else's data.
+func readFolder(fs FS, dir string) (folder, error) {
+	var f folder
+	names, err := fs.Names(dir)
+	if err != nil {
+		return f, openError(dir, err)
+	}
+	for _, name := range names {
+		if !ownName.MatchString(name) {
+			return f, errors.Annotate(ErrForeign, filepath.Join(dir, name))
+		}
+		number, _ := strconv.ParseUint(strings.SplitN(name, ".", 2)[0], 16, 64)
+		switch filepath.Ext(name) {
+		case segmentSuffix:
+			f.segments = append(f.segments, number)
+		case snapshotSuffix:
+			f.snapshots = append(f.snapshots, number)
+		case tempSuffix:
+			f.temporary = append(f.temporary, name)
+		default:
+			f.identity = f.identity || name == identityName
+		}
+	}
+	return f, nil
+}
--- /dev/null
+++ b/wal/record.go
@@ -0,0 +1,82 @@
+package wal
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+	"math"
+
+	"github.com/juju/errors"
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	frameHeaderBytes = 8 // length and checksum, four bytes each, little endian
+	// maxPayloadBytes is the limit of the protobuf library.
+	maxPayloadBytes = math.MaxInt32
+)
+
+// errFrame: the bytes do not begin with a whole, intact frame.
+const errFrame = errors.ConstError("wal: no intact record")
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// salt goes into the checksum of each frame of a file.
+type salt uint32
+
+func newSalt(member, file uint64) salt {
+	var b [16]byte
+	binary.LittleEndian.PutUint64(b[:8], member)
+	binary.LittleEndian.PutUint64(b[8:], file)
+	return salt(crc32.Checksum(b[:], castagnoli))
+}
+
+func (s salt) checksum(payload []byte) uint32 {
+	return crc32.Update(uint32(s), castagnoli, payload)
+}
+
+// appendFrame encodes a message as a frame at the end of buf.
+func appendFrame(buf []byte, s salt, m proto.Message) ([]byte, error) {
+	start := len(buf)
+	buf = append(buf, make([]byte, frameHeaderBytes)...)
+	buf, err := proto.MarshalOptions{}.MarshalAppend(buf, m)
+	if err != nil {
+		return nil, errors.Annotate(err, "encoding record")
+	}
+	payload := buf[start+frameHeaderBytes:]
+	if len(payload) == 0 || len(payload) > maxPayloadBytes {
+		return nil, errors.Errorf("record of %d bytes cannot be written", len(payload))
+	}
+	binary.LittleEndian.PutUint32(buf[start:], uint32(len(payload)))
+	binary.LittleEndian.PutUint32(buf[start+4:], s.checksum(payload))
+	return buf, nil
+}
+
+// decodeFrame returns the payload of the frame that data begins with and the
+// length of the whole frame. An empty payload is never written: it would be
+// intact in a run of zeros.
+func decodeFrame(data []byte, s salt) (payload []byte, size int, err error) {
+	if len(data) < frameHeaderBytes {
+		return nil, 0, errFrame
+	}
+	length := uint64(binary.LittleEndian.Uint32(data))
+	if length == 0 || length > uint64(len(data)-frameHeaderBytes) {
+		return nil, 0, errFrame
+	}
+	size = frameHeaderBytes + int(length)
+	payload = data[frameHeaderBytes:size]
+	if s.checksum(payload) != binary.LittleEndian.Uint32(data[4:]) {
+		return nil, 0, errFrame
+	}
+	return payload, size, nil
+}
+
+// intactFrameIn returns the offset of the first intact frame that begins
+// anywhere in data, or -1.
+func intactFrameIn(data []byte, s salt) int {
+	for i := range data {
+		if _, _, err := decodeFrame(data[i:], s); err == nil {
+			return i
+		}
+	}
+	return -1
+}
--- /dev/null
+++ b/wal/snapshot.go
@@ -0,0 +1,92 @@
+package wal
+
+import (
+	"github.com/juju/errors"
+
+	"pistachiomount.example/pistachiomount/apipb"
+)
+
+// SaveSnapshot makes a snapshot durable and then removes the segments and the
+// snapshots before it. Entries after it stay when the log leads up to it; when
+// it does not, the snapshot came from the leader and replaces the whole log. A
+// snapshot that is not newer than the last one is ignored.
+func (l *Log) SaveSnapshot(s *apipb.Snapshot) error {
+	l.snapshotting.Lock()
+	defer l.snapshotting.Unlock()
+	if known, err := l.knownSnapshot(s); known || err != nil {
+		return err
+	}
+	index := s.GetMeta().GetIndex()
+	data, err := appendFrame(nil, newSalt(l.Identity().MemberID, index), s)
+	if err != nil {
+		return err
+	}
+	err = writeDurably(l.fs, l.dir, snapshotName(index), data)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.failed != nil {
+		return l.failed
+	}
+	if err != nil {
+		return l.fail("saving snapshot", err)
+	}
+	return l.fail("marking snapshot", l.markSnapshot(s.GetMeta()))
+}
+
+func (l *Log) knownSnapshot(s *apipb.Snapshot) (bool, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.failed != nil {
+		return false, l.failed
+	}
+	if s.GetMeta().GetIndex() == 0 {
+		return false, errors.Annotate(ErrGap, "snapshot without an index")
+	}
+	return s.GetMeta().GetIndex() <= l.snapshotIndex, nil
+}
+
+// markSnapshot writes the mark at the beginning of a new segment, so that it
+// outlives the segments that the snapshot covers.
+func (l *Log) markSnapshot(meta *apipb.SnapshotMeta) error {
+	index := meta.GetIndex()
+	mark := &apipb.SnapshotMark{Index: index, Term: meta.GetTerm(), Discard: !l.terms.holds(index, meta.GetTerm())}
+	if err := l.cut(); err != nil {
+		return err
+	}
+	if err := l.write(&apipb.WalRecord{Snapshot: mark}); err != nil {
+		return err
+	}
+	old := l.snapshotIndex
+	l.snapshotIndex = index
+	if mark.GetDiscard() {
+		l.terms.reset(index)
+	} else {
+		l.terms.dropThrough(index)
+	}
+	l.removeSegments(mark.GetDiscard())
+	if old > 0 {
+		l.removeSnapshots([]uint64{old})
+	}
+	return nil
+}
+
+// removeSegments removes covered segments from the oldest on, each durably
+// before the next, so that a crash leaves no hole. A file that cannot be removed
+// does no harm and is tried again after the next snapshot.
+func (l *Log) removeSegments(all bool) {
+	for len(l.segments) > 1 && (all || l.segments[0].lastIndex <= l.snapshotIndex) {
+		if l.fs.Remove(l.path(segmentName(l.segments[0].number))) != nil || l.fs.SyncDir(l.dir) != nil {
+			return
+		}
+		l.segments = l.segments[1:]
+	}
+}
+
+// removeSnapshots removes snapshots that are older than the newest one.
+func (l *Log) removeSnapshots(indexes []uint64) {
+	for _, index := range indexes {
+		if index < l.snapshotIndex {
+			_ = l.fs.Remove(l.path(snapshotName(index)))
+		}
+	}
+}
--- /dev/null
+++ b/wal/terms.go
@@ -0,0 +1,48 @@
+package wal
+
+import "pistachiomount.example/pistachiomount/apipb"
+
+// termIndex knows the term of each entry in the log without holding the entries.
+type termIndex struct {
+	runs []termRun
+	last uint64 // index of the last entry or of the snapshot
+}
+
+type termRun struct{ first, term uint64 }
+
+func (t *termIndex) reset(index uint64) { t.runs, t.last = nil, index }
+
+func (t *termIndex) append(e *apipb.LogEntry) {
+	for len(t.runs) > 0 && t.runs[len(t.runs)-1].first >= e.GetIndex() {
+		t.runs = t.runs[:len(t.runs)-1]
+	}
+	if len(t.runs) == 0 || t.runs[len(t.runs)-1].term != e.GetTerm() {
+		t.runs = append(t.runs, termRun{e.GetIndex(), e.GetTerm()})
+	}
+	t.last = e.GetIndex()
+}
+
+func (t *termIndex) holds(index, term uint64) bool {
+	if index > t.last {
+		return false
+	}
+	for i := len(t.runs) - 1; i >= 0; i-- {
+		if t.runs[i].first <= index {
+			return t.runs[i].term == term
+		}
+	}
+	return false
+}
+
+// dropThrough forgets entries up to index.
+func (t *termIndex) dropThrough(index uint64) {
+	for len(t.runs) > 1 && t.runs[1].first <= index+1 {
+		t.runs = t.runs[1:]
+	}
+	if len(t.runs) > 0 {
+		t.runs[0].first = max(t.runs[0].first, index+1)
+	}
+	if t.last <= index {
+		t.reset(index)
+	}
+}
