Test consensus scenarios and bound its costs by counts

Cause: the property test meets a given rule only by chance; each rule needs a scenario that fails for it alone, and costs need bounds that do not depend on the machine. Ruled out: bounds on time.

--- /dev/null
+++ b/consensus/bounds_test.go
@@ -0,0 +1,267 @@
+package consensus
+
+import (
+	"bytes"
+	"errors"
+	"testing"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"pistachiomount.example/pistachiomount/apipb"
+)
+
+// logOf returns a persisted state whose entries have the given terms.
+func logOf(t *testing.T, votes uint64, terms ...uint64) Persisted {
+	t.Helper()
+	p, err := Bootstrap([]*apipb.Member{{Id: 1}, {Id: 2}, {Id: 3}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, term := range terms {
+		p.Entries = append(p.Entries, &apipb.LogEntry{Index: uint64(i) + bootstrapIndex + 1, Term: term})
+	}
+	p.HardState = &apipb.HardState{Term: terms[len(terms)-1], VotedFor: votes, Commit: bootstrapIndex}
+	return p
+}
+
+func replaceState(s *sim, id uint64, p Persisted) {
+	s.members[id].disk = p
+	s.start(s.members[id])
+}
+
+// Guards against catch-up that takes a round trip for each diverging entry.
+func TestDivergingLogsAgreeInFewRoundTrips(t *testing.T) {
+	is := is.New(t)
+	var long, short []uint64
+	for i := range uint64(500) {
+		long = append(long, 2+2*(i/100)) // terms 2, 4, 6, 8, 10
+		short = append(short, 2+(i/100)) // 100 entries in common, then terms 3, 4, 5, 6
+	}
+	s := newSim(t, testSeed, 3)
+	replaceState(s, 1, logOf(t, 1, long...))
+	replaceState(s, 3, logOf(t, 1, long...))
+	replaceState(s, 2, logOf(t, 2, short...))
+	rejected := 0
+	s.tap = func(m *apipb.ConsensusMessage) {
+		if m.GetFrom() == 2 && m.GetType() == apipb.MessageType_MESSAGE_TYPE_APPEND_REPLY && m.GetReject() {
+			rejected++
+		}
+	}
+	l := s.mustLead()
+	s.run(10)
+	is.Equal(s.members[2].digest, l.digest)
+	is.Equal(s.members[2].node.log.applied, l.node.log.applied)
+	t.Logf("%d rejected appends for 400 diverging entries in 4 terms", rejected)
+	is.True(rejected >= 1)
+	is.True(rejected <= 5)
+}
+
+// Guards against a slow member that makes the leader buffer or send without bound.
+func TestAppendsToSilentMemberAreBounded(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, testSeed, 3)
+	s.cfg = s.cfg.withDefaults()
+	s.cfg.MaxInflight, s.cfg.MaxUncommittedBytes = 4, 8<<20
+	for _, id := range s.order {
+		s.start(s.members[id])
+	}
+	l := s.mustLead()
+	s.run(5)
+	f := follower(s, l)
+	sent, largest := 0, 0
+	s.tap = func(m *apipb.ConsensusMessage) {
+		largest = max(largest, proto.Size(m))
+		if m.GetTo() == f.id && m.GetType() == apipb.MessageType_MESSAGE_TYPE_APPEND {
+			sent++
+		}
+	}
+	f.frozen = true
+	data := bytes.Repeat([]byte{1}, 200<<10)
+	for range 20 {
+		is.NoErr(l.node.Propose(data))
+	}
+	s.work(l)
+	is.Equal(sent, 4)
+	s.run(3)
+	is.True(l.node.log.committed == l.node.log.lastIndex()) // the others went on
+	is.True(largest <= DefaultMaxMessageBytes)
+	is.True(errors.Is(l.node.Propose(make([]byte, DefaultMaxMessageBytes)), ErrTooLarge))
+	is.NoErr(l.node.Propose(make([]byte, l.node.cfg.maxEntryBytes())))
+	s.work(l)
+	is.True(largest <= DefaultMaxMessageBytes)
+
+	for _, id := range s.order {
+		s.members[id].frozen = id != l.id
+	}
+	var err error
+	for i := 0; i < 100 && err == nil; i++ {
+		err = l.node.Propose(data)
+	}
+	is.True(errors.Is(err, ErrBusy))
+	is.True(l.node.uncommittedBytes <= 8<<20)
+}
+
+// Guards against a snapshot larger than a message, a chunk that was lost or
+// repeated, and a state that differs after it.
+func TestSnapshotGoesInChunks(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, testSeed, 3)
+	s.cfg = s.cfg.withDefaults()
+	s.cfg.MaxMessageBytes, s.cfg.KeepEntries = 1024, 1
+	for _, id := range s.order {
+		s.start(s.members[id])
+	}
+	l := s.mustLead()
+	f := follower(s, l)
+	s.crash(f)
+	for range 20 {
+		is.NoErr(s.propose(l))
+	}
+	s.run(3)
+	s.compact(l)
+	want := l.disk.Snapshot
+	want.Data = append(bytes.Repeat([]byte{'0'}, 5000), want.GetData()...) // same number, longer
+	chunks := 0
+	s.tap = func(m *apipb.ConsensusMessage) {
+		if m.GetType() == apipb.MessageType_MESSAGE_TYPE_SNAPSHOT {
+			chunks++
+			is.True(proto.Size(m) <= 1024)
+		}
+	}
+	s.loss, s.dup = 0.2, 0.2
+	s.start(f)
+	s.run(300)
+	is.True(chunks >= 7)
+	is.True(proto.Equal(f.disk.Snapshot, want))
+	is.Equal(f.digest, l.digest)
+}
+
+// Guards against a protocol that gets chattier: counts per committed entry in a
+// group of three, with a batch of ten proposals a tick.
+func TestCostPerCommittedEntry(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, testSeed, 3)
+	l := s.mustLead()
+	s.run(5)
+	messages, wire := 0, 0
+	s.tap = func(m *apipb.ConsensusMessage) {
+		messages++
+		wire += proto.Size(m)
+	}
+	data := make([]byte, 100)
+	before := l.node.log.committed
+	for range 100 {
+		for range 10 {
+			is.NoErr(l.node.Propose(data))
+		}
+		s.work(l)
+		s.run(1)
+	}
+	s.run(2)
+	n := float64(l.node.log.committed - before)
+	is.Equal(n, 1000.0)
+	t.Logf("%.2f messages and %.0f bytes for each committed entry of 100 bytes", float64(messages)/n, float64(wire)/n)
+	is.True(float64(messages)/n <= 0.9) // 2 appends, 2 heartbeats and 4 answers for ten entries
+	is.True(float64(wire)/n <= 300)     // two copies of 100 bytes and framing
+}
+
+// Guards against a heartbeat round for each of many reads.
+func TestReadsShareRounds(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, testSeed, 3)
+	l := s.mustLead()
+	s.run(5)
+	before := s.sent[apipb.MessageType_MESSAGE_TYPE_HEARTBEAT]
+	for range 1000 {
+		s.read(l)
+	}
+	s.run(1)
+	is.Equal(len(l.served), 1000)
+	beats := s.sent[apipb.MessageType_MESSAGE_TYPE_HEARTBEAT] - before
+	t.Logf("%d heartbeats for 1000 reads", beats)
+	is.True(beats <= 8)
+	for err := error(nil); err == nil; err = l.node.ReadIndex(1) {
+		is.True(len(l.node.waiting) <= DefaultMaxPendingReads)
+	}
+}
+
+// pair is a leader and a follower that talk without a network.
+type pair struct{ nodes map[uint64]*Node }
+
+func newPair(tb testing.TB) *pair {
+	set := []*apipb.Member{{Id: 1}, {Id: 2}}
+	p := &pair{nodes: map[uint64]*Node{}}
+	for id := uint64(1); id <= 2; id++ {
+		state, err := Bootstrap(set)
+		if err != nil {
+			tb.Fatal(err)
+		}
+		if p.nodes[id], err = New(Config{ID: id, Seed: id}, state); err != nil {
+			tb.Fatal(err)
+		}
+	}
+	p.nodes[1].CampaignNow()
+	p.settle(tb)
+	return p
+}
+
+func (p *pair) settle(tb testing.TB) {
+	for busy := true; busy; {
+		busy = false
+		for id := uint64(1); id <= 2; id++ {
+			rd, ok := p.nodes[id].Ready()
+			if !ok {
+				continue
+			}
+			busy = true
+			for _, m := range rd.Messages {
+				if err := p.nodes[m.GetTo()].Step(m); err != nil {
+					tb.Fatal(err)
+				}
+			}
+			p.nodes[id].Advance(rd)
+		}
+	}
+}
+
+// Guards against allocations that creep into the path of every entry.
+func TestAllocationsPerCommittedEntry(t *testing.T) {
+	is := is.New(t)
+	p := newPair(t)
+	data := make([]byte, 100)
+	const batch = 100
+	allocs := testing.AllocsPerRun(50, func() {
+		for range batch {
+			is.NoErr(p.nodes[1].Propose(data))
+		}
+		p.settle(t)
+	}) / batch
+	t.Logf("%.2f allocations for each committed entry", allocs)
+	is.True(allocs <= 2)
+	l := p.nodes[1]
+	is.True(l.log.committed >= 50*batch)
+	idle := testing.AllocsPerRun(100, func() { _ = l.Status() })
+	is.Equal(idle, 0.0)
+}
+
+func BenchmarkCommit(b *testing.B) {
+	p := newPair(b)
+	data := make([]byte, 100)
+	b.ReportAllocs()
+	for b.Loop() {
+		if err := p.nodes[1].Propose(data); err != nil {
+			b.Fatal(err)
+		}
+		p.settle(b)
+		if l := p.nodes[1]; l.log.applied%DefaultKeepEntries == 0 {
+			for _, n := range p.nodes {
+				s, err := n.MakeSnapshot(n.log.applied, nil)
+				if err != nil {
+					b.Fatal(err)
+				}
+				n.Compact(s)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/consensus/scenario_test.go
@@ -0,0 +1,311 @@
+package consensus
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"pistachiomount.example/pistachiomount/apipb"
+)
+
+// testSeed makes scenarios repeatable; they hold for any seed.
+const testSeed = 42
+
+func isolate(s *sim, ids ...uint64) {
+	s.blocked = func(from, to uint64) bool {
+		for _, id := range ids {
+			if (from == id) != (to == id) {
+				return true
+			}
+		}
+		return false
+	}
+}
+
+func unblock(s *sim) { s.blocked = func(uint64, uint64) bool { return false } }
+
+func follower(s *sim, l *simMember) *simMember {
+	for _, id := range s.order {
+		if id != l.id && isVoter(l.node.members.current(), id) {
+			return s.members[id]
+		}
+	}
+	return nil
+}
+
+func replaceChange(id, replaces uint64) *apipb.MemberChange {
+	return &apipb.MemberChange{
+		Type: apipb.MemberChangeType_MEMBER_CHANGE_TYPE_REPLACE, Member: &apipb.Member{Id: id}, ReplacesId: replaces,
+	}
+}
+
+// Guards against a member that returns from a long partition raising the term or
+// deposing the leader.
+func TestReturningMemberDoesNotDisturb(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, testSeed, 3)
+	l := s.mustLead()
+	term, f := l.node.term, follower(s, l)
+	isolate(s, f.id)
+	for range 50 {
+		_ = s.propose(l)
+		s.run(10)
+	}
+	unblock(s)
+	s.run(100)
+	is.Equal(s.leader(), l)
+	is.Equal(l.node.term, term)
+	is.Equal(f.node.term, term)
+	is.Equal(f.digest, l.digest)
+}
+
+// Guards against a leader that is cut off and goes on believing that it leads.
+func TestIsolatedLeaderStepsDown(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, testSeed, 3)
+	l := s.mustLead()
+	s.run(5)
+	is.True(l.node.Status().LeaseValid)
+	isolate(s, l.id)
+	s.run(int(l.node.cfg.leaseTicks()) + 2)
+	is.True(!l.node.Status().LeaseValid)
+	s.run(s.cfg.ElectionTicks)
+	is.True(l.node.role() != RoleLeader)
+	is.True(s.mustLead() != l)
+}
+
+// Guards against a vote that breaks the promise to a leader: after the member
+// moved to the candidate's term without a vote, and right after a restart.
+func TestVoteWaitsForTheLeadersLease(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, testSeed, 3)
+	l := s.mustLead()
+	s.run(5)
+	f := follower(s, l)
+	vote := &apipb.ConsensusMessage{
+		Type: apipb.MessageType_MESSAGE_TYPE_VOTE, From: 6 - l.id - f.id, To: f.id, Term: l.node.term + 1,
+		Index: l.node.log.lastIndex() + 9, LogTerm: l.node.term,
+	}
+	term := l.node.term
+	f.node.becomeFollower(term+1, 0)
+	is.NoErr(f.node.Step(vote))
+	is.Equal(f.node.votedFor, uint64(0))
+	s.start(f)
+	vote.Term = term + 2
+	is.NoErr(f.node.Step(vote))
+	is.True(f.node.votedFor != vote.From)
+	f.node.now += uint64(s.cfg.ElectionTicks)
+	is.NoErr(f.node.Step(vote))
+	is.Equal(f.node.votedFor, vote.From)
+}
+
+// Guards against a stale read by a new leader whose commit index may lag behind
+// what earlier leaders acknowledged.
+func TestReadWaitsForCommitOfOwnTerm(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, testSeed, 3)
+	old := s.mustLead()
+	s.run(5)
+	s.crash(old)
+	dropAppends := true
+	s.tap = func(m *apipb.ConsensusMessage) {
+		if dropAppends && m.GetType() == apipb.MessageType_MESSAGE_TYPE_APPEND {
+			m.To = 99
+		}
+	}
+	for range 100 {
+		if s.leader() == nil {
+			s.run(1)
+		}
+	}
+	l := s.leader()
+	is.True(l != nil && !l.node.termCommitted())
+	s.read(l)
+	s.run(5)
+	is.Equal(len(l.served), 0)
+	is.Equal(l.node.role(), RoleLeader)
+	dropAppends = false
+	s.run(20)
+	is.Equal(len(l.served), 1)
+	is.True(l.served[0].Index >= l.node.termStart)
+}
+
+// Guards against reads at a follower that no leader confirmed.
+func TestFollowerReads(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, testSeed, 3)
+	l := s.mustLead()
+	f := follower(s, l)
+	s.run(3)
+	is.NoErr(s.propose(l))
+	s.run(1)
+	s.read(f)
+	s.run(2)
+	is.Equal(len(f.served), 1)
+	isolate(s, f.id)
+	s.read(f)
+	s.run(50)
+	is.Equal(len(f.served), 1)
+	is.True(errors.Is(f.node.ReadIndex(9), ErrNotLeader))
+}
+
+// Guards against a group that stops at the second loss right after the repair of
+// the first: the replacement must not leave a lost voter in the quorum.
+func TestSecondLossRightAfterRepair(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, testSeed, 3)
+	l := s.mustLead()
+	lost := follower(s, l)
+	s.crash(lost)
+	f := &faults{sim: s}
+	f.join(l)
+	s.run(30)
+	is.NoErr(s.change(l, replaceChange(4, lost.id)))
+	s.run(5)
+	is.Equal(len(voterIDs(l.node.members.current())), 3)
+	is.True(isVoter(l.node.members.current(), 4))
+	is.True(findMember(l.node.members.current(), lost.id) == nil)
+	s.crash(l)
+	next := s.mustLead()
+	is.NoErr(s.propose(next))
+	commit := next.node.log.committed
+	s.run(5)
+	is.True(next.node.log.committed > commit)
+}
+
+// Guards against an election or a commit by a majority of only one of the two
+// voter sets of a replacement.
+func TestReplacementNeedsBothQuorums(t *testing.T) {
+	is := is.New(t)
+	p, err := Bootstrap([]*apipb.Member{{Id: 1}, {Id: 2}, {Id: 3}})
+	is.NoErr(err)
+	set, err := addLearner(p.Snapshot.Meta.Members, &apipb.Member{Id: 4})
+	is.NoErr(err)
+	joint, err := applyChange(set, replaceChange(4, 3))
+	is.NoErr(err)
+	for _, c := range []struct {
+		votes map[uint64]bool
+		won   bool
+	}{
+		{map[uint64]bool{1: true, 4: true}, false},
+		{map[uint64]bool{1: true, 3: true}, false},
+		{map[uint64]bool{1: true, 2: true}, true},
+		{map[uint64]bool{1: true, 3: true, 4: true}, true},
+	} {
+		won, _ := voteOutcome(joint, c.votes)
+		is.Equal(won, c.won)
+		held := func(id uint64) uint64 { return 5 * b2u(c.votes[id]) }
+		is.Equal(quorumValue(joint, held) == 5, c.won)
+	}
+}
+
+// Guards against a voter without the log, and against overlapping changes.
+func TestMemberChangesAreChecked(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, testSeed, 3)
+	l := s.mustLead()
+	isolate(s, 4)
+	f := &faults{sim: s}
+	f.join(l)
+	promote := &apipb.MemberChange{Type: apipb.MemberChangeType_MEMBER_CHANGE_TYPE_PROMOTE, Member: &apipb.Member{Id: 4}}
+	is.True(errors.Is(s.change(l, promote), ErrChangePending))
+	s.run(20)
+	is.True(errors.Is(s.change(l, promote), ErrNotCaughtUp))
+	is.True(errors.Is(s.change(l, replaceChange(4, follower(s, l).id)), ErrNotCaughtUp))
+	is.True(errors.Is(s.change(l, replaceChange(4, 4)), ErrMemberChange))
+	is.True(errors.Is(s.change(l, &apipb.MemberChange{
+		Type: apipb.MemberChangeType_MEMBER_CHANGE_TYPE_REMOVE, Member: &apipb.Member{Id: l.id},
+	}), ErrMemberChange))
+	unblock(s)
+	s.run(20)
+	is.NoErr(s.change(l, promote))
+	s.run(5)
+	is.Equal(s.members[4].node.role(), RoleFollower)
+	is.NoErr(s.change(l, &apipb.MemberChange{
+		Type: apipb.MemberChangeType_MEMBER_CHANGE_TYPE_REMOVE, Member: &apipb.Member{Id: 4},
+	}))
+	s.run(100)
+	is.Equal(s.leader(), l)
+	is.Equal(findMember(l.node.members.current(), 4), (*apipb.Member)(nil))
+}
+
+// Guards against disturbance by a member that was removed or never added.
+func TestUnknownMemberDoesNotDisturb(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, testSeed, 3)
+	l := s.mustLead()
+	s.run(5)
+	term := l.node.term
+	for ty := range apipb.MessageType_name {
+		for _, id := range s.order {
+			err := s.members[id].node.Step(&apipb.ConsensusMessage{
+				Type: apipb.MessageType(ty), From: 77, To: id, Term: term + 50, Index: 1 << 40, LogTerm: 1 << 40,
+				Reject: ty%2 == 0, Snapshot: &apipb.Snapshot{Meta: &apipb.SnapshotMeta{Index: 1 << 40}},
+			})
+			is.True(err == nil || errors.Is(err, ErrMessage))
+			s.work(s.members[id])
+		}
+	}
+	s.run(50)
+	is.Equal(s.leader(), l)
+	is.Equal(l.node.term, term)
+	is.True(errors.Is(l.node.Step(&apipb.ConsensusMessage{From: 77, To: 78}), ErrMessage))
+}
+
+// Guards against a transfer that leaves two leases, or none for good.
+func TestLeadershipTransfer(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, testSeed, 3)
+	l := s.mustLead()
+	s.run(5)
+	f := follower(s, l)
+	is.NoErr(l.node.TransferLeadership(f.id))
+	is.True(!l.node.Status().LeaseValid)
+	is.True(errors.Is(l.node.Propose(nil), ErrTransferring))
+	s.work(l)
+	s.run(3) // well within the election timeout
+	is.Equal(s.leader(), f)
+
+	term := f.node.term
+	is.True(errors.Is(f.node.TransferLeadership(f.id), ErrTransferTarget))
+	s.crash(l)
+	is.NoErr(f.node.TransferLeadership(l.id))
+	s.work(f)
+	s.run(2 * s.cfg.ElectionTicks)
+	is.Equal(s.leader(), f)
+	is.True(f.node.Status().LeaseValid)
+	if f.node.timeoutNowSent {
+		is.True(f.node.term > term)
+	}
+}
+
+// Guards against a proposal that is accepted where it cannot be committed.
+func TestProposeOnFollowerNamesLeader(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, testSeed, 3)
+	l := s.mustLead()
+	s.run(5)
+	var nl *NotLeaderError
+	is.True(errors.As(s.propose(follower(s, l)), &nl))
+	is.Equal(nl.Leader, l.id)
+	is.True(errors.Is(nl, ErrNotLeader))
+}
+
+// Guards against a single voter that waits for others.
+func TestSingleVoter(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, testSeed, 1)
+	m := s.members[1]
+	m.node.CampaignNow()
+	s.work(m)
+	is.NoErr(s.propose(m))
+	is.Equal(m.node.log.applied, uint64(3)) // members, first entry of the term, command
+	s.read(m)
+	is.Equal(len(m.served), 1)
+	is.True(m.node.Status().LeaseValid)
+	s.start(m)
+	s.run(2)
+	is.Equal(m.node.role(), RoleLeader)
+	is.Equal(m.node.log.applied, uint64(4))
+}
