--- a/steering/configure.go
+++ b/steering/configure.go
@@ -28,7 +28,7 @@
 	s.buildLeaves(old, next)
 	s.setCapacities(next)
 	s.publishAll(next)
-	s.tables.Store(next)
+	s.tables.Store(next.index())
 	s.applyDrains(next)
 	return nil
 }
@@ -88,7 +88,8 @@
 			continue
 		}
 		if target, ok := rules.target(key); ok {
-			l.target, l.orphan = target, true
+			l.aim(target)
+			l.orphan = true
 			next.leaves[key] = l
 		}
 	}
@@ -98,13 +99,15 @@
 // the shares that its requests had so far.
 func nextLeaf(old, next *tables, key leafKey, target vector) *leaf {
 	if l := old.leaves[key]; l != nil {
-		l.target, l.orphan = target, false
+		l.aim(target)
+		l.orphan = false
 		return l
 	}
-	l := &leaf{key: key, service: next.service(key.service), current: target, target: target}
+	l := &leaf{key: key, service: next.service(key.service), current: target}
 	if before := old.resolve(key.service, key.customer, key.from); before != nil {
 		l.current = before.current
 	}
+	l.aim(target)
 	return l
 }
 
@@ -159,27 +162,26 @@
 // have all arrived. Dropping one earlier would expose its requests to another
 // leaf that is still ramping.
 func (t *tables) dropOrphans() *tables {
-	moving := make(map[*service]bool)
-	orphans := 0
-	for _, l := range t.leaves {
-		if !l.settled() {
-			moving[l.service] = true
-		}
-		if l.orphan {
-			orphans++
+	drop := make(map[*leaf]bool)
+	for _, leaves := range t.byService {
+		moving := slices.ContainsFunc(leaves, func(l *leaf) bool { return l.moving })
+		for _, l := range leaves {
+			if l.orphan && !moving {
+				drop[l] = true
+			}
 		}
 	}
-	if orphans == 0 {
+	if len(drop) == 0 {
 		return t
 	}
 	next := *t
 	next.leaves = make(map[leafKey]*leaf, len(t.leaves))
 	for k, l := range t.leaves {
-		if !l.orphan || moving[l.service] {
+		if !drop[l] {
 			next.leaves[k] = l
 		}
 	}
-	return &next
+	return next.index()
 }
 
 // applyDrains marks drained regions and upstreams. Steerer.mu is held.
--- a/steering/headroom.go
+++ b/steering/headroom.go
@@ -67,53 +67,79 @@
 	return max(highWatermark, demand/room)
 }
 
-// measureShares computes the fraction of the service's own traffic that the
-// present limits send to each region.
-func (s *service) measureShares(leaves []*leaf, regions int) {
+// flowOf sums the traffic of the leaves with at least the given rate.
+func flowOf(leaves []*leaf, regions int, rate float64) vector {
 	var flow vector
-	total := 0.0
 	for _, l := range leaves {
-		effective, _ := l.limited(regions)
-		w := l.weight()
-		for i := range regions {
-			flow[i] += w * effective[i]
+		if l.rate >= rate {
+			l.addFlow(&flow, regions)
 		}
-		total += w
+	}
+	return flow
+}
+
+// measureShares computes the fraction of the service's own traffic that the
+// present limits send to each region.
+func (s *service) measureShares(leaves []*leaf, regions int) {
+	flow := flowOf(leaves, regions, activeRate)
+	total := flow.sum()
+	if total == 0 {
+		flow = flowOf(leaves, regions, 0)
+		total = flow.sum()
 	}
 	for i := range regions {
-		s.regions[i].share = flow[i] / total
+		s.regions[i].share = part(flow[i], total)
 	}
 }
 
-// tickFlows updates the limits and publishes the resulting shares. There is at
-// least one leaf.
+// tickFlows updates the limits and publishes the resulting shares.
 func (s *service) tickFlows(leaves []*leaf, now, step time.Duration, regions int) {
 	demand := s.fleetDemand(regions)
 	s.measureShares(leaves, regions)
-	for i := range regions {
-		if r := &s.regions[i]; r.reported {
-			r.adjust(r.predict(demand), s.watermark(demand, regions), now, step)
-		}
-	}
-	for range clampRounds {
+	s.adjust(demand, now, step, regions)
+	s.measureShares(leaves, regions)
+	for round := 0; round < clampRounds && s.clamp(demand, regions); round++ {
 		s.measureShares(leaves, regions)
-		s.clamp(demand, regions)
 	}
 	s.normalise(regions)
-	s.measureShares(leaves, regions)
 	for i := range regions {
 		if r := &s.regions[i]; r.reported || r.share > 0 {
 			r.recordShare(now)
 		}
 	}
+	s.publish(leaves, regions)
+}
+
+// publish makes changed shares visible. Without a change of the limits only the
+// leaves that ramped are affected.
+func (s *service) publish(leaves []*leaf, regions int) {
+	changed := false
+	for i := range regions {
+		r := &s.regions[i]
+		if p := (published{r.limit, r.availability}); p != r.published {
+			r.published, changed = p, true
+		}
+	}
 	for _, l := range leaves {
-		l.publish(regions)
+		if changed || l.moved {
+			l.publish(regions)
+		}
+	}
+}
+
+func (s *service) adjust(demand float64, now, step time.Duration, regions int) {
+	watermark := s.watermark(demand, regions)
+	for i := range regions {
+		if r := &s.regions[i]; r.reported {
+			r.adjust(r.predict(demand), watermark, now, step)
+		}
 	}
 }
 
 // clamp keeps share changes from raising a region above the watermark, or above
-// its reported load where that is higher.
-func (s *service) clamp(demand float64, regions int) {
+// its reported load where that is higher. It reports whether it changed a limit.
+func (s *service) clamp(demand float64, regions int) bool {
+	changed := false
 	watermark := s.watermark(demand, regions)
 	for i := range regions {
 		r := &s.regions[i]
@@ -123,8 +149,10 @@
 		ceiling := max(watermark, r.load)
 		if load := r.predict(demand); load > ceiling {
 			r.limit = max(minLimit, r.limit*scaleShare(r.share, ceiling/load))
+			changed = true
 		}
 	}
+	return changed
 }
 
 // normalise scales the limits so that the largest is 1. Only their ratios
--- a/steering/health.go
+++ b/steering/health.go
@@ -25,6 +25,12 @@
 	latencyDecay = 10 * time.Second
 	// slowRatio over the pool's median latency counts as slow.
 	slowRatio = 2.0
+	// latencyTolerance over the median costs nothing. Averages always differ a
+	// little, and an idle service would send everything to the lowest one.
+	latencyTolerance = 1.3
+	// failureDecay without an outcome, past failures no longer add to the cost.
+	// Otherwise an upstream that could not be ejected would never be tried again.
+	failureDecay = 10 * time.Second
 	// maxLatencyFactor bounds the cost of slowness so that load still counts.
 	maxLatencyFactor = 20.0
 	// maxFailureFactor bounds the cost of consecutive failures.
@@ -36,6 +42,7 @@
 	failures  int // consecutive
 	latency   time.Duration
 	sampledAt time.Duration
+	failedAt  time.Duration
 	ejected   bool
 	until     time.Duration // end of the ejection
 	ejectedAt time.Duration
@@ -56,8 +63,12 @@
 	h.latency += time.Duration(float64(latency-h.latency) * gain)
 }
 
-// decay moves the average of an upstream without recent samples toward typical.
+// decay moves the average of an upstream without recent samples toward typical
+// and forgets old failures except for a first failure on return.
 func (h *health) decay(now, dt, typical time.Duration) {
+	if h.failures > 0 && !h.ejected && now-h.failedAt > failureDecay {
+		h.failures, h.probation = 0, true
+	}
 	if h.latency == 0 || typical == 0 || now-h.sampledAt < time.Second {
 		return
 	}
@@ -76,7 +87,7 @@
 }
 
 func (h *health) factor(typical time.Duration) float64 {
-	slow := min(max(h.ratio(typical), 1), maxLatencyFactor)
+	slow := min(max(h.ratio(typical)/latencyTolerance, 1), maxLatencyFactor)
 	return slow * float64(1+min(h.failures, maxFailureFactor))
 }
 
--- a/steering/leaf.go
+++ b/steering/leaf.go
@@ -30,6 +30,10 @@
 	// orphan marks a leaf whose customer no rule names any more. It is dropped
 	// when it has reached the shares of the rule that now covers it.
 	orphan bool
+	// moving is false when current equals target.
+	moving bool
+	// moved is set when the present tick ramped the leaf.
+	moved bool
 
 	picked     atomic.Uint64
 	pickedSeen uint64
@@ -52,6 +56,9 @@
 	rateWindow = 10 * time.Second
 	// minLeafRate keeps the shares of a service defined while it is idle.
 	minLeafRate = 1e-3
+	// activeRate is below what matters for the load of a region; leaves below it
+	// are left out of the sums to keep ticks short.
+	activeRate = 0.01
 	// arrived is the distance in percentage points below which a ramp has ended.
 	arrived = 1e-9
 )
@@ -62,14 +69,15 @@
 	return 1 - math.Exp(-dt.Seconds()/tau.Seconds())
 }
 
-func (l *leaf) measure(dt time.Duration) {
+// measure updates the rate; gain is the filter's step for dt.
+func (l *leaf) measure(dt time.Duration, gain float64) {
 	if dt <= 0 {
 		return
 	}
 	picked := l.picked.Load()
 	now := float64(picked-l.pickedSeen) / dt.Seconds()
 	l.pickedSeen = picked
-	l.rate += (now - l.rate) * smoothing(dt, rateWindow)
+	l.rate += (now - l.rate) * gain
 }
 
 func (l *leaf) weight() float64 { return max(l.rate, minLeafRate) }
@@ -82,7 +90,7 @@
 		distance = max(distance, math.Abs(l.target[i]-l.current[i]))
 	}
 	if distance <= max(points, arrived) {
-		l.current = l.target
+		l.current, l.moving = l.target, false
 		return
 	}
 	for i := range l.current {
@@ -90,7 +98,10 @@
 	}
 }
 
-func (l *leaf) settled() bool { return l.current == l.target }
+func (l *leaf) aim(target vector) {
+	l.target = target
+	l.moving = l.current != target
+}
 
 // entersStale reports whether the ramp raises a region whose reports stopped.
 func (l *leaf) entersStale(now time.Duration) bool {
@@ -102,6 +113,21 @@
 	return false
 }
 
+// addFlow adds the leaf's traffic per region under the present limits.
+func (l *leaf) addFlow(flow *vector, regions int) {
+	sum := 0.0
+	for i := range regions {
+		sum += l.current[i] * l.service.regions[i].factor()
+	}
+	if sum <= 0 {
+		return
+	}
+	scale := l.weight() / sum
+	for i := range regions {
+		flow[i] += l.current[i] * l.service.regions[i].factor() * scale
+	}
+}
+
 // limited returns the shares as fractions, limited by headroom and availability,
 // and by headroom only.
 func (l *leaf) limited(regions int) (effective, base vector) {
--- a/steering/poolfinish.go
+++ b/steering/poolfinish.go
@@ -54,6 +54,7 @@
 // failed counts a failure and ejects the target when that is due and permitted.
 func (p *Pool) failed(t *Target, countPool bool) {
 	t.health.failures++
+	t.health.failedAt = p.now
 	if countPool {
 		p.finishPool(true)
 	}
--- a/steering/reconcile.go
+++ b/steering/reconcile.go
@@ -35,7 +35,7 @@
 		p.mu.Unlock()
 	}
 	s.publishAll(next)
-	s.tables.Store(next)
+	s.tables.Store(next.index())
 	s.applyDrains(next)
 	return nil
 }
--- a/steering/regioncontrol.go
+++ b/steering/regioncontrol.go
@@ -42,6 +42,9 @@
 	share float64
 }
 
+// published are the factors that the published shares contain.
+type published struct{ limit, availability float64 }
+
 // regionControl limits one service in one region. Steerer.mu guards it.
 type regionControl struct {
 	capacity float64 // requests per second, 0 when unknown
@@ -56,6 +59,7 @@
 	limit        float64 // factor on the weights, from minLimit to 1
 	staleLimit   float64 // limit when the reports stopped, 0 while they arrive
 	availability float64 // 0 while no upstream can be used, then rising to 1
+	published    published
 
 	share   float64       // fraction of the service's own traffic
 	history []shareSample // ring, allocated at first use
@@ -108,6 +112,9 @@
 	return earlier.share + (later.share-earlier.share)*part
 }
 
+// factor is what the weights are multiplied by.
+func (r *regionControl) factor() float64 { return r.limit * r.availability }
+
 func (r *regionControl) updateAvailability(usable bool, step time.Duration) {
 	if !usable {
 		r.availability = 0
--- a/steering/steerer.go
+++ b/steering/steerer.go
@@ -124,15 +124,16 @@
 }
 
 func (s *Steerer) tickLeaves(t *tables, dt, step time.Duration) {
-	byService := make(map[*service][]*leaf, len(t.services))
-	for _, l := range t.leaves {
-		l.measure(dt)
-		l.ramp(s.points(l, step))
-		byService[l.service] = append(byService[l.service], l)
-	}
-	n := len(t.regions)
-	for svc, leaves := range byService {
-		svc.tickFlows(leaves, s.now, step, n)
+	gain := smoothing(dt, rateWindow)
+	for svc, leaves := range t.byService {
+		for _, l := range leaves {
+			l.measure(dt, gain)
+			l.moved = l.moving
+			if l.moving {
+				l.ramp(s.points(l, step))
+			}
+		}
+		svc.tickFlows(leaves, s.now, step, len(t.regions))
 	}
 	if next := t.dropOrphans(); next != t {
 		s.tables.Store(next)
--- a/steering/tables.go
+++ b/steering/tables.go
@@ -6,6 +6,17 @@
 	regions  []string
 	leaves   map[leafKey]*leaf
 	services map[string]*service
+	// byService lists the leaves for ticks.
+	byService map[*service][]*leaf
+}
+
+// index fills byService.
+func (t *tables) index() *tables {
+	t.byService = make(map[*service][]*leaf, len(t.services))
+	for _, l := range t.leaves {
+		t.byService[l.service] = append(t.byService[l.service], l)
+	}
+	return t
 }
 
 // resolve returns the most specific leaf for a request.
--- /dev/null
+++ b/steering/upstream_test.go
@@ -0,0 +1,271 @@
+package steering_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"pistachiomount.example/pistachiomount/steering"
+)
+
+// Guards against new work for an upstream that announced that it leaves, and
+// against its return because the platform's late list still shows it as live.
+func TestLeavingInBand(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 3, 1)
+	target := r.target(t, "a1")
+	finish(target, steering.Draining, 0)
+	is.Equal(r.counts(t, "a", 1000)["a1"], 0)
+	r.list(t)
+	r.advance(30 * time.Second)
+	is.Equal(r.counts(t, "a", 1000)["a1"], 0)
+	is.Equal(len(r.s.ProbesDue()), 0)
+	target.Probed(true) // too early to count
+	is.True(target.Leaving())
+
+	r.upstreams[1].State = steering.UpstreamLeaving
+	r.list(t)
+	r.upstreams[1].State = steering.UpstreamLive
+	r.list(t)
+	is.True(!target.Leaving())
+	r.advance(11 * time.Second)
+	is.True(r.counts(t, "a", 1000)["a1"] > 200)
+}
+
+// Guards against an upstream that never comes back because the platform's list
+// missed its short absence, and against one that comes back without proof.
+func TestReturnByProbe(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 3, 1)
+	target := r.target(t, "a1")
+	finish(target, steering.Draining, 0)
+	r.advance(61 * time.Second)
+	due := r.s.ProbesDue()
+	is.Equal(len(due), 1)
+	is.Equal(len(r.s.ProbesDue()), 0) // one probe per interval
+	due[0].Probed(false)
+	is.True(target.Leaving())
+	r.advance(11 * time.Second)
+	r.s.ProbesDue()[0].Probed(true)
+	is.True(!target.Leaving())
+}
+
+// Guards against an upstream that returns after an absence being treated as the
+// one that left.
+func TestReturnAfterAbsence(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 3, 1)
+	finish(r.target(t, "a1"), steering.Draining, 0)
+	all := r.upstreams
+	r.upstreams = []steering.Upstream{all[0], all[2]}
+	r.list(t)
+	r.upstreams = all
+	r.list(t)
+	r.advance(11 * time.Second)
+	is.True(r.counts(t, "a", 1000)["a1"] > 200)
+	is.True(errors.Is(r.s.SetUpstreams(nil), steering.ErrEmptyUpstreams))
+	is.True(r.counts(t, "a", 1000)["a1"] > 200)
+}
+
+// Guards against a crash being taken as a planned leave and the reverse.
+func TestRefusedConnections(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 3, 1)
+	target := r.target(t, "a0")
+	finish(target, steering.Refused, 0)
+	is.True(!target.Leaving())
+	target.IdleClosed()
+	r.advance(6 * time.Second)
+	finish(target, steering.Refused, 0)
+	is.True(!target.Leaving())
+	target.IdleClosed()
+	finish(target, steering.Refused, 0)
+	is.True(target.Leaving())
+	is.Equal(r.counts(t, "a", 1000)["a0"], 0)
+}
+
+// Guards against ejections that leave less than half of the upstreams, and
+// against an upstream that is never used again, over random outcomes.
+func TestAtMostHalfEjected(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(1, 7).Draw(rt, "upstreams")
+		r := newRig(t, n, 1)
+		targets := make([]*steering.Target, n)
+		for i := range targets {
+			targets[i] = r.target(t, r.upstreams[i].ID)
+		}
+		for range rapid.IntRange(1, 200).Draw(rt, "events") {
+			target := rapid.SampledFrom(targets).Draw(rt, "target")
+			if rapid.IntRange(0, 30).Draw(rt, "ok") == 0 {
+				finish(target, steering.Success, time.Millisecond)
+			} else {
+				finish(target, steering.Failure, time.Millisecond)
+			}
+			r.advance(time.Duration(rapid.IntRange(0, 3).Draw(rt, "ms")) * simStep)
+		}
+		var excluded steering.Exclusion
+		for i := range (n + 1) / 2 {
+			target, ok := r.pool(t, "a").Pick(&excluded)
+			if !ok {
+				rt.Fatalf("only %d of %d upstreams in use", i, n)
+			}
+			excluded.Add(target)
+		}
+		r.advance(2 * time.Minute)
+		if seen := len(r.counts(t, "a", 300)); seen < n {
+			rt.Fatalf("%d of %d upstreams return", seen, n)
+		}
+	})
+}
+
+// Guards against full load on a cold upstream, and against an upstream that gets
+// nothing while the service is idle.
+func TestSlowStart(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 3, 1)
+	r.upstreams = append(r.upstreams, steering.Upstream{ID: "a9", Service: "records", Region: "a", Slots: 6})
+	r.list(t)
+	r.advance(time.Second)
+	cold := r.counts(t, "a", 4000)["a9"]
+	is.True(cold > 50 && cold < 300)
+	r.advance(4 * time.Second)
+	half := r.counts(t, "a", 4000)["a9"]
+	is.True(half > cold && half < 800)
+	r.advance(6 * time.Second)
+	is.True(r.counts(t, "a", 4000)["a9"] > 850)
+}
+
+// Guards against an upstream that attracts all work by claiming to be idle while
+// own requests on it are slow or fail.
+func TestMisleadingReportIsOverruled(t *testing.T) {
+	is := is.New(t)
+	for _, result := range []steering.Result{steering.Success, steering.Failure} {
+		r := newRig(t, 4, 1)
+		for i, u := range r.upstreams {
+			target := r.target(t, u.ID)
+			for range 3 {
+				if i == 0 {
+					finish(target, result, 200*time.Millisecond)
+				} else {
+					finish(target, steering.Success, 10*time.Millisecond)
+				}
+			}
+			r.s.ReportLoad(steering.LoadReport{UpstreamID: u.ID, InFlight: 4 * min(i, 1)})
+		}
+		r.advance(simStep)
+		is.True(r.counts(t, "a", 1000)["a0"] < 50)
+	}
+}
+
+// Guards against decisions on reports that are older than 5 s, and against
+// reports that have no effect while they are fresh.
+func TestReportsExpire(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 2, 1)
+	r.s.ReportLoad(steering.LoadReport{UpstreamID: "a0", InFlight: 6, Age: time.Second})
+	r.advance(simStep)
+	is.Equal(r.counts(t, "a", 1000)["a0"], 0)
+	r.advance(5 * time.Second)
+	is.True(r.counts(t, "a", 1000)["a0"] > 400)
+}
+
+// Guards against a retry on the upstream that just failed.
+func TestExclusion(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 2, 1)
+	var excluded steering.Exclusion
+	excluded.Add(r.target(t, "a0"))
+	for range 100 {
+		target, ok := r.pool(t, "a").Pick(&excluded)
+		is.True(ok)
+		is.Equal(target.Upstream().ID, "a1")
+	}
+	excluded.Add(r.target(t, "a1"))
+	_, ok := r.pool(t, "a").Pick(&excluded)
+	is.True(!ok)
+}
+
+// Guards against hedging on a guess.
+func TestHedgeDelayNeedsSamples(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 2, 1)
+	target := r.target(t, "a0")
+	observe := func(n int) {
+		for i := range n {
+			finish(target, steering.Success, time.Duration(i%100+1)*time.Millisecond)
+		}
+		r.advance(2 * time.Second)
+	}
+	observe(99)
+	_, ok := r.pool(t, "a").HedgeDelay()
+	is.True(!ok)
+	observe(901)
+	d, ok := r.pool(t, "a").HedgeDelay()
+	is.True(ok)
+	is.True(d >= 92*time.Millisecond && d <= 98*time.Millisecond)
+	r.advance(2 * time.Minute) // without samples the estimate ends
+	_, ok = r.pool(t, "a").HedgeDelay()
+	is.True(!ok)
+}
+
+// Guards against retries that multiply the load when every upstream fails.
+func TestRetriesAreBounded(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 4, 1)
+	budget, ok := r.s.Budget("records")
+	is.True(ok)
+	const requests, seconds = 20_000, 20
+	retries := 0
+	for i := range requests {
+		budget.Request()
+		for range 3 {
+			if budget.TryRetry() {
+				retries++
+			}
+		}
+		if i%(requests/seconds/10) == 0 {
+			r.advance(simStep)
+		}
+	}
+	is.True(retries >= requests/10)
+	is.True(retries <= requests/10+10+seconds/5)
+}
+
+// Guards against traffic to a region in which every request fails, and against a
+// region that stays out after it recovered.
+func TestLostRegionIsSuspendedAndReturns(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 4, 50, 50)
+	serve := func(lost bool) (inA int) {
+		for range 1000 {
+			order, err := r.s.Choose(steering.Request{Service: "records", Idempotent: true})
+			is.NoErr(err)
+			p, ok := order.Next()
+			is.True(ok)
+			target, ok := p.Pick(nil)
+			is.True(ok)
+			if p.Region() == "a" {
+				inA++
+			}
+			if p.Region() == "a" && lost {
+				finish(target, steering.Failure, time.Second)
+			} else {
+				finish(target, steering.Success, time.Millisecond)
+			}
+		}
+		return inA
+	}
+	is.True(serve(true) <= 12) // the failures that suspend it
+	for range 20 {
+		r.advance(time.Second)
+		is.True(serve(true) <= 1) // one probe
+	}
+	r.advance(40 * time.Second)
+	returned := serve(false)
+	is.True(returned < 100) // its caches are cold
+	r.advance(21 * time.Second)
+	is.True(serve(false) > 400)
+}
