--- /dev/null
+++ b/steering/sim_test.go
@@ -0,0 +1,244 @@
+package steering_test
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pistachiomount.example/pistachiomount/steering"
+)
+
+const (
+	simTimeout  = 500 * time.Millisecond
+	simAttempts = 3
+	stallTime   = 300 * time.Millisecond
+)
+
+// event is something that happens at a virtual time.
+type event struct {
+	at time.Duration
+	do func()
+}
+
+type events []event
+
+func (e events) Len() int           { return len(e) }
+func (e events) Less(i, j int) bool { return e[i].at < e[j].at }
+func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// sim serves requests from two regions of five upstreams in virtual time.
+type sim struct {
+	now       time.Duration
+	queue     events
+	rng       *rand.Rand
+	free      map[string][]time.Duration // when each slot of an upstream is free
+	slow      string
+	lost      string
+	stalls    float64 // part of the responses that take stallTime more
+	latencies []time.Duration
+	attempts  int
+	failed    int
+}
+
+func newSim() *sim {
+	return &sim{rng: rand.New(rand.NewPCG(3, 5)), free: make(map[string][]time.Duration)}
+}
+
+func (s *sim) at(t time.Duration, do func()) { heap.Push(&s.queue, event{t, do}) }
+
+func (s *sim) run(until time.Duration) {
+	for len(s.queue) > 0 && s.queue[0].at <= until {
+		e := heap.Pop(&s.queue).(event)
+		s.now = e.at
+		e.do()
+	}
+}
+
+// serve returns when an upstream answers a request that arrives now, which is
+// never within the timeout in the lost region.
+func (s *sim) serve(id string) time.Duration {
+	s.attempts++
+	if id[:1] == s.lost {
+		return s.now + time.Hour
+	}
+	if s.free[id] == nil {
+		s.free[id] = make([]time.Duration, 6)
+	}
+	mean := 10 * time.Millisecond
+	if id == s.slow {
+		mean *= 30
+	}
+	slots := s.free[id]
+	i := slices.Index(slots, slices.Min(slots))
+	slots[i] = max(s.now, slots[i]) + time.Duration((0.5+0.5*s.rng.ExpFloat64())*float64(mean))
+	if s.rng.Float64() < s.stalls {
+		return slots[i] + stallTime
+	}
+	return slots[i]
+}
+
+// arrivals calls start for rate requests per second until the end.
+func (s *sim) arrivals(rate float64, end time.Duration, start func()) {
+	var next func()
+	next = func() {
+		start()
+		if gap := time.Duration(s.rng.ExpFloat64() / rate * float64(time.Second)); s.now+gap < end {
+			s.at(s.now+gap, next)
+		}
+	}
+	s.at(0, next)
+}
+
+func (s *sim) quantile(q float64) time.Duration {
+	slices.Sort(s.latencies)
+	return s.latencies[int(q*float64(len(s.latencies)-1))]
+}
+
+// plain is random choice without hedging, with the same timeout and attempts.
+func (s *sim) plain(begin time.Duration, attempt int) {
+	id := string("ab"[s.rng.IntN(2)]) + string('0'+rune(s.rng.IntN(5)))
+	done := s.serve(id)
+	if done-s.now <= simTimeout || attempt == simAttempts {
+		s.latencies = append(s.latencies, min(done, s.now+simTimeout)-begin)
+		if done-s.now > simTimeout {
+			s.failed++
+		}
+		return
+	}
+	s.at(s.now+simTimeout, func() { s.plain(begin, attempt+1) })
+}
+
+// steered is a request that uses the package as the request path does.
+type steered struct {
+	*sim
+	s        *steering.Steerer
+	budget   *steering.Budget
+	begin    time.Duration
+	excluded steering.Exclusion
+	done     bool
+	started  int
+	pending  int
+}
+
+func (r *steered) attempt() {
+	order, _ := r.s.Choose(steering.Request{Service: "records", Idempotent: true})
+	for p, ok := order.Next(); ok; p, ok = order.Next() {
+		if target, ok := p.Pick(&r.excluded); ok {
+			r.send(p, target)
+			return
+		}
+	}
+	r.failed++
+	r.complete()
+}
+
+func (r *steered) send(p *steering.Pool, target *steering.Target) {
+	r.started++
+	r.pending++
+	r.excluded.Add(target)
+	target.Begin()
+	begin, answer := r.now, r.serve(target.Upstream().ID)
+	r.at(min(answer, begin+simTimeout), func() {
+		r.pending--
+		switch {
+		case r.done:
+			target.Finish(steering.Outcome{Result: steering.Cancelled, Latency: r.now - begin})
+		case answer <= r.now:
+			target.Finish(steering.Outcome{Result: steering.Success, Latency: r.now - begin})
+			r.complete()
+		default:
+			target.Finish(steering.Outcome{Result: steering.Failure, Latency: simTimeout})
+			r.again()
+		}
+	})
+	if delay, ok := p.HedgeDelay(); ok {
+		r.at(begin+delay, func() { r.hedge() })
+	}
+}
+
+func (r *steered) again() {
+	switch {
+	case r.started < simAttempts && r.budget.TryRetry():
+		r.attempt()
+	case r.pending == 0:
+		r.failed++
+		r.complete()
+	}
+}
+
+func (r *steered) hedge() {
+	if !r.done && r.started < simAttempts && r.budget.TryRetry() {
+		r.attempt()
+	}
+}
+
+func (r *steered) complete() {
+	if !r.done {
+		r.done = true
+		r.latencies = append(r.latencies, r.now-r.begin)
+	}
+}
+
+// simulate runs both strategies against the same faults.
+func simulate(t *testing.T, rate float64, end time.Duration, faults func(*sim)) (plain, managed *sim) {
+	plain = newSim()
+	faults(plain)
+	plain.arrivals(rate, end, func() { plain.plain(plain.now, 1) })
+	plain.run(2 * end)
+
+	managed = newSim()
+	faults(managed)
+	r := newRig(t, 5, 50, 50)
+	budget, _ := r.s.Budget("records")
+	for at := simStep; at < 2*end; at += simStep {
+		managed.at(at, func() { r.advance(simStep) })
+	}
+	managed.arrivals(rate, end, func() {
+		budget.Request()
+		(&steered{sim: managed, s: r.s, budget: budget, begin: managed.now}).attempt()
+	})
+	managed.run(2 * end)
+	return plain, managed
+}
+
+// Guards against a loss of the benefit over plain random choice without hedging:
+// one upstream is slow throughout and one region is lost for the last third.
+func TestTailLatencyAgainstRandomChoice(t *testing.T) {
+	is := is.New(t)
+	const end = 30 * time.Second
+	plain, managed := simulate(t, 400, end, func(s *sim) {
+		s.slow = "a1"
+		s.at(end*2/3, func() { s.lost = "b" })
+	})
+	for _, q := range []float64{0.5, 0.99, 0.999} {
+		t.Logf("p%v: random %v, steered %v", 100*q, plain.quantile(q), managed.quantile(q))
+	}
+	t.Logf("attempts: random %d, steered %d", plain.attempts, managed.attempts)
+	t.Logf("failed: random %d of %d, steered %d of %d", plain.failed, len(plain.latencies), managed.failed, len(managed.latencies))
+	is.True(len(managed.latencies) > 11_000)
+	is.True(managed.quantile(0.5) <= plain.quantile(0.5)*11/10)
+	is.True(managed.quantile(0.99) <= plain.quantile(0.99)/4)
+	is.True(managed.quantile(0.999) <= plain.quantile(0.999)/2)
+	is.True(managed.failed <= plain.failed/10)
+	is.True(float64(managed.attempts) <= 1.12*float64(len(managed.latencies)))
+}
+
+// Guards against a hedge that does not shorten rare stalls or exceeds its budget.
+func TestHedgesCutStalls(t *testing.T) {
+	is := is.New(t)
+	plain, managed := simulate(t, 300, 30*time.Second, func(s *sim) { s.stalls = 0.01 })
+	t.Logf("p99.5: random %v, steered %v", plain.quantile(0.995), managed.quantile(0.995))
+	is.True(managed.quantile(0.995) <= plain.quantile(0.995)/3)
+	is.True(float64(managed.attempts) <= 1.12*float64(len(managed.latencies)))
+	is.Equal(managed.failed, 0)
+}
