--- a/steering/reconcile.go
+++ b/steering/reconcile.go
@@ -69,6 +69,7 @@
 			t.beginSlowStart(s.now)
 		}
 	}
+	t.slots = u.Slots
 	if u.State == UpstreamLeaving && !t.leaving.active() {
 		t.noteShare()
 	}
--- a/steering/region_test.go
+++ b/steering/region_test.go
@@ -24,8 +24,7 @@
 // Guards against a general rule winning over a more specific one.
 func TestMostSpecificRuleWins(t *testing.T) {
 	is := is.New(t)
-	r := newRig(t, 1, 100, 0, 0)
-	r = &rig{}
+	r := &rig{}
 	r.s = steering.New(&r.clk, nil)
 	r.set(
 		t,
--- a/steering/target.go
+++ b/steering/target.go
@@ -20,6 +20,7 @@
 	warmth   atomic.Uint32 // acceptance during slow start, of fullWarmth
 
 	// Pool.mu guards the rest.
+	slots    int
 	leaving  leaving
 	drained  bool // by the document
 	removed  bool // from the platform's list
@@ -54,13 +55,13 @@
 )
 
 func newTarget(u Upstream, p *Pool) *Target {
-	t := &Target{info: u, pool: p, warmFrom: -1}
+	t := &Target{info: u, pool: p, slots: u.Slots, warmFrom: -1}
 	t.warmth.Store(fullWarmth)
 	t.setFactor(1)
 	return t
 }
 
-// Upstream returns the platform's entry for the target.
+// Upstream returns the platform's entry as it was when the target was added.
 func (t *Target) Upstream() Upstream { return t.info }
 
 // InFlight returns the number of own requests that have begun and not finished.
@@ -85,7 +86,7 @@
 }
 
 func (t *Target) setFactor(f float64) {
-	t.factor.Store(math.Float64bits(f / float64(max(1, t.info.Slots))))
+	t.factor.Store(math.Float64bits(f / float64(max(1, t.slots))))
 }
 
 func (t *Target) eligible() bool {
--- a/steering/upstream_test.go
+++ b/steering/upstream_test.go
@@ -295,3 +295,20 @@
 	second := absent()
 	is.True(second >= 16 && second > first)
 }
+
+// Guards against new work for an upstream that the document drains, and against
+// an undrained one that stays out.
+func TestDrainUpstream(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 3, 1)
+	c := steering.Config{Regions: simRegions, Rules: []steering.Rule{{Service: "records", Weights: weights(1)}}}
+	c.DrainedUpstreams = []string{"a2"}
+	is.NoErr(r.s.SetConfig(c))
+	is.Equal(r.counts(t, "a", 1000)["a2"], 0)
+	is.Equal(r.s.Drains()[0].Upstream, "a2")
+	c.DrainedUpstreams = nil
+	is.NoErr(r.s.SetConfig(c))
+	r.advance(11 * time.Second)
+	is.True(r.counts(t, "a", 1000)["a2"] > 200)
+	is.Equal(len(r.s.Drains()), 0)
+}
