--- a/steering/headroom.go
+++ b/steering/headroom.go
@@ -93,10 +93,11 @@
 }
 
 // tickFlows updates the limits and publishes the resulting shares.
-func (s *service) tickFlows(leaves []*leaf, now, step time.Duration, regions int) {
+// points is how far a share may rise in this step, in percentage points.
+func (s *service) tickFlows(leaves []*leaf, now, step time.Duration, points float64, regions int) {
 	demand := s.fleetDemand(regions)
 	s.measureShares(leaves, regions)
-	s.adjust(demand, now, step, regions)
+	s.adjust(demand, now, step, points, regions)
 	s.measureShares(leaves, regions)
 	for round := 0; round < clampRounds && s.clamp(demand, regions); round++ {
 		s.measureShares(leaves, regions)
@@ -127,11 +128,17 @@
 	}
 }
 
-func (s *service) adjust(demand float64, now, step time.Duration, regions int) {
+func (s *service) adjust(demand float64, now, step time.Duration, points float64, regions int) {
 	watermark := s.watermark(demand, regions)
 	for i := range regions {
-		if r := &s.regions[i]; r.reported {
-			r.adjust(r.predict(demand), watermark, now, step)
+		r := &s.regions[i]
+		load := r.predict(demand)
+		if r.shedding {
+			// What own requests meet counts more than a report of free capacity.
+			load = max(load, watermark*sheddingLoad)
+		}
+		if r.reported || r.shedding || r.limit < 1 {
+			r.adjust(load, watermark, now, step, points)
 		}
 	}
 }
@@ -168,7 +175,7 @@
 }
 
 // adjust moves the limit according to the predicted load.
-func (r *regionControl) adjust(load, watermark float64, now, step time.Duration) {
+func (r *regionControl) adjust(load, watermark float64, now, step time.Duration, points float64) {
 	stale := r.noteStale(now)
 	switch {
 	case load > watermark:
@@ -178,6 +185,8 @@
 		r.limit = max(min(r.limit, r.staleLimit*staleFloor), shrunk)
 	case load < lowWatermark && r.limit < 1:
 		scale := 1 + (lowWatermark/max(load, 0.01)-1)*smoothing(step, raiseTime)
+		// Caches are as cold as after a change of weights, so the same pace holds.
+		scale = min(scale, 1+points/100/max(r.share, 1e-3))
 		r.limit = min(1, r.limit*scaleShare(r.share, scale))
 	}
 	r.limit = max(r.limit, minLimit)
--- a/steering/pool.go
+++ b/steering/pool.go
@@ -26,6 +26,7 @@
 	mean     float64       // mean reported load of others
 	breaker  breaker
 	latency  latencyWindow
+	rejects  rejections
 	rate     float64 // requests per second
 	total    float64 // of the whole service
 	draining bool    // the region is drained
--- a/steering/poolfinish.go
+++ b/steering/poolfinish.go
@@ -18,6 +18,7 @@
 	if t.removed {
 		return
 	}
+	p.rejects.count(o.Result)
 	switch o.Result {
 	case Success:
 		t.health.succeeded(p.now)
--- a/steering/regioncontrol.go
+++ b/steering/regioncontrol.go
@@ -59,6 +59,7 @@
 	limit        float64 // factor on the weights, from minLimit to 1
 	staleLimit   float64 // limit when the reports stopped, 0 while they arrive
 	availability float64 // 0 while no upstream can be used, then rising to 1
+	shedding     bool    // own requests are rejected by the region's upstreams
 	published    published
 
 	share   float64       // fraction of the service's own traffic
--- a/steering/service.go
+++ b/steering/service.go
@@ -42,6 +42,7 @@
 		}
 		p.tick(now, dt)
 		s.regions[i].updateAvailability(p.usable(), step)
+		s.regions[i].shedding = p.shedding(dt)
 	}
 	s.shareTotal(s.rate())
 }
--- a/steering/steerer.go
+++ b/steering/steerer.go
@@ -133,7 +133,7 @@
 				l.ramp(s.points(l, step))
 			}
 		}
-		svc.tickFlows(leaves, s.now, step, len(t.regions))
+		svc.tickFlows(leaves, s.now, step, s.pace*step.Seconds(), len(t.regions))
 	}
 	if next := t.dropOrphans(); next != t {
 		s.tables.Store(next)
@@ -174,6 +174,7 @@
 	t.pool.mu.Lock()
 	defer t.pool.mu.Unlock()
 	t.report = loadState{
+		inFlight:   r.InFlight,
 		others:     max(0, float64(r.InFlight)-float64(t.inFlight.Load())),
 		measuredAt: now - r.Age,
 		known:      true,
--- a/steering/target.go
+++ b/steering/target.go
@@ -35,6 +35,7 @@
 
 // loadState is the upstream's last own report.
 type loadState struct {
+	inFlight   int
 	others     float64
 	measuredAt time.Duration
 	known      bool
