--- a/clientmap/bench_test.go
+++ b/clientmap/bench_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"runtime"
 	"testing"
+	"time"
 
 	"pistachiomount.example/pistachiomount/clientmap"
 )
@@ -50,11 +51,12 @@
 	for _, n := range []int{30_000, 180_000, 730_000} {
 		b.Run(fmt.Sprintf("blocks=%d", n), func(b *testing.B) {
 			blocks := benchBlocks(n)
-			before := heapBytes()
+			before, began := heapBytes(), time.Now()
 			table, err := clientmap.NewTable(blocks)
 			if err != nil {
 				b.Fatal(err)
 			}
+			build := time.Since(began)
 			perBlock := float64(heapBytes()-before) / float64(n)
 			var m clientmap.Map
 			m.Swap(table)
@@ -69,17 +71,8 @@
 				m.Lookup(addrs[i&(1<<16-1)])
 			}
 			b.ReportMetric(perBlock, "B/block")
+			b.ReportMetric(build.Seconds()*1000, "build-ms")
 			runtime.KeepAlive(blocks)
 		})
 	}
 }
-
-func BenchmarkBuild(b *testing.B) {
-	blocks := benchBlocks(730_000)
-	b.ResetTimer()
-	for range b.N {
-		if _, err := clientmap.NewTable(blocks); err != nil {
-			b.Fatal(err)
-		}
-	}
-}
--- a/lookup/lookup_test.go
+++ b/lookup/lookup_test.go
@@ -191,20 +191,15 @@
 
 func BenchmarkUpdate(b *testing.B) {
 	for _, size := range [][2]int{{12, 3}, {3200, 11}} {
-		vms := fleet(size[0], size[1])
-		b.Run(fmt.Sprintf("vms=%d/load", size[0]), func(b *testing.B) {
-			r := ranker(b, size[1], vms)
-			b.ResetTimer()
-			for range b.N {
-				r.Update(vms)
-			}
-		})
-		b.Run(fmt.Sprintf("vms=%d/restart", size[0]), func(b *testing.B) {
-			r := ranker(b, size[1], vms)
-			b.ResetTimer()
-			for i := range b.N {
-				r.Update(vms[:len(vms)-i%2])
-			}
-		})
+		for restarts, name := range []string{"load", "restart"} {
+			b.Run(fmt.Sprintf("vms=%d/%s", size[0], name), func(b *testing.B) {
+				vms := fleet(size[0], size[1])
+				r := ranker(b, size[1], vms)
+				b.ResetTimer()
+				for i := range b.N {
+					r.Update(vms[:len(vms)-restarts*(i%2)])
+				}
+			})
+		}
 	}
 }
--- a/steering/headroom_test.go
+++ b/steering/headroom_test.go
@@ -158,23 +158,23 @@
 	}
 }
 
+func drawPerRegion(t *rapid.T, low, high int) map[string]float64 {
+	out := make(map[string]float64)
+	for _, r := range simRegions {
+		out[r] = float64(rapid.IntRange(low, high).Draw(t, r))
+	}
+	return out
+}
+
 // Guards against overload by any shift that the capacities can carry, and
 // against hunting, over weights, capacities and report lags.
 func TestShiftsNeverOverload(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		draw := func(name string) map[string]float64 {
-			return map[string]float64{
-				"a": float64(rapid.IntRange(1, 100).Draw(t, name+"a")),
-				"b": float64(rapid.IntRange(1, 100).Draw(t, name+"b")),
-				"c": float64(rapid.IntRange(1, 100).Draw(t, name+"c")),
-			}
-		}
-		before, after := draw("before"), draw("after")
-		caps := make(map[string]float64)
+		before, after := drawPerRegion(t, 1, 100), drawPerRegion(t, 1, 100)
+		caps := drawPerRegion(t, 50, 80) // load in percent before the shift
 		sum := before["a"] + before["b"] + before["c"]
 		for _, r := range simRegions {
-			// Every region carries the load before the shift at 50% to 80%.
-			caps[r] = 1000 * before[r] / sum / (float64(rapid.IntRange(50, 80).Draw(t, "load")) / 100)
+			caps[r] = 1000 * before[r] / sum / (caps[r] / 100)
 		}
 		lag := time.Duration(rapid.IntRange(0, 60).Draw(t, "lag")) * simStep
 		f := newFluid(1000, lag, caps, before)
@@ -208,6 +208,17 @@
 	is.True(share(f.s, req, "a") > 59.9)
 }
 
+// Guards against cold caches that get a returning share at once.
+func TestRaisedLimitKeepsPace(t *testing.T) {
+	is := is.New(t)
+	f := newFluid(1000, time.Second, map[string]float64{"a": 400, "b": 2000, "c": 2000}, map[string]float64{"a": 80, "b": 10, "c": 10})
+	f.run(2 * time.Minute)
+	f.demand = 100
+	history := f.run(30 * time.Second)
+	is.True(largestStep(history[1:], "a") <= 0.0013) // half a point in 100 ms
+	is.True(peak(history[100:], "a") > 0.19)
+}
+
 // Guards against headroom that grows, collapses or jumps for a region whose
 // reports stop while those of the others go on.
 func TestHeadroomShrinksSlowlyWithoutReports(t *testing.T) {
@@ -231,13 +242,8 @@
 // demand exceeds all capacities.
 func TestOverloadOfAllRegionsDoesNotOscillate(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		caps, weights := make(map[string]float64), make(map[string]float64)
-		total := 0.0
-		for _, r := range simRegions {
-			caps[r] = float64(rapid.IntRange(50, 500).Draw(t, "cap"))
-			weights[r] = float64(rapid.IntRange(1, 100).Draw(t, "weight"))
-			total += caps[r]
-		}
+		caps, weights := drawPerRegion(t, 50, 500), drawPerRegion(t, 1, 100)
+		total := caps["a"] + caps["b"] + caps["c"]
 		lag := time.Duration(rapid.IntRange(0, 50).Draw(t, "lag")) * simStep
 		f := newFluid(total/2, lag, caps, weights)
 		f.demand = total * float64(rapid.IntRange(100, 200).Draw(t, "demand")) / 100
--- a/steering/region_test.go
+++ b/steering/region_test.go
@@ -124,15 +124,7 @@
 	r := newRig(t, 2, 50, 30, 20)
 	send := func(d time.Duration) {
 		for range int(d / simStep) {
-			for range 20 {
-				order, err := r.s.Choose(steering.Request{Service: "records"})
-				is.NoErr(err)
-				p, ok := order.Next()
-				is.True(ok)
-				target, ok := p.Pick(nil)
-				is.True(ok)
-				finish(target, steering.Success, time.Millisecond)
-			}
+			r.serve(t, 20, succeed)
 			r.advance(simStep)
 		}
 	}
--- a/steering/rig_test.go
+++ b/steering/rig_test.go
@@ -109,3 +109,21 @@
 	target.Begin()
 	target.Finish(steering.Outcome{Result: result, Latency: latency})
 }
+
+// serve sends n idempotent requests without retries and returns how many went to
+// each region. result tells how the i-th ends.
+func (r *rig) serve(t testing.TB, n int, result func(region string, i int) steering.Result) map[string]int {
+	sent := make(map[string]int)
+	for i := range n {
+		target := chooseAndPick(r.s, steering.Request{Service: "records", Idempotent: true})
+		if target == nil {
+			t.Fatal("no upstream")
+		}
+		region := target.Upstream().Region
+		sent[region]++
+		finish(target, result(region, i), time.Millisecond)
+	}
+	return sent
+}
+
+func succeed(string, int) steering.Result { return steering.Success }
--- a/steering/sim_test.go
+++ b/steering/sim_test.go
@@ -1,7 +1,7 @@
 package steering_test
 
 import (
-	"container/heap"
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -24,22 +24,10 @@
 	do func()
 }
 
-type events []event
-
-func (e events) Len() int           { return len(e) }
-func (e events) Less(i, j int) bool { return e[i].at < e[j].at }
-func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 // sim serves requests from two regions of five upstreams in virtual time.
 type sim struct {
 	now       time.Duration
-	queue     events
+	queue     []event // in order of time
 	rng       *rand.Rand
 	free      map[string][]time.Duration // when each slot of an upstream is free
 	slow      string
@@ -54,11 +42,15 @@
 	return &sim{rng: rand.New(rand.NewPCG(3, 5)), free: make(map[string][]time.Duration)}
 }
 
-func (s *sim) at(t time.Duration, do func()) { heap.Push(&s.queue, event{t, do}) }
+func (s *sim) at(t time.Duration, do func()) {
+	i, _ := slices.BinarySearchFunc(s.queue, t, func(e event, t time.Duration) int { return cmp.Compare(e.at, t) })
+	s.queue = slices.Insert(s.queue, i, event{t, do})
+}
 
 func (s *sim) run(until time.Duration) {
 	for len(s.queue) > 0 && s.queue[0].at <= until {
-		e := heap.Pop(&s.queue).(event)
+		e := s.queue[0]
+		s.queue = s.queue[1:]
 		s.now = e.at
 		e.do()
 	}
@@ -223,7 +215,6 @@
 	for _, q := range []float64{0.5, 0.99, 0.999} {
 		t.Logf("p%v: random %v, steered %v", 100*q, plain.quantile(q), managed.quantile(q))
 	}
-	t.Logf("attempts: random %d, steered %d", plain.attempts, managed.attempts)
 	t.Logf("failed: random %d of %d, steered %d of %d", plain.failed, len(plain.latencies), managed.failed, len(managed.latencies))
 	is.True(len(managed.latencies) > 11_000)
 	is.True(managed.quantile(0.5) <= plain.quantile(0.5)*11/10)
--- a/steering/upstream_test.go
+++ b/steering/upstream_test.go
@@ -242,24 +242,13 @@
 func TestLostRegionIsSuspendedAndReturns(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t, 4, 50, 50)
-	serve := func(lost bool) (inA int) {
-		for range 1000 {
-			order, err := r.s.Choose(steering.Request{Service: "records", Idempotent: true})
-			is.NoErr(err)
-			p, ok := order.Next()
-			is.True(ok)
-			target, ok := p.Pick(nil)
-			is.True(ok)
-			if p.Region() == "a" {
-				inA++
+	serve := func(lost bool) int {
+		return r.serve(t, 1000, func(region string, _ int) steering.Result {
+			if lost && region == "a" {
+				return steering.Failure
 			}
-			if p.Region() == "a" && lost {
-				finish(target, steering.Failure, time.Second)
-			} else {
-				finish(target, steering.Success, time.Millisecond)
-			}
-		}
-		return inA
+			return steering.Success
+		})["a"]
 	}
 	is.True(serve(true) <= 12) // the failures that suspend it
 	for range 20 {
@@ -312,3 +301,36 @@
 	is.True(r.counts(t, "a", 1000)["a2"] > 200)
 	is.Equal(len(r.s.Drains()), 0)
 }
+
+// Guards against a region that keeps its share although its upstreams shed load
+// and report to be idle, and against a share that never comes back.
+func TestSheddingLowersShare(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 4, 50, 50)
+	req := steering.Request{Service: "records"}
+	serve := func(part int) {
+		for range 200 {
+			r.serve(t, 40, func(region string, i int) steering.Result {
+				if region == "a" && i%10 < part {
+					return steering.Rejected
+				}
+				return steering.Success
+			})
+			for _, u := range r.upstreams {
+				r.s.ReportLoad(steering.LoadReport{UpstreamID: u.ID, InFlight: 1})
+			}
+			for _, m := range r.s.MeasuredLoads() {
+				is.Equal(m.Load, 1.0/6)
+				r.s.ReportRegion(m)
+			}
+			r.advance(simStep)
+		}
+	}
+	serve(3)
+	is.True(share(r.s, req, "a") < 30)
+	st := r.s.Status()[0]
+	is.True(st.Region == "a" && st.Shedding && st.Limit < 0.5 && st.Upstreams.Eligible >= 2)
+	serve(0)
+	serve(0)
+	is.True(share(r.s, req, "a") > 45)
+}
