--- a/steering/configure.go
+++ b/steering/configure.go
@@ -76,20 +76,23 @@
 	return svc
 }
 
+// buildLeaves makes a leaf for every combination of names that the rules of a
+// service contain or contained. Old names stay until the service has settled, as
+// their requests may be ramping toward different rules.
 func (s *Steerer) buildLeaves(old, next *tables) {
 	rules := s.ruleSet()
-	for key := range s.leafKeys() {
-		if target, ok := rules.target(key); ok {
-			next.leaves[key] = nextLeaf(old, next, key, target)
-		}
+	named := newNameSet()
+	for k := range rules.targets {
+		named.add(k)
 	}
-	for key, l := range old.leaves {
-		if next.leaves[key] != nil {
-			continue
-		}
+	all := named.clone()
+	for k := range old.leaves {
+		all.add(k)
+	}
+	for key := range all.keys() {
 		if target, ok := rules.target(key); ok {
-			l.aim(target)
-			l.orphan = true
+			l := nextLeaf(old, next, key, target)
+			l.orphan = !named.contains(key)
 			next.leaves[key] = l
 		}
 	}
@@ -100,7 +103,6 @@
 func nextLeaf(old, next *tables, key leafKey, target vector) *leaf {
 	if l := old.leaves[key]; l != nil {
 		l.aim(target)
-		l.orphan = false
 		return l
 	}
 	l := &leaf{key: key, service: next.service(key.service), current: target}
@@ -123,22 +125,6 @@
 	return set
 }
 
-// leafKeys returns every combination of a service with the customers that its
-// rules name and the regions, wildcards included.
-func (s *Steerer) leafKeys() map[leafKey]bool {
-	keys := make(map[leafKey]bool)
-	for _, r := range s.config.Rules {
-		k := r.key()
-		for _, customer := range [...]string{k.customer, Any} {
-			keys[leafKey{k.service, customer, Any}] = true
-			for _, from := range s.config.Regions {
-				keys[leafKey{k.service, customer, from}] = true
-			}
-		}
-	}
-	return keys
-}
-
 func (s *Steerer) setCapacities(t *tables) {
 	for _, svc := range t.services {
 		for i := range svc.regions {
--- a/steering/upstream_test.go
+++ b/steering/upstream_test.go
@@ -84,6 +84,7 @@
 	target.IdleClosed()
 	finish(target, steering.Refused, 0)
 	is.True(target.Leaving())
+	is.Equal(r.s.UpstreamStatuses()[0].Use, steering.UseRefusedLeaving)
 	is.Equal(r.counts(t, "a", 1000)["a0"], 0)
 }
 
@@ -271,6 +272,7 @@
 	for range 5 {
 		finish(target, steering.Rejected, time.Millisecond)
 	}
+	is.Equal(r.s.UpstreamStatuses()[0].Use, steering.UseEjected)
 	absent := func() (ticks int) {
 		for len(r.counts(t, "a", 500)) < 4 {
 			r.advance(simStep)
@@ -295,6 +297,7 @@
 	is.NoErr(r.s.SetConfig(c))
 	is.Equal(r.counts(t, "a", 1000)["a2"], 0)
 	is.Equal(r.s.Drains()[0].Upstream, "a2")
+	is.Equal(r.s.UpstreamStatuses()[2].Use, steering.UseDrained)
 	c.DrainedUpstreams = nil
 	is.NoErr(r.s.SetConfig(c))
 	r.advance(11 * time.Second)
