--- a/steering/configure.go
+++ b/steering/configure.go
@@ -28,7 +28,7 @@
 	s.buildLeaves(old, next)
 	s.setCapacities(next)
 	s.publishAll(next)
-	s.tables.Store(next)
+	s.tables.Store(next.index())
 	s.applyDrains(next)
 	return nil
 }
@@ -76,19 +76,23 @@
 	return svc
 }
 
+// buildLeaves makes a leaf for every combination of names that the rules of a
+// service contain or contained. Old names stay until the service has settled, as
+// their requests may be ramping toward different rules.
 func (s *Steerer) buildLeaves(old, next *tables) {
 	rules := s.ruleSet()
-	for key := range s.leafKeys() {
-		if target, ok := rules.target(key); ok {
-			next.leaves[key] = nextLeaf(old, next, key, target)
-		}
+	named := newNameSet()
+	for k := range rules.targets {
+		named.add(k)
 	}
-	for key, l := range old.leaves {
-		if next.leaves[key] != nil {
-			continue
-		}
+	all := named.clone()
+	for k := range old.leaves {
+		all.add(k)
+	}
+	for key := range all.keys() {
 		if target, ok := rules.target(key); ok {
-			l.target, l.orphan = target, true
+			l := nextLeaf(old, next, key, target)
+			l.orphan = !named.contains(key)
 			next.leaves[key] = l
 		}
 	}
@@ -98,13 +102,14 @@
 // the shares that its requests had so far.
 func nextLeaf(old, next *tables, key leafKey, target vector) *leaf {
 	if l := old.leaves[key]; l != nil {
-		l.target, l.orphan = target, false
+		l.aim(target)
 		return l
 	}
-	l := &leaf{key: key, service: next.service(key.service), current: target, target: target}
+	l := &leaf{key: key, service: next.service(key.service), current: target}
 	if before := old.resolve(key.service, key.customer, key.from); before != nil {
 		l.current = before.current
 	}
+	l.aim(target)
 	return l
 }
 
@@ -120,22 +125,6 @@
 	return set
 }
 
-// leafKeys returns every combination of a service with the customers that its
-// rules name and the regions, wildcards included.
-func (s *Steerer) leafKeys() map[leafKey]bool {
-	keys := make(map[leafKey]bool)
-	for _, r := range s.config.Rules {
-		k := r.key()
-		for _, customer := range [...]string{k.customer, Any} {
-			keys[leafKey{k.service, customer, Any}] = true
-			for _, from := range s.config.Regions {
-				keys[leafKey{k.service, customer, from}] = true
-			}
-		}
-	}
-	return keys
-}
-
 func (s *Steerer) setCapacities(t *tables) {
 	for _, svc := range t.services {
 		for i := range svc.regions {
@@ -159,27 +148,26 @@
 // have all arrived. Dropping one earlier would expose its requests to another
 // leaf that is still ramping.
 func (t *tables) dropOrphans() *tables {
-	moving := make(map[*service]bool)
-	orphans := 0
-	for _, l := range t.leaves {
-		if !l.settled() {
-			moving[l.service] = true
-		}
-		if l.orphan {
-			orphans++
+	drop := make(map[*leaf]bool)
+	for _, leaves := range t.byService {
+		moving := slices.ContainsFunc(leaves, func(l *leaf) bool { return l.moving })
+		for _, l := range leaves {
+			if l.orphan && !moving {
+				drop[l] = true
+			}
 		}
 	}
-	if orphans == 0 {
+	if len(drop) == 0 {
 		return t
 	}
 	next := *t
 	next.leaves = make(map[leafKey]*leaf, len(t.leaves))
 	for k, l := range t.leaves {
-		if !l.orphan || moving[l.service] {
+		if !drop[l] {
 			next.leaves[k] = l
 		}
 	}
-	return &next
+	return next.index()
 }
 
 // applyDrains marks drained regions and upstreams. Steerer.mu is held.
--- a/steering/poolfinish.go
+++ b/steering/poolfinish.go
@@ -18,6 +18,7 @@
 	if t.removed {
 		return
 	}
+	p.rejects.count(o.Result)
 	switch o.Result {
 	case Success:
 		t.health.succeeded(p.now)
@@ -54,6 +55,7 @@
 // failed counts a failure and ejects the target when that is due and permitted.
 func (p *Pool) failed(t *Target, countPool bool) {
 	t.health.failures++
+	t.health.failedAt = p.now
 	if countPool {
 		p.finishPool(true)
 	}
--- a/steering/reconcile.go
+++ b/steering/reconcile.go
@@ -35,7 +35,7 @@
 		p.mu.Unlock()
 	}
 	s.publishAll(next)
-	s.tables.Store(next)
+	s.tables.Store(next.index())
 	s.applyDrains(next)
 	return nil
 }
@@ -69,6 +69,7 @@
 			t.beginSlowStart(s.now)
 		}
 	}
+	t.slots = u.Slots
 	if u.State == UpstreamLeaving && !t.leaving.active() {
 		t.noteShare()
 	}
--- a/steering/steerer.go
+++ b/steering/steerer.go
@@ -124,15 +124,16 @@
 }
 
 func (s *Steerer) tickLeaves(t *tables, dt, step time.Duration) {
-	byService := make(map[*service][]*leaf, len(t.services))
-	for _, l := range t.leaves {
-		l.measure(dt)
-		l.ramp(s.points(l, step))
-		byService[l.service] = append(byService[l.service], l)
-	}
-	n := len(t.regions)
-	for svc, leaves := range byService {
-		svc.tickFlows(leaves, s.now, step, n)
+	gain := smoothing(dt, rateWindow)
+	for svc, leaves := range t.byService {
+		for _, l := range leaves {
+			l.measure(dt, gain)
+			l.moved = l.moving
+			if l.moving {
+				l.ramp(s.points(l, step))
+			}
+		}
+		svc.tickFlows(leaves, s.now, step, s.pace*step.Seconds(), len(t.regions))
 	}
 	if next := t.dropOrphans(); next != t {
 		s.tables.Store(next)
@@ -173,6 +174,7 @@
 	t.pool.mu.Lock()
 	defer t.pool.mu.Unlock()
 	t.report = loadState{
+		inFlight:   r.InFlight,
 		others:     max(0, float64(r.InFlight)-float64(t.inFlight.Load())),
 		measuredAt: now - r.Age,
 		known:      true,
