--- a/grant/bucket.go
+++ b/grant/bucket.go
@@ -182,7 +182,7 @@
 func (b *Bucket) wantsRenewal(now clock.Instant) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if rate, sigma := b.demand.recent(now); rate > b.rate+jumpSigmas*sigma {
+	if b.demand.jumped(now, b.rate) {
 		b.early.set()
 	}
 	return b.early.due(now)
--- a/grant/holder.go
+++ b/grant/holder.go
@@ -32,6 +32,7 @@
 	sequence         uint64       // of the most recent request
 	sentAt           clock.Instant
 	answered         bool
+	refused          bool   // the most recent request was sent to a daemon that is not the owner
 	term             uint64 // highest term seen
 	acceptedSequence uint64
 	acceptedTerm     uint64
@@ -134,6 +135,7 @@
 }
 
 // NeedsRenewal reports whether a renewal is due: each RenewInterval, or after
+// retryInterval without a reply, or after
 // MinRenewInterval if demand jumped, a bucket ran low, units were refused or a
 // decrease that others wait for is to be acknowledged.
 func (h *Holder) NeedsRenewal() bool {
@@ -146,6 +148,8 @@
 		return true
 	case since < MinRenewInterval:
 		return false
+	case h.refused || !h.answered && since >= retryInterval:
+		return true
 	}
 	return h.anyWantsRenewal(now)
 }
@@ -171,7 +175,7 @@
 	defer h.mu.Unlock()
 	now := h.clock.Now()
 	h.sequence++
-	h.sentAt, h.answered = now, false
+	h.sentAt, h.answered, h.refused = now, false, false
 	for _, id := range slices.Clone(h.order) {
 		h.prune(id)
 	}
@@ -207,6 +211,7 @@
 	defer h.mu.Unlock()
 	now := h.clock.Now()
 	if err := h.check(reply); err != nil {
+		h.refused = h.refused || err == ErrNotLeader
 		return err
 	}
 	h.answered, h.term = true, reply.GetTerm()
--- a/grant/holding.go
+++ b/grant/holding.go
@@ -35,6 +35,7 @@
 	demand, weight float64
 	plannedDemand  float64
 	target         portion
+	slowPart       float64 // part of the rate, averaged over depthTau
 	credit         float64 // fractions of a unit owed by earlier roundings
 }
 
--- /dev/null
+++ b/grant/load_test.go
@@ -0,0 +1,220 @@
+package grant
+
+import (
+	"fmt"
+	"math"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+)
+
+// failoverTime is from the loss of the owner to the first use of the next one.
+const failoverTime = 1500 * time.Millisecond
+
+// warmUp lets buckets fill before anything is counted.
+const warmUp = 30 * time.Second
+
+const loadTick = 5 * time.Millisecond
+
+// loadPattern returns the arrivals per second of a customer at a holder, as a
+// part of the customer's rate.
+type loadPattern func(customer, holder, holders int, at time.Duration) float64
+
+// loadCase is one measurement: customers with rates within their caps, and the
+// share of their requests that the fleet refuses although one bucket of the whole
+// rate and burst would admit them.
+type loadCase struct {
+	holders  int
+	pattern  loadPattern
+	duration time.Duration
+	failover bool
+	rates    []float64
+	wait     time.Duration // a request may wait this long for a token
+}
+
+type loadResult struct {
+	arrived, refused, wrong int
+	renewals                int
+	by                      [8]int // wrong refusals of each customer
+}
+
+func (r loadResult) wrongShare() float64 { return float64(r.wrong) / float64(max(1, r.arrived)) }
+
+func steadyLoad(_, _, holders int, _ time.Duration) float64 { return 0.8 / float64(holders) }
+
+// skewedLoad halves the load from each holder to the next.
+func skewedLoad(customer, holder, holders int, _ time.Duration) float64 {
+	rank := (holder + customer) % holders
+	return 0.8 * math.Pow(0.5, float64(rank+1)) / (1 - math.Pow(0.5, float64(holders)))
+}
+
+// movingLoad moves each customer's callers to other holders every 10 s.
+func movingLoad(customer, holder, holders int, at time.Duration) float64 {
+	half := holders / 2
+	first := (int(at/(10*time.Second)) + customer) % 2 * half
+	if holder >= first && holder < first+half {
+		return 0.8 / float64(half)
+	}
+	return 0
+}
+
+// burstyLoad sends twice the rate for 300 ms of each second.
+func burstyLoad(_, _, holders int, at time.Duration) float64 {
+	if at%time.Second < 300*time.Millisecond {
+		return 2 / float64(holders)
+	}
+	return 0.2 / float64(holders)
+}
+
+// centralBucket is the reference: one bucket of the whole rate and burst.
+type centralBucket struct{ rate, burst, tokens float64 }
+
+func (b *centralBucket) fill(dt time.Duration) {
+	b.tokens = min(b.burst, b.tokens+b.rate*dt.Seconds())
+}
+
+func (b *centralBucket) take() bool {
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+func runLoad(c loadCase) loadResult {
+	var caps []Cap
+	var central []*centralBucket
+	for i, rate := range c.rates {
+		caps = append(caps, Cap{Resource: CustomerID(strconv.Itoa(i)), Rate: rate, Burst: 2 * rate})
+		central = append(central, &centralBucket{rate: rate, burst: 2 * rate})
+	}
+	w := newSimWorld(7, OwnerConfig{Quarantine: simLife}, caps)
+	w.delays = func() []time.Duration { return []time.Duration{55 * time.Millisecond} }
+	w.elect()
+	for i := range c.holders {
+		w.addHolder(fmt.Sprintf("vm%d", i), 1)
+	}
+	var result loadResult
+	down := warmUp + time.Second
+	for w.now < warmUp+c.duration {
+		w.step(loadTick)
+		if c.failover && w.now == down {
+			w.owners[0].frozen = 1 << 60
+		}
+		// A new leader is elected after the lease of the lost one.
+		if c.failover && w.now == down+failoverTime {
+			w.elect()
+			for _, h := range w.holders {
+				h.target = 1
+			}
+		}
+		for i := range c.rates {
+			central[i].fill(loadTick)
+			w.offer(i, c, central[i], &result, w.now > warmUp)
+		}
+	}
+	result.renewals = w.sent
+	return result
+}
+
+// offer sends the arrivals of one customer during a tick.
+func (w *simWorld) offer(customer int, c loadCase, central *centralBucket, result *loadResult, counted bool) {
+	id := CustomerID(strconv.Itoa(customer))
+	for i, h := range w.holders {
+		mean := c.pattern(customer, i, c.holders, w.now) * c.rates[customer] * loadTick.Seconds()
+		for range w.poisson(mean) {
+			due, admitted := central.take(), w.admit(h, customer, c.wait)
+			if !counted {
+				continue
+			}
+			result.arrived++
+			if !admitted {
+				result.refused++
+			}
+			if !admitted && due {
+				result.wrong++
+				result.by[customer]++
+			}
+		}
+	}
+}
+
+// admit takes a token now or, within wait, as soon as the ones before it in the
+// queue of its holder have theirs.
+func (w *simWorld) admit(h *simHolder, customer int, wait time.Duration) bool {
+	b := h.holder.Bucket(CustomerID(strconv.Itoa(customer)))
+	if wait == 0 {
+		return b.TryTake(1)
+	}
+	if h.waiting == nil {
+		h.waiting = make([]int, 8)
+	}
+	for h.waiting[customer] > 0 && b.DelayFor(1) == 0 && b.TryTake(1) {
+		h.waiting[customer]--
+	}
+	if h.waiting[customer] == 0 && b.TryTake(1) {
+		return true
+	}
+	// Those in the queue are served first, one token each.
+	if b.DelayFor(float64(h.waiting[customer]+1)) > wait {
+		return false
+	}
+	h.waiting[customer]++
+	return true
+}
+
+// poisson draws a number of arrivals by Knuth's method; means are small.
+func (w *simWorld) poisson(mean float64) int {
+	limit, n := math.Exp(-mean), 0
+	for p := w.rng.Float64(); p > limit; p *= w.rng.Float64() {
+		n++
+	}
+	return n
+}
+
+// Guards against shares that do not follow demand: requests that one bucket of
+// the whole rate would admit are refused because another VM holds the share.
+func TestRejectionsWithinRate(t *testing.T) {
+	rates := []float64{2000, 1000, 400, 200, 100, 60, 30, 20}
+	cases := []struct {
+		name    string
+		pattern loadPattern
+		fail    bool
+		bound   float64
+	}{
+		{"steady", steadyLoad, false, 0.001},
+		{"failover", steadyLoad, true, 0.01},
+		{"skewed", skewedLoad, false, 0.001},
+		{"moving", movingLoad, false, 0.01},
+		{"bursty", burstyLoad, false, 0.01},
+	}
+	for _, c := range cases {
+		for _, holders := range []int{8, 12} {
+			duration := 40 * time.Second
+			if c.fail {
+				duration = 10 * time.Second
+			}
+			t.Run(fmt.Sprintf("%s/%d", c.name, holders), func(t *testing.T) {
+				r := runLoad(loadCase{holders: holders, pattern: c.pattern, duration: duration, failover: c.fail, rates: rates})
+				t.Logf("arrived %d, refused %d, refused within rate %d (%.4f%%), of each customer %v, %.2f renewals per holder and second",
+					r.arrived, r.refused, r.wrong, 100*r.wrongShare(), r.by, float64(r.renewals)/float64(holders)/(warmUp+duration).Seconds())
+				if r.wrongShare() >= c.bound {
+					t.Errorf("%.4f%% refused within rate, bound %.4f%%", 100*r.wrongShare(), 100*c.bound)
+				}
+			})
+		}
+	}
+}
+
+// TestLargeFleetRejections measures 3,200 holders; set PM_LARGE_FLEET to run it.
+func TestLargeFleetRejections(t *testing.T) {
+	if os.Getenv("PM_LARGE_FLEET") == "" {
+		t.Skip("PM_LARGE_FLEET is not set")
+	}
+	for name, pattern := range map[string]loadPattern{"steady": steadyLoad, "moving": movingLoad} {
+		r := runLoad(loadCase{holders: 3200, pattern: pattern, duration: 20 * time.Second, rates: []float64{200_000, 50_000}})
+		t.Logf("%s: arrived %d, refused within rate %d (%.4f%%), %.2f renewals per holder and second",
+			name, r.arrived, r.wrong, 100*r.wrongShare(), float64(r.renewals)/3200/50)
+	}
+}
--- a/grant/plan.go
+++ b/grant/plan.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"time"
 )
 
 const (
@@ -11,34 +12,45 @@
 	// load moves has a share before it asks; the rest follows demand.
 	floorPart = 0.5
 	// depthFloorPart of the burst is spread equally for the same reason.
-	depthFloorPart = 0.5
+	depthFloorPart = 0.75
+	// depthTau is the time in which depth follows a lasting change of demand.
+	depthTau = 20 * time.Second
 	// creditLimit bounds the fractions of a unit that a holder can be owed.
 	creditLimit = 3
 	// wholeTolerance lets a sum of fractions count as a whole number.
 	wholeTolerance = 1e-9
 )
 
-// divide returns the part of each planned holding of capacity: weighted max-min
+// division gives each planned holding its part of a capacity: weighted max-min
 // over demand, then the remainder as headroom.
-func (p *pool) divide(capacity float64) func(*holding) float64 {
+type division struct {
+	level
+	floor, factor float64
+}
+
+func (d division) part(h *holding) float64 {
+	return d.level.part(h.demand, h.weight)*d.factor + d.floor
+}
+
+func (p *pool) divide(capacity float64) division {
 	p.claims = p.claims[:0]
 	for _, h := range p.ranked {
 		p.claims = append(p.claims, claim{demand: h.demand, weight: h.weight})
 	}
-	l := maxMin(capacity, p.claims)
-	rest := max(0, capacity-l.total)
-	floor, factor := rest/float64(len(p.ranked)), 1.0
-	if l.total > 0 {
-		floor *= floorPart
-		factor += (1 - floorPart) * rest / l.total
+	d := division{level: maxMin(capacity, p.claims), factor: 1}
+	rest := max(0, capacity-d.total)
+	d.floor = rest / float64(len(p.ranked))
+	if d.total > 0 {
+		d.floor *= floorPart
+		d.factor += (1 - floorPart) * rest / d.total
 	}
-	return func(h *holding) float64 { return l.part(h.demand, h.weight)*factor + floor }
+	return d
 }
 
 // planRates sets the targets of a rate. Where the burst is too small for the
 // smallest useful depth at each holder, holders take turns.
-func (p *pool) planRates() {
-	part := p.divide(p.cap.Rate)
+func (p *pool) planRates(elapsed time.Duration) {
+	part := p.divide(p.cap.Rate).part
 	least := min(p.cap.minDepth(), p.cap.Burst)
 	fit := len(p.ranked)
 	if least > 0 {
@@ -57,12 +69,30 @@
 	if sum <= 0 {
 		return
 	}
+	for _, h := range chosen {
+		h.target.rate = p.cap.Rate * part(h) / sum
+	}
+	p.planDepth(chosen, least, elapsed)
+}
+
+// planDepth sets the targets of depth: the smallest useful one, an equal part,
+// and a part that follows the rate slowly. Depth that moves starts empty and what
+// was in it is lost, so following short changes would only destroy tokens.
+func (p *pool) planDepth(chosen []*holding, least float64, elapsed time.Duration) {
+	gain := 1 - math.Exp(-elapsed.Seconds()/depthTau.Seconds())
 	count := float64(len(chosen))
+	var sum float64
+	for _, h := range chosen {
+		f := h.target.rate / p.cap.Rate
+		if h.slowPart == 0 {
+			h.slowPart = 1 / count
+		}
+		h.slowPart += gain * (f - h.slowPart)
+		sum += h.slowPart
+	}
 	spread := max(0, p.cap.Burst-least*count)
 	for _, h := range chosen {
-		f := part(h) / sum
-		h.target.rate = p.cap.Rate * f
-		h.target.depth = least + spread*(depthFloorPart/count+(1-depthFloorPart)*f)
+		h.target.depth = least + spread*(depthFloorPart/count+(1-depthFloorPart)*h.slowPart/sum)
 	}
 }
 
@@ -76,7 +106,7 @@
 		}
 	}
 	capacity = max(0, capacity)
-	part := p.divide(float64(capacity))
+	part := p.divide(float64(capacity)).part
 	left := capacity
 	for _, h := range p.ranked {
 		h.target.units = uint32(math.Floor(part(h) + wholeTolerance))
--- a/grant/pool.go
+++ b/grant/pool.go
@@ -158,6 +158,7 @@
 	if !p.dirty || count > smallFleet && !passed(now, p.plannedAt, time.Duration(count)*planCost) {
 		return
 	}
+	elapsed := leastElapsed(now, p.plannedAt)
 	p.dirty, p.plannedAt = false, now
 	p.sum = total{}
 	p.ranked = p.ranked[:0]
@@ -172,7 +173,7 @@
 		return
 	}
 	if p.rates() {
-		p.planRates()
+		p.planRates(elapsed)
 	} else {
 		p.planUnits()
 	}
--- a/grant/sim_test.go
+++ b/grant/sim_test.go
@@ -38,7 +38,8 @@
 	target int // owner that it sends to
 	// appetite is how much the holder tries to take at each step.
 	appetite int
-	owed     int // units to release once it runs again
+	owed     int   // units to release once it runs again
+	waiting  []int // requests of each customer that wait for a token
 }
 
 // simMessage is a request or a reply on its way.
@@ -65,7 +66,6 @@
 	// stall returns how long an owner stalls between lease check and handling.
 	stall func() time.Duration
 	speed func() float64
-	bytes int
 	sent  int
 }
 
--- a/grant/timing.go
+++ b/grant/timing.go
@@ -13,6 +13,10 @@
 	RenewInterval = time.Second
 	// MinRenewInterval is the shortest time between renewals of a holder.
 	MinRenewInterval = 200 * time.Millisecond
+	// retryInterval is how long a holder waits for a reply before it sends the
+	// next request. It exceeds the round trip between regions several times,
+	// because a new request voids the reply to the one before.
+	retryInterval = 300 * time.Millisecond
 	// driftMargin covers clocks of two VMs that differ by 2% in speed.
 	driftMargin = 0.02
 )
