--- a/grant/load_test.go
+++ b/grant/load_test.go
@@ -120,7 +120,6 @@
 
 // offer sends the arrivals of one customer during a tick.
 func (w *simWorld) offer(customer int, c loadCase, central *centralBucket, result *loadResult, counted bool) {
-	id := CustomerID(strconv.Itoa(customer))
 	for i, h := range w.holders {
 		mean := c.pattern(customer, i, c.holders, w.now) * c.rates[customer] * loadTick.Seconds()
 		for range w.poisson(mean) {
@@ -182,12 +181,15 @@
 		pattern loadPattern
 		fail    bool
 		bound   float64
+		wait    time.Duration
 	}{
-		{"steady", steadyLoad, false, 0.001},
-		{"failover", steadyLoad, true, 0.01},
-		{"skewed", skewedLoad, false, 0.001},
-		{"moving", movingLoad, false, 0.01},
-		{"bursty", burstyLoad, false, 0.01},
+		{"steady", steadyLoad, false, 0.001, 0},
+		{"failover", steadyLoad, true, 0.01, 0},
+		{"skewed", skewedLoad, false, 0.001, 0},
+		{"moving", movingLoad, false, 0.01, 0},
+		{"bursty", burstyLoad, false, 0.01, 0},
+		{"steady, waiting", steadyLoad, false, 0.0005, 500 * time.Millisecond},
+		{"moving, waiting", movingLoad, false, 0.005, 500 * time.Millisecond},
 	}
 	for _, c := range cases {
 		for _, holders := range []int{8, 12} {
@@ -196,7 +198,7 @@
 				duration = 10 * time.Second
 			}
 			t.Run(fmt.Sprintf("%s/%d", c.name, holders), func(t *testing.T) {
-				r := runLoad(loadCase{holders: holders, pattern: c.pattern, duration: duration, failover: c.fail, rates: rates})
+				r := runLoad(loadCase{holders: holders, pattern: c.pattern, duration: duration, failover: c.fail, rates: rates, wait: c.wait})
 				t.Logf("arrived %d, refused %d, refused within rate %d (%.4f%%), of each customer %v, %.2f renewals per holder and second",
 					r.arrived, r.refused, r.wrong, 100*r.wrongShare(), r.by, float64(r.renewals)/float64(holders)/(warmUp+duration).Seconds())
 				if r.wrongShare() >= c.bound {
