--- /dev/null
+++ b/fairqueue/queue_test.go
@@ -0,0 +1,267 @@
+package fairqueue
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"pistachiomount.example/pistachiomount/clock"
+)
+
+// slots is a source of free slots.
+type slots struct{ free int }
+
+func (s *slots) acquire() (int, bool) {
+	if s.free == 0 {
+		return 0, false
+	}
+	s.free--
+	return s.free, true
+}
+
+func request(c clock.Clock, customer string) Request {
+	return Request{Customer: customer, Deadline: c.Now().Add(time.Second)}
+}
+
+func reasonOf(err error) Reason {
+	var r *Rejection
+	if errors.As(err, &r) {
+		return r.Reason
+	}
+	return 0
+}
+
+func done[S any](t *Ticket[S]) bool {
+	select {
+	case <-t.Done():
+		return true
+	default:
+		return false
+	}
+}
+
+// Guards against a queue of one customer that grows without bound or fills up
+// with requests whose deadline passed.
+func TestQueueIsBoundedPerCustomer(t *testing.T) {
+	is := is.New(t)
+	var c clock.Manual
+	q := New(0, &c, (&slots{}).acquire)
+	var first *Ticket[int]
+	for range DefaultPerCustomer {
+		ticket, err := q.Enqueue(request(&c, "a"))
+		is.NoErr(err)
+		if first == nil {
+			first = ticket
+		}
+	}
+	_, err := q.Enqueue(request(&c, "a"))
+	is.Equal(reasonOf(err), ReasonQueueFull)
+	_, err = q.Enqueue(request(&c, "b"))
+	is.NoErr(err)
+	c.Advance(time.Second)
+	_, err = q.Enqueue(Request{Customer: "a", Deadline: c.Now().Add(time.Hour)})
+	is.NoErr(err)
+	_, err = first.Result()
+	is.Equal(reasonOf(err), ReasonDeadline)
+	is.Equal(q.Waiting(), 1) // also that of b has expired
+}
+
+// Guards against a request that waits although its deadline will pass first, and
+// against an estimate that rejects for ever after a stall.
+func TestExpectedWaitRejectsEarly(t *testing.T) {
+	is := is.New(t)
+	var c clock.Manual
+	s := &slots{}
+	q := New(0, &c, s.acquire)
+	for range 12 {
+		_, err := q.Enqueue(request(&c, "a"))
+		is.NoErr(err)
+	}
+	for range 4 { // one slot each 100 ms
+		c.Advance(100 * time.Millisecond)
+		s.free = 1
+		q.Wake()
+	}
+	is.Equal(q.Waiting(), 8)
+	_, err := q.Enqueue(request(&c, "a"))
+	is.NoErr(err)
+	_, err = q.Enqueue(request(&c, "a"))
+	is.Equal(reasonOf(err), ReasonExpectedWait)
+	_, err = q.Enqueue(request(&c, "b")) // its turn comes sooner
+	is.NoErr(err)
+	c.Advance(time.Hour)
+	q.Expire()
+	_, err = q.Enqueue(request(&c, "a"))
+	is.NoErr(err)
+	_, err = q.Enqueue(Request{Customer: "a", Deadline: c.Now()})
+	is.Equal(reasonOf(err), ReasonDeadline)
+}
+
+// Guards against a slot that is lost when the waiter gives up.
+func TestCancel(t *testing.T) {
+	is := is.New(t)
+	var c clock.Manual
+	s := &slots{}
+	q := New(0, &c, s.acquire)
+	gone, _ := q.Enqueue(request(&c, "a"))
+	kept, _ := q.Enqueue(request(&c, "a"))
+	_, ok := gone.Cancel()
+	is.True(!ok)
+	_, err := gone.Result()
+	is.Equal(reasonOf(err), ReasonCanceled)
+	s.free = 1
+	q.Wake()
+	is.True(done(kept))
+	_, ok = kept.Cancel() // too late: the slot belongs to the caller
+	is.True(ok)
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	late, _ := q.Enqueue(request(&c, "a"))
+	_, err = late.Wait(ended)
+	is.Equal(reasonOf(err), ReasonCanceled)
+	is.Equal(q.Waiting(), 0)
+}
+
+// Guards against a request that passes others that wait, and against shares that
+// do not follow weights.
+func TestOrderFollowsWeights(t *testing.T) {
+	is := is.New(t)
+	var c clock.Manual
+	s := &slots{}
+	q := New(0, &c, s.acquire)
+	tickets := map[string][]*Ticket[int]{}
+	for range DefaultPerCustomer {
+		for name, weight := range map[string]float64{"a": 1, "b": 3} {
+			r := request(&c, name)
+			r.Weight = weight
+			ticket, err := q.Enqueue(r)
+			is.NoErr(err)
+			tickets[name] = append(tickets[name], ticket)
+		}
+	}
+	s.free = 2 * burstCredit
+	_, ok := q.TryAcquire(request(&c, "c"))
+	is.True(!ok)
+	q.Wake()
+	served := func(name string) (n int) {
+		for ; done(tickets[name][n]); n++ {
+		}
+		return n
+	}
+	is.Equal(served("a"), burstCredit)
+	is.Equal(served("b"), burstCredit)
+	s.free = 20
+	q.Wake()
+	is.True(served("a") >= burstCredit+4 && served("a") <= burstCredit+6)
+	is.Equal(served("a")+served("b"), 2*burstCredit+20)
+}
+
+// Guards against tickets that are lost, settled twice or served out of turn under
+// any sequence of operations.
+func TestTicketsAreConserved(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var c clock.Manual
+		s := &slots{}
+		q := New(4, &c, s.acquire)
+		var waiting []*Ticket[int]
+		freed, served := 0, 0
+		t.Repeat(map[string]func(*rapid.T){
+			"enqueue": func(t *rapid.T) {
+				r := request(&c, rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "customer"))
+				r.Weight = rapid.Float64Range(0, 5).Draw(t, "weight")
+				if ticket, err := q.Enqueue(r); err == nil {
+					waiting = append(waiting, ticket)
+				}
+			},
+			"cancel": func(t *rapid.T) {
+				if len(waiting) > 0 {
+					waiting[rapid.IntRange(0, len(waiting)-1).Draw(t, "ticket")].Cancel()
+				}
+			},
+			"free": func(t *rapid.T) { s.free++; freed++; q.Wake() },
+			"advance": func(t *rapid.T) {
+				c.Advance(time.Duration(rapid.IntRange(0, 600).Draw(t, "ms")) * time.Millisecond)
+				q.Expire()
+			},
+			"": func(t *rapid.T) {
+				kept := waiting[:0]
+				for _, ticket := range waiting {
+					if !done(ticket) {
+						kept = append(kept, ticket)
+					} else if _, err := ticket.Result(); err == nil {
+						served++
+					}
+				}
+				waiting = kept
+				if len(waiting) != q.Waiting() || served != freed-s.free {
+					t.Fatalf("%d waiting, queue says %d; %d served of %d", len(waiting), q.Waiting(), served, freed)
+				}
+				if len(waiting) > 0 && s.free > 0 {
+					t.Fatal("slots are free while requests wait")
+				}
+			},
+		})
+	})
+}
+
+// Guards against races between waiters, cancellations and releases.
+func TestConcurrentUse(t *testing.T) {
+	is := is.New(t)
+	var mu sync.Mutex
+	s := &slots{free: 2}
+	q := New(0, clock.NewSystem(), func() (int, bool) {
+		mu.Lock()
+		defer mu.Unlock()
+		return s.acquire()
+	})
+	release := func() {
+		mu.Lock()
+		s.free++
+		mu.Unlock()
+		q.Wake()
+	}
+	var wait sync.WaitGroup
+	for i := range 8 {
+		wait.Go(func() {
+			for n := range 200 {
+				r := request(q.clock, string(rune('a'+i)))
+				if _, ok := q.TryAcquire(r); ok {
+					release()
+					continue
+				}
+				ticket, err := q.Enqueue(r)
+				if err != nil {
+					continue
+				}
+				if n%5 == 0 {
+					if _, ok := ticket.Cancel(); ok {
+						release()
+					}
+				} else if _, err := ticket.Wait(context.Background()); err == nil {
+					release()
+				}
+			}
+		})
+	}
+	wait.Wait()
+	is.Equal(s.free, 2)
+	is.Equal(q.Waiting(), 0)
+}
+
+// Guards against allocations on the path of a request that need not wait.
+func TestTryAcquireDoesNotAllocate(t *testing.T) {
+	is := is.New(t)
+	s := &slots{}
+	c := clock.NewSystem()
+	q := New(0, c, s.acquire)
+	r := request(c, "a")
+	is.Equal(testing.AllocsPerRun(100, func() {
+		s.free = 1
+		q.TryAcquire(r)
+	}), 0.0)
+}
