--- a/fairqueue/queue_test.go
+++ b/fairqueue/queue_test.go
@@ -29,20 +29,15 @@
 }
 
 func reasonOf(err error) Reason {
-	var r *Rejection
-	if errors.As(err, &r) {
-		return r.Reason
-	}
-	return 0
+	r := &Rejection{}
+	errors.As(err, &r)
+	return r.Reason
 }
 
 func done[S any](t *Ticket[S]) bool {
-	select {
-	case <-t.Done():
-		return true
-	default:
-		return false
-	}
+	t.queue.mu.Lock()
+	defer t.queue.mu.Unlock()
+	return t.settled
 }
 
 // Guards against a queue of one customer that grows without bound or fills up
@@ -51,15 +46,13 @@
 	is := is.New(t)
 	var c clock.Manual
 	q := New(0, &c, (&slots{}).acquire)
-	var first *Ticket[int]
-	for range DefaultPerCustomer {
-		ticket, err := q.Enqueue(request(&c, "a"))
+	first, err := q.Enqueue(request(&c, "a"))
+	is.NoErr(err)
+	for range DefaultPerCustomer - 1 {
+		_, err := q.Enqueue(request(&c, "a"))
 		is.NoErr(err)
-		if first == nil {
-			first = ticket
-		}
 	}
-	_, err := q.Enqueue(request(&c, "a"))
+	_, err = q.Enqueue(request(&c, "a"))
 	is.Equal(reasonOf(err), ReasonQueueFull)
 	_, err = q.Enqueue(request(&c, "b"))
 	is.NoErr(err)
--- a/grant/holder.go
+++ b/grant/holder.go
@@ -155,13 +155,11 @@
 }
 
 func (h *Holder) anyWantsRenewal(now clock.Instant) bool {
-	for _, b := range h.buckets {
-		if b.wantsRenewal(now) {
+	for _, id := range h.order {
+		if b := h.buckets[id]; b != nil && b.wantsRenewal(now) {
 			return true
 		}
-	}
-	for _, u := range h.units {
-		if u.wantsRenewal(now) {
+		if u := h.units[id]; u != nil && u.wantsRenewal(now) {
 			return true
 		}
 	}
--- a/grant/load_test.go
+++ b/grant/load_test.go
@@ -49,22 +49,16 @@
 	return 0.8 * math.Pow(0.5, float64(rank+1)) / (1 - math.Pow(0.5, float64(holders)))
 }
 
-// movingLoad moves each customer's callers to other holders every 10 s.
+// movingLoad moves each customer's callers to the other half of the holders
+// every 10 s.
 func movingLoad(customer, holder, holders int, at time.Duration) float64 {
-	half := holders / 2
-	first := (int(at/(10*time.Second)) + customer) % 2 * half
-	if holder >= first && holder < first+half {
-		return 0.8 / float64(half)
-	}
-	return 0
+	half := (int(at/(10*time.Second)) + customer) % 2
+	return 1.6 / float64(holders) * float64((2*holder/holders+half+1)%2)
 }
 
 // burstyLoad sends twice the rate for 300 ms of each second.
 func burstyLoad(_, _, holders int, at time.Duration) float64 {
-	if at%time.Second < 300*time.Millisecond {
-		return 2 / float64(holders)
-	}
-	return 0.2 / float64(holders)
+	return (0.2 + 1.8*float64((1299*time.Millisecond-at%time.Second)/time.Second)) / float64(holders)
 }
 
 func runLoad(c loadCase) loadResult {
