--- a/grant/pool.go
+++ b/grant/pool.go
@@ -9,10 +9,11 @@
 
 const (
 	// smallFleet is the number of holders up to which each change is planned at
-	// once. Above, a plan is made each planCost per holder, which bounds the
-	// owner's work.
+	// once. Above, plans are planCost per holder apart, which bounds the owner's
+	// work, but no more than maxPlanGap, since load that moves waits for them.
 	smallFleet = 64
 	planCost   = 200 * time.Microsecond
+	maxPlanGap = MinRenewInterval
 
 	// rateBand and depthBand are the relative differences from the target that
 	// are left alone. The band of depth is wider because tokens above a reduced
@@ -155,7 +156,7 @@
 		p.rotatedAt, p.rotate, p.dirty = now, true, true
 	}
 	count := len(p.holdings)
-	if !p.dirty || count > smallFleet && !passed(now, p.plannedAt, time.Duration(count)*planCost) {
+	if !p.dirty || count > smallFleet && !passed(now, p.plannedAt, min(maxPlanGap, time.Duration(count)*planCost)) {
 		return
 	}
 	elapsed := leastElapsed(now, p.plannedAt)
