--- /dev/null
+++ b/forward/accept.go
@@ -0,0 +1,140 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+
+	"pistachiomount.example/pistachiomount/document"
+	"pistachiomount.example/pistachiomount/forward/reject"
+	"pistachiomount.example/pistachiomount/forward/sanitize"
+)
+
+// minBodyKey is the shortest key that is searched for in bodies; shorter ones
+// would be found by chance.
+const minBodyKey = 8
+
+func deferred(r *document.Route) bool { return r.Mode == document.ModeDeferred }
+
+// accept checks the form of the request and returns its key, if any.
+func (x *exchange) accept(r *http.Request) (string, *reject.Rejection) {
+	if rejection := checkHead(r, x.h.cfg.Limits); rejection != nil {
+		return "", rejection
+	}
+	target, rejection := parseTarget(r.RequestURI)
+	if rejection != nil {
+		return "", rejection
+	}
+	key, err := sanitize.Key(r.Header)
+	if errors.Is(err, sanitize.ErrKeyAmbiguous) {
+		return "", reject.New(reject.KeyAmbiguous, "exactly one key is expected")
+	}
+	x.method, x.target = r.Method, target
+	return key, nil
+}
+
+// admit finds the route and the customer and takes one request from its rate.
+func (x *exchange) admit(r *http.Request, key string) *reject.Rejection {
+	match, ok := x.view.Index.Match(x.target.Path)
+	if !ok {
+		return reject.New(reject.RouteUnknown, "no route has this path")
+	}
+	x.service, x.route = match.Service, match.Route
+	if !x.route.AllowsMethod(x.method) {
+		return reject.New(reject.MethodNotAllowed, "the route does not take this method")
+	}
+	if rejection := x.identify(key, !x.route.Public || deferred(x.route)); rejection != nil {
+		return rejection
+	}
+	if rejection := x.bound(r.Header); rejection != nil {
+		return rejection
+	}
+	if r.ContentLength > 0 && uint64(r.ContentLength) > x.route.MaxBodyBytes {
+		return reject.New(reject.BodyTooLarge, "request body exceeds the limit of the route")
+	}
+	return x.takeRate()
+}
+
+func (x *exchange) identify(key string, keyed bool) *reject.Rejection {
+	x.who.keyed = keyed
+	defer func() {
+		x.query = Query{Service: x.who.service, Customer: x.who.customer, From: x.view.Region}
+	}()
+	if x.service != nil {
+		x.who.service = x.service.Name
+	}
+	if !keyed {
+		x.who.customer = PublicCustomer
+		return nil
+	}
+	if key == "" {
+		return reject.New(reject.KeyMissing, "a key is needed")
+	}
+	if !x.view.Fresh {
+		return x.refusal(errStale)
+	}
+	return x.who.authenticate(x.view, key)
+}
+
+// bound sets the deadline and the idempotency key.
+func (x *exchange) bound(h http.Header) *reject.Rejection {
+	own, rejection := callerDeadline(h)
+	if rejection != nil {
+		return rejection
+	}
+	allowed := x.route.Deadline()
+	if own > 0 {
+		allowed = min(allowed, own)
+	}
+	x.deadline = time.Now().Add(allowed)
+	if x.route.Idempotent && !deferred(x.route) {
+		return nil
+	}
+	x.claimKey, rejection = idempotencyKey(h)
+	if rejection == nil && x.claimKey != "" && !x.who.keyed {
+		// Without a customer, one caller could read the outcome of another.
+		return reject.New(reject.BadRequest, "Idempotency-Key needs a route with a key")
+	}
+	return rejection
+}
+
+func (x *exchange) takeRate() *reject.Rejection {
+	if retryAfter, ok := x.h.cfg.Admitter.TryTake(x.who.customer); !ok {
+		return reject.New(reject.OverRate, "the customer's rate is used up").After(retryAfter)
+	}
+	return nil
+}
+
+// receive reads the body and removes the key from everything that is sent on.
+func (x *exchange) receive(io *caller, r *http.Request, key string) *reject.Rejection {
+	var clean bool
+	if x.target, clean = x.target.WithoutKey(key); !clean {
+		return reject.New(reject.BadRequest, "keys are accepted in headers only")
+	}
+	x.header = sanitize.RequestHeader(r.Header, key)
+	x.remote, _, _ = net.SplitHostPort(r.RemoteAddr)
+	if r.ContentLength == 0 {
+		return nil
+	}
+	io.allowRead(x.deadline)
+	var err error
+	x.body, x.bodyTook, err = x.h.memory.readBody(io.w, r, x.route.MaxBodyBytes)
+	if err != nil {
+		return rejectBody(err)
+	}
+	x.bodyRead = true
+	io.allowRead(time.Time{}) // a deadline left behind would end the watch for a hang-up
+	if len(key) >= minBodyKey && bytes.Contains(x.body, []byte(key)) {
+		return reject.New(reject.BadRequest, "keys are accepted in headers only")
+	}
+	return nil
+}
+
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.Is(err, context.DeadlineExceeded) || errors.As(err, &timeout) && timeout.Timeout()
+}
--- /dev/null
+++ b/forward/answer.go
@@ -0,0 +1,88 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+
+	"pistachiomount.example/pistachiomount/forward/sanitize"
+)
+
+// answer sends the attempt's answer to the caller. If that fails after the
+// status was sent it aborts the connection, so that a caller cannot take a part
+// for the whole.
+func (x *exchange) answer(c *caller, a *attempt) {
+	sanitize.ResponseHeader(c.w.Header(), a.resp.Header)
+	x.ended.Status = a.resp.StatusCode
+	if a.whole {
+		x.answerWhole(c, a)
+	} else {
+		x.answerStream(c, a)
+	}
+}
+
+func (x *exchange) answerWhole(c *caller, a *attempt) {
+	body := a.buf.bytes()
+	if len(a.resp.Trailer) == 0 && mayHaveBody(x.method, a.resp.StatusCode) {
+		c.w.Header()["Content-Length"] = []string{strconv.Itoa(len(body))}
+	}
+	a.release()
+	x.leaveQueue()
+	c.allowWrite()
+	c.w.WriteHeader(a.resp.StatusCode)
+	if c.write(body) != nil {
+		panic(http.ErrAbortHandler)
+	}
+	addTrailer(c.w.Header(), a.resp.Trailer)
+}
+
+func mayHaveBody(method string, status int) bool {
+	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
+func addTrailer(dst, trailer http.Header) {
+	if len(trailer) == 0 {
+		return
+	}
+	clean := make(http.Header, len(trailer))
+	sanitize.ResponseHeader(clean, trailer)
+	for name, values := range clean {
+		dst[http.TrailerPrefix+name] = values
+	}
+}
+
+// answerStream passes on an answer that is too large to be held back. A slow
+// caller is bounded by the stall of each write and by the deadline.
+func (x *exchange) answerStream(c *caller, a *attempt) {
+	stop := c.unblockOn(x.ctx)
+	c.allowWrite()
+	c.w.WriteHeader(a.resp.StatusCode)
+	err := a.copyTo(c)
+	if !stop() {
+		err = context.Cause(x.ctx)
+	}
+	if err != nil {
+		a.err = err
+		panic(http.ErrAbortHandler)
+	}
+	addTrailer(c.w.Header(), a.resp.Trailer)
+}
+
+func (a *attempt) copyTo(c *caller) error {
+	for {
+		if err := c.write(a.buf.bytes()); err != nil {
+			a.cancel(errNotWanted)
+			return err
+		}
+		a.buf.clear()
+		n, err := a.read(a.buf.room(readChunk))
+		a.buf.advance(n)
+		if err == io.EOF {
+			return c.write(a.buf.bytes())
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/forward/attempt.go
@@ -0,0 +1,268 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/juju/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"pistachiomount.example/pistachiomount/forward/pool"
+	"pistachiomount.example/pistachiomount/forward/sanitize"
+)
+
+// fairShareOfDeadline divides the deadline of the route: an attempt with less
+// time than that is not held against its upstream. Two attempts that each get
+// half of what remains have a half and a quarter.
+const fairShareOfDeadline = 8
+
+const (
+	errAttemptTimeout = errors.ConstError("attempt timed out")
+	errNotWanted      = errors.ConstError("attempt no longer wanted")
+	errNoLength       = errors.ConstError("the end of the answer cannot be told from a cut")
+	errRefused        = errors.ConstError("upstream refused the request")
+	errProtocol       = errors.ConstError("upstream switched protocols")
+)
+
+// attempt is one try of a request at one upstream. It owns its grants, buffer
+// and connection until it is closed. One goroutine at a time uses it.
+type attempt struct {
+	x        *exchange
+	upstream Upstream
+	region   string
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
+	span     trace.Span
+	meter    meter
+	use      pool.Use
+	class    pool.Class
+	resp     *http.Response
+	buf      buffer
+	started  time.Time
+	err      error
+	sent     bool // bytes of the request may have left
+	whole    bool // buf holds the complete answer
+	hedge    bool
+	closed   bool
+}
+
+func newAttempt(x *exchange, u Upstream, region string) *attempt {
+	a := &attempt{x: x, upstream: u, region: region, started: time.Now()}
+	ctx, cancel := context.WithCancelCause(x.ctx)
+	a.ctx, a.span = x.h.cfg.Tracer.Start(ctx, "attempt", trace.WithSpanKind(trace.SpanKindClient))
+	a.cancel = cancel
+	a.meter = newMeter(x.h.cfg.Links, x.query.From, u.Region)
+	x.ended.Attempts++
+	return a
+}
+
+// run sends the request and reads the answer: all of it up to the bound of
+// buffered answers, else its beginning. A zero timeout leaves only the deadline.
+func (a *attempt) run(class pool.Class, timeout time.Duration) {
+	a.class = class
+	if timeout > 0 {
+		timer := time.AfterFunc(timeout, func() { a.cancel(errAttemptTimeout) })
+		defer func() {
+			if !timer.Stop() && a.err == nil {
+				a.err = errAttemptTimeout
+			}
+		}()
+	}
+	a.err = a.exchange()
+	if a.err != nil && a.ctx.Err() != nil {
+		a.err = context.Cause(a.ctx)
+	}
+	if isTimedOut(a.err) && a.hadTime() {
+		a.use.Condemn()
+	}
+}
+
+// hadTime reports whether a timeout says something about the upstream. After a
+// long wait in the queue, or with a short deadline set by the caller, it does not.
+func (a *attempt) hadTime() bool {
+	return time.Since(a.started) >= a.x.route.Deadline()/fairShareOfDeadline
+}
+
+func isTimedOut(err error) bool {
+	return errors.Is(err, errAttemptTimeout) || errors.Is(err, context.DeadlineExceeded)
+}
+
+func (a *attempt) exchange() error {
+	if err := a.meter.open(a.ctx, a.x.requestBytes()); err != nil {
+		return err
+	}
+	resp, err := a.x.h.cfg.Pool.RoundTrip(a.upstream.Name, a.upstream.Address, a.class, a.request(), &a.use)
+	if err != nil {
+		a.sent = a.use.Seal()
+		return errors.Trace(err)
+	}
+	a.sent = true
+	a.resp = resp
+	a.meter.passed(headBytes(resp))
+	switch {
+	case resp.StatusCode < http.StatusOK:
+		return errProtocol
+	case endUnknown(resp):
+		return errNoLength
+	}
+	return a.fill()
+}
+
+// request builds the request. It has no GetBody, so the transport never
+// repeats one that has a body.
+func (a *attempt) request() *http.Request {
+	x := a.x
+	h := x.outgoing(time.Until(x.deadline))
+	if a.span.SpanContext().IsValid() {
+		propagation.TraceContext{}.Inject(a.ctx, propagation.HeaderCarrier(h))
+	}
+	req := &http.Request{
+		Method:     x.method,
+		URL:        &url.URL{Scheme: "http", Host: a.upstream.Address, Path: x.target.Path, RawPath: x.target.Raw, RawQuery: x.target.Query},
+		Host:       a.upstream.Address,
+		Proto:      "HTTP/1.1",
+		ProtoMajor: 1,
+		ProtoMinor: 1,
+		Header:     h,
+	}
+	if len(x.body) > 0 {
+		req.Body = io.NopCloser(bytes.NewReader(x.body))
+		req.ContentLength = int64(len(x.body))
+	}
+	return req.WithContext(a.ctx)
+}
+
+func headBytes(resp *http.Response) int {
+	n := headOverhead
+	for name, values := range resp.Header {
+		for _, v := range values {
+			n += len(name) + len(v)
+		}
+	}
+	return n
+}
+
+// endUnknown reports an answer that ends with its connection, so that a cut
+// one would pass for whole.
+func endUnknown(resp *http.Response) bool {
+	chunked := len(resp.TransferEncoding) > 0 && resp.TransferEncoding[0] == "chunked"
+	return resp.ContentLength < 0 && !chunked && resp.Body != http.NoBody
+}
+
+// fill buffers the answer, or nothing of one that announces to be larger.
+func (a *attempt) fill() error {
+	if a.resp.ContentLength > maxBufferedAnswer && a.resp.Request.Method != http.MethodHead {
+		return nil
+	}
+	a.buf.open()
+	for len(a.buf.bytes()) < maxBufferedAnswer {
+		n, err := a.read(a.buf.room(maxBufferedAnswer))
+		a.buf.advance(n)
+		if err == io.EOF {
+			a.whole = true
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// read reads a part of the answer once the link allows it.
+func (a *attempt) read(p []byte) (int, error) {
+	if err := a.meter.before(a.ctx, len(p)); err != nil {
+		return 0, err
+	}
+	n, err := a.resp.Body.Read(p)
+	a.meter.passed(n)
+	return n, err
+}
+
+// refused reports an answer by which an upstream declines work.
+func (a *attempt) refused() bool {
+	if a.resp == nil {
+		return false
+	}
+	switch a.resp.StatusCode {
+	case http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		return true
+	}
+	return false
+}
+
+// close ends the attempt, gives back what it holds and reports its result. The
+// buffer may not be used afterwards.
+func (a *attempt) close() {
+	a.release()
+	a.buf.close()
+}
+
+// release does the same but keeps the buffer, so that a whole answer can be
+// sent to a slow caller without holding a slot.
+func (a *attempt) release() {
+	if a.closed {
+		return
+	}
+	a.closed = true
+	report := a.report()
+	a.cancel(errNotWanted)
+	if a.resp != nil {
+		_ = a.resp.Body.Close() // read to its end, or not wanted
+	}
+	cfg := &a.x.h.cfg
+	a.meter.close(a.sent)
+	if !a.sent {
+		cfg.Regions.Refund(a.region, a.x.who.service)
+	}
+	cfg.Slots.Release(a.upstream.Name)
+	cfg.Chooser.Report(a.x.query, a.upstream, report)
+	a.endSpan()
+}
+
+func (a *attempt) report() Report {
+	return Report{
+		Result:   a.result(),
+		Elapsed:  time.Since(a.started),
+		Draining: a.resp != nil && sanitize.Draining(a.resp, a.class == pool.Fresh),
+	}
+}
+
+func (a *attempt) result() Result {
+	switch {
+	case a.err == nil && a.refused(), errors.Is(a.err, errRefused):
+		return ResultRefused
+	case a.err == nil:
+		return ResultAnswered
+	case errors.Is(a.err, pool.ErrNoPermit):
+		return ResultUnused
+	case isTimedOut(a.err) && a.hadTime():
+		return ResultTimeout
+	case a.ctx.Err() != nil:
+		return ResultCancelled
+	}
+	return ResultFailed
+}
+
+func (a *attempt) endSpan() {
+	if a.span.IsRecording() {
+		status := 0
+		if a.resp != nil {
+			status = a.resp.StatusCode
+		}
+		a.span.SetAttributes(
+			attribute.String("upstream", a.upstream.Name),
+			attribute.String("region", a.upstream.Region),
+			attribute.Bool("hedge", a.hedge),
+			attribute.Int("http.response.status_code", status),
+			attribute.Bool("failed", a.err != nil),
+		)
+	}
+	a.span.End()
+}
--- /dev/null
+++ b/forward/body.go
@@ -0,0 +1,93 @@
+package forward
+
+import (
+	"io"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/juju/errors"
+
+	"pistachiomount.example/pistachiomount/forward/reject"
+)
+
+const (
+	// firstBodyBytes is the initial room for a body of unknown length.
+	firstBodyBytes = 4 << 10
+	// maxFirstBodyBytes bounds the memory taken for a mere announcement of length.
+	maxFirstBodyBytes = 256 << 10
+)
+
+var errBodyMemory = errors.ConstError("memory for request bodies is used up")
+
+// bodyMemory bounds the request bodies in memory.
+type bodyMemory struct{ left atomic.Int64 }
+
+func (m *bodyMemory) take(n int) bool {
+	if m.left.Add(-int64(n)) >= 0 {
+		return true
+	}
+	m.left.Add(int64(n))
+	return false
+}
+
+func (m *bodyMemory) give(n int) { m.left.Add(int64(n)) }
+
+// readBody reads the whole body before anything is sent, so that a slow caller
+// holds no slot and the digest of a claim covers what is sent. It returns the
+// memory taken, which is set on errors too.
+func (m *bodyMemory) readBody(w http.ResponseWriter, r *http.Request, limit uint64) (body []byte, taken int, err error) {
+	src := http.MaxBytesReader(w, r.Body, int64(limit))
+	size := firstBodyBytes
+	if r.ContentLength > 0 {
+		size = int(min(uint64(r.ContentLength), limit, maxFirstBodyBytes))
+	}
+	for {
+		if !m.take(size) {
+			return nil, taken, errBodyMemory
+		}
+		taken += size
+		body = append(make([]byte, 0, len(body)+size), body...)
+		done, err := fillBody(src, &body)
+		if done || err != nil {
+			return body, taken, err
+		}
+		size = cap(body)
+	}
+}
+
+// fillBody reads until the body ends or its room is used up.
+func fillBody(src io.Reader, body *[]byte) (done bool, err error) {
+	b := *body
+	for len(b) < cap(b) {
+		n, err := src.Read(b[len(b):cap(b)])
+		b = b[:len(b)+n]
+		*body = b
+		if err != nil {
+			return err == io.EOF, ignoreEOF(err)
+		}
+	}
+	var extra [1]byte
+	n, err := src.Read(extra[:])
+	*body = append(b, extra[:n]...)
+	return err == io.EOF, ignoreEOF(err)
+}
+
+func ignoreEOF(err error) error {
+	if err == io.EOF {
+		return nil
+	}
+	return err
+}
+
+func rejectBody(err error) *reject.Rejection {
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return reject.New(reject.BodyTooLarge, "request body exceeds the limit of the route")
+	case errors.Is(err, errBodyMemory):
+		return reject.New(reject.OverCapacity, err.Error()).After(retrySoon)
+	case isTimeout(err):
+		return reject.New(reject.Deadline, "the request body did not arrive in time")
+	}
+	return reject.New(reject.BadRequest, "the request body is malformed or cut off")
+}
--- /dev/null
+++ b/forward/buffer.go
@@ -0,0 +1,62 @@
+package forward
+
+import "sync"
+
+const (
+	firstBufferBytes = 8 << 10
+	// readChunk is the largest single read of an answer.
+	readChunk = 64 << 10
+	// maxPooledBytes keeps rare large answers from staying in the pool.
+	maxPooledBytes = 256 << 10
+)
+
+var bufferPool = sync.Pool{New: func() any {
+	b := make([]byte, 0, firstBufferBytes)
+	return &b
+}}
+
+// buffer holds the answer of exactly one attempt. Only the goroutine that owns
+// the attempt uses it, so it is free when the attempt is closed.
+type buffer struct{ b *[]byte }
+
+func (f *buffer) open() { f.b = bufferPool.Get().(*[]byte) }
+
+func (f *buffer) bytes() []byte {
+	if f.b == nil {
+		return nil
+	}
+	return *f.b
+}
+
+// room returns free space for the next read, growing up to the bound.
+func (f *buffer) room(bound int) []byte {
+	b := *f.b
+	if len(b) == cap(b) {
+		grown := make([]byte, len(b), min(max(2*cap(b), firstBufferBytes), bound))
+		copy(grown, b)
+		*f.b = grown
+		b = grown
+	}
+	return b[len(b):min(cap(b), len(b)+readChunk)]
+}
+
+func (f *buffer) advance(n int) { *f.b = (*f.b)[:len(*f.b)+n] }
+
+// clear empties the buffer for the next part of a stream.
+func (f *buffer) clear() {
+	if f.b == nil {
+		f.open()
+	}
+	*f.b = (*f.b)[:0]
+}
+
+func (f *buffer) close() {
+	if f.b == nil {
+		return
+	}
+	if cap(*f.b) <= maxPooledBytes {
+		*f.b = (*f.b)[:0]
+		bufferPool.Put(f.b)
+	}
+	f.b = nil
+}
--- /dev/null
+++ b/forward/chooser.go
@@ -0,0 +1,20 @@
+package forward
+
+import "time"
+
+// Upstream is one server of a service.
+type Upstream struct{ Name, Address, Region string }
+
+// Chooser chooses regions and upstreams.
+type Chooser interface {
+	// Regions appends the regions to try to dst, the preferred one first.
+	Regions(dst []string, q Query) []string
+	// Pick returns an upstream of the region that is not excluded. Each one
+	// picked is reported once.
+	Pick(q Query, region string, excluded []string) (Upstream, bool)
+	Report(q Query, u Upstream, r Report)
+	// HedgeDelay returns how long to wait before a second attempt; 0 means none.
+	HedgeDelay(q Query) time.Duration
+	// TakeRetry takes one attempt beyond the first from the retry budget.
+	TakeRetry(service string) bool
+}
--- /dev/null
+++ b/forward/claimed.go
@@ -0,0 +1,160 @@
+package forward
+
+import (
+	"context"
+	"crypto/sha256"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"pistachiomount.example/pistachiomount/apipb"
+	"pistachiomount.example/pistachiomount/forward/reject"
+)
+
+// completePause separates the tries to record an outcome; an election of the
+// control group takes a few of them.
+const completePause = 300 * time.Millisecond
+
+// serveClaimed runs a request under a committed claim. The turn is taken first,
+// so that requests refused for load do not cost a commit.
+func (x *exchange) serveClaimed(c *caller) *reject.Rejection {
+	if rejection := x.allowed(); rejection != nil {
+		return rejection
+	}
+	if rejection := x.enter(); rejection != nil {
+		return rejection
+	}
+	claim := x.claimRequest()
+	reply, err := x.h.cfg.Claims.Claim(x.ctx, claim)
+	if err != nil {
+		// The claim may be committed. It is released so that a resend can run.
+		x.recordAfter(claim, &apipb.Outcome{NotRun: true})
+		return x.claimFailed()
+	}
+	switch reply.GetStatus() {
+	case apipb.ClaimStatus_CLAIM_STATUS_GRANTED:
+		return x.runClaimed(c, claim)
+	case apipb.ClaimStatus_CLAIM_STATUS_RUNNING:
+		return reject.NewUnknown(reject.OutcomeUnknown, "a request with this Idempotency-Key was started; its outcome is not known")
+	case apipb.ClaimStatus_CLAIM_STATUS_DONE:
+		return x.replay(c, reply.GetOutcome())
+	case apipb.ClaimStatus_CLAIM_STATUS_MISMATCH:
+		return reject.New(reject.IdempotencyConflict, "the Idempotency-Key was used with another request")
+	}
+	return reject.New(reject.OverCapacity, "no claim can be recorded").After(retrySoon)
+}
+
+func (x *exchange) claimFailed() *reject.Rejection {
+	if x.ctx.Err() != nil {
+		return x.refusal(context.Cause(x.ctx))
+	}
+	return reject.New(reject.OverCapacity, "the claim could not be committed").After(retrySoon)
+}
+
+func (x *exchange) claimRequest() *apipb.ClaimRequest {
+	return &apipb.ClaimRequest{
+		Customer: x.who.customer, Route: x.service.Name + x.route.Prefix, IdempotencyKey: x.claimKey,
+		BodyDigest: x.digest(), Holder: x.h.cfg.Holder, HolderIncarnation: x.h.cfg.Incarnation,
+		AttemptId: x.h.cfg.Random(),
+	}
+}
+
+// digest covers everything that decides what the request does: with the body
+// alone, the same key could be replayed on another path below the route.
+func (x *exchange) digest() []byte {
+	sum := sha256.New()
+	_, _ = io.WriteString(sum, x.method+" "+x.target.String()+"\n") // a hash does not fail
+	_, _ = sum.Write(x.body)
+	return sum.Sum(nil)
+}
+
+func (x *exchange) runClaimed(c *caller, claim *apipb.ClaimRequest) *reject.Rejection {
+	rejection := x.allowed()
+	var a *attempt
+	if rejection == nil {
+		a, rejection = x.once()
+	}
+	if rejection != nil {
+		if rejection.Run == reject.NotRun {
+			x.recordAfter(claim, &apipb.Outcome{NotRun: true})
+		}
+		return rejection
+	}
+	defer a.close()
+	outcome := a.outcome(x.h.cfg.Limits.StoredOutcome)
+	if a.whole {
+		x.recordAfter(claim, outcome)
+		x.answer(c, a)
+		return nil
+	}
+	x.answer(c, a) // does not return if the answer was cut
+	x.recordAfter(claim, outcome)
+	return nil
+}
+
+// outcome copies the answer for the record. The body is left out if it is
+// larger than the bound or not complete yet.
+func (a *attempt) outcome(bound int) *apipb.Outcome {
+	o := &apipb.Outcome{StatusCode: int32(a.resp.StatusCode), Headers: flatten(a.resp.Header)}
+	if body := a.buf.bytes(); a.whole && len(body) <= bound {
+		o.Body = append([]byte(nil), body...)
+	} else {
+		o.BodyOmitted = true
+	}
+	return o
+}
+
+// recordAfter starts to record an outcome. The answer does not wait for it, the
+// end of the request does, so that a planned stop loses no outcome.
+func (x *exchange) recordAfter(claim *apipb.ClaimRequest, outcome *apipb.Outcome) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		x.h.record(context.WithoutCancel(x.ctx), &apipb.CompleteRequest{
+			Customer: claim.Customer, Route: claim.Route, IdempotencyKey: claim.IdempotencyKey,
+			AttemptId: claim.AttemptId, Outcome: outcome,
+		})
+	}()
+	x.after = func() { <-done }
+}
+
+// record tries a bounded number of times. If all fail the claim stays running
+// and duplicates get an unknown outcome, never a second run.
+func (h *Handler) record(ctx context.Context, req *apipb.CompleteRequest) {
+	for try := range completeTries {
+		if try > 0 {
+			time.Sleep(completePause)
+		}
+		bounded, cancel := context.WithTimeout(ctx, h.cfg.Limits.CompleteTimeout)
+		_, err := h.cfg.Claims.Complete(bounded, req)
+		cancel()
+		if err == nil {
+			return
+		}
+	}
+}
+
+// replay sends the recorded outcome of the first request.
+func (x *exchange) replay(c *caller, o *apipb.Outcome) *reject.Rejection {
+	status := int(o.GetStatusCode())
+	if status < http.StatusOK || status > 599 || o.GetBodyOmitted() || o.GetNotRun() {
+		return reject.NewUnknown(reject.OutcomeUnknown, "the request ran; its answer was not kept")
+	}
+	x.leaveQueue()
+	h := c.w.Header()
+	for name, value := range o.GetHeaders() {
+		h[name] = []string{value}
+	}
+	h["Idempotency-Replayed"] = []string{"true"}
+	if mayHaveBody(x.method, status) {
+		h["Content-Length"] = []string{strconv.Itoa(len(o.GetBody()))}
+	}
+	x.ended.Status, x.ended.Replayed = status, true
+	c.allowWrite()
+	c.w.WriteHeader(status)
+	if c.write(o.GetBody()) != nil {
+		panic(http.ErrAbortHandler)
+	}
+	return nil
+}
--- /dev/null
+++ b/forward/claims.go
@@ -0,0 +1,19 @@
+package forward
+
+import (
+	"context"
+
+	"pistachiomount.example/pistachiomount/apipb"
+)
+
+// Claims commits requests that must run at most once.
+type Claims interface {
+	Claim(context.Context, *apipb.ClaimRequest) (*apipb.ClaimReply, error)
+	Complete(context.Context, *apipb.CompleteRequest) (*apipb.CompleteReply, error)
+}
+
+// Jobs holds deferred work.
+type Jobs interface {
+	Enqueue(context.Context, *apipb.EnqueueRequest) (*apipb.EnqueueReply, error)
+	Status(context.Context, *apipb.JobStatusRequest) (*apipb.JobStatusReply, error)
+}
--- /dev/null
+++ b/forward/exchange.go
@@ -0,0 +1,147 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+
+	"pistachiomount.example/pistachiomount/document"
+	"pistachiomount.example/pistachiomount/forward/reject"
+	"pistachiomount.example/pistachiomount/forward/sanitize"
+)
+
+// retrySoon is the delay given to callers where no better one is known.
+const retrySoon = 500 * time.Millisecond
+
+// exchange is one request on its way through the hop. The goroutine that runs it
+// is the only one to change it; attempts read h, ctx, who, route, query and what
+// they send, none of which changes once the first attempt has started.
+type exchange struct {
+	h        *Handler
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
+	view     View
+	who      grantee
+	query    Query
+	service  *document.Service
+	route    *document.Route
+	target   sanitize.Target
+	method   string
+	header   http.Header
+	body     []byte
+	bodyTook int
+	deadline time.Time
+	id       string
+	claimKey string
+	remote   string
+	// after runs once the answer was sent.
+	after    func()
+	bodyRead bool // the caller has nothing more to send
+	waiting  bool // holds a turn of the queue
+	sent     bool // bytes of some attempt may have left
+	ended    Ended
+}
+
+func (h *Handler) newExchange() *exchange {
+	return &exchange{h: h, id: requestID(h.cfg.Random), view: h.cfg.Views.View()}
+}
+
+func requestID(random func() uint64) string {
+	const digits = "0123456789abcdef"
+	var id [32]byte
+	hi, lo := random(), random()
+	for i := range 16 {
+		id[i], id[16+i] = digits[hi>>(4*i)&15], digits[lo>>(4*i)&15]
+	}
+	return string(id[:])
+}
+
+// start opens the context of the request: it ends with the deadline, with the
+// base and when the key stops being valid.
+func (x *exchange) start(base context.Context) func() {
+	bounded, stop := context.WithDeadline(base, x.deadline)
+	x.ctx, x.cancel = context.WithCancelCause(bounded)
+	if x.who.keyed {
+		x.h.running.add(x)
+	}
+	return func() {
+		if x.who.keyed {
+			x.h.running.remove(x)
+		}
+		x.cancel(context.Canceled)
+		stop()
+	}
+}
+
+// refusal translates what ended a request into the answer for its caller.
+func (x *exchange) refusal(cause error) *reject.Rejection {
+	r := reject.New(reject.Deadline, "the deadline passed")
+	switch {
+	case errors.Is(cause, errRevoked):
+		r = reject.New(reject.KeyUnknown, "the key is no longer valid")
+	case errors.Is(cause, errNotAllowed):
+		r = reject.New(reject.NotAllowed, "the customer may no longer use this service")
+	case errors.Is(cause, errStale):
+		r = reject.New(reject.ViewStale, "keys cannot be checked at the moment").After(retrySoon)
+	case errors.Is(cause, ErrQueueFull):
+		r = reject.New(reject.QueueFull, "too many requests of the customer are waiting").After(retrySoon)
+	case errors.Is(cause, ErrQueueTooLong):
+		r = reject.New(reject.Deadline, "the expected wait exceeds the deadline").After(retrySoon)
+	}
+	if x.sent {
+		r.Run = reject.Unknown
+	}
+	return r
+}
+
+// enter waits for the customer's turn at the service.
+func (x *exchange) enter() *reject.Rejection {
+	if err := x.h.cfg.Queue.Acquire(x.ctx, x.service.Name, x.who.customer); err != nil {
+		if x.ctx.Err() != nil {
+			err = context.Cause(x.ctx)
+		}
+		return x.refusal(err)
+	}
+	x.waiting = true
+	return nil
+}
+
+// leaveQueue ends the turn once no slot is needed any more.
+func (x *exchange) leaveQueue() {
+	if x.waiting {
+		x.waiting = false
+		x.h.cfg.Queue.Release(x.service.Name, x.who.customer)
+	}
+}
+
+// outgoing returns the headers of one attempt.
+func (x *exchange) outgoing(remaining time.Duration) http.Header {
+	h := make(http.Header, len(x.header)+6)
+	for name, values := range x.header {
+		h[name] = values
+	}
+	h["X-Customer"] = []string{x.who.customer}
+	h["X-Request-Id"] = []string{x.id}
+	h["X-Request-Deadline-Ms"] = []string{strconv.FormatInt(max(1, remaining.Milliseconds()), 10)}
+	if x.remote != "" {
+		h["X-Forwarded-For"] = []string{x.remote}
+	}
+	if _, ok := h["User-Agent"]; !ok {
+		h["User-Agent"] = nil // otherwise the transport adds its own
+	}
+	return h
+}
+
+// requestBytes estimates what an attempt sends.
+func (x *exchange) requestBytes() int {
+	n := headOverhead + len(x.target.Raw) + len(x.target.Query) + len(x.body)
+	for name, values := range x.header {
+		for _, v := range values {
+			n += len(name) + len(v) + len(": \r\n")
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/forward/flatten.go
@@ -0,0 +1,23 @@
+package forward
+
+import (
+	"net/http"
+	"strings"
+
+	"pistachiomount.example/pistachiomount/forward/sanitize"
+)
+
+// flatten returns headers in the form that is stored with claims and jobs. A
+// cookie belongs to the connection it was set on and is not stored; its values
+// cannot be joined either.
+func flatten(h http.Header) map[string]string {
+	clean := make(http.Header, len(h))
+	sanitize.ResponseHeader(clean, h)
+	flat := make(map[string]string, len(clean))
+	for name, values := range clean {
+		if name != "Set-Cookie" && name != "Content-Length" {
+			flat[name] = strings.Join(values, ", ")
+		}
+	}
+	return flat
+}
--- /dev/null
+++ b/forward/handler.go
@@ -0,0 +1,137 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"pistachiomount.example/pistachiomount/forward/reject"
+)
+
+// jobsPrefix is the path under which the results of deferred work are read.
+const jobsPrefix = "/v1/jobs/"
+
+// Handler is the request path of an entry VM.
+type Handler struct {
+	cfg     Config
+	running registry
+	memory  bodyMemory
+}
+
+// New returns a handler.
+func New(cfg Config) *Handler {
+	h := &Handler{cfg: cfg.withDefaults()}
+	h.memory.left.Store(h.cfg.Limits.BodyMemory)
+	return h
+}
+
+// Revalidate cancels every running request whose key the view no longer
+// permits, and those on routes that need a key once the view has been stale for
+// longer than Limits.StaleStream. The entry daemon calls it after every change
+// of the view and at least once a second while the view is stale.
+func (h *Handler) Revalidate(v View) { h.running.revalidate(v, h.cfg.Limits) }
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	started := time.Now()
+	x := h.newExchange()
+	ctx, span := h.cfg.Tracer.Start(r.Context(), "forward", trace.WithSpanKind(trace.SpanKindServer))
+	x.ended.Aborted = true // until the answer is complete
+	defer x.end(span, started)
+	io := newCaller(w, h.cfg.Limits.WriteStall)
+	w.Header()["X-Request-Id"] = []string{x.id}
+	if rejection := x.serve(ctx, io, r); rejection != nil {
+		x.ended.Reason, x.ended.Run = rejection.Reason, rejection.Run
+		x.ended.Status = rejection.Reason.Status()
+		io.reject(rejection, r.ContentLength != 0 && !x.bodyRead)
+	}
+	if x.after != nil {
+		_ = io.rc.Flush() // the answer must not wait for the record; not supported by recorders in tests
+	}
+	x.ended.Aborted = false
+}
+
+// end reports the request. It also runs when the caller's connection is aborted.
+func (x *exchange) end(span trace.Span, started time.Time) {
+	x.leaveQueue()
+	if x.after != nil {
+		x.after()
+	}
+	x.h.memory.give(x.bodyTook)
+	x.ended.Elapsed = time.Since(started)
+	x.ended.Customer = x.who.customer
+	if x.route != nil {
+		x.ended.Service, x.ended.Route = x.service.Name, x.route.Prefix
+	}
+	if span.IsRecording() {
+		span.SetAttributes(
+			attribute.String("service", x.ended.Service),
+			attribute.String("route", x.ended.Route),
+			attribute.String("customer", x.ended.Customer),
+			attribute.String("request_id", x.id),
+			attribute.Int("http.response.status_code", x.ended.Status),
+			attribute.String("reject.reason", string(x.ended.Reason)),
+			attribute.Bool("aborted", x.ended.Aborted),
+		)
+	}
+	span.End()
+	x.h.cfg.Observer.Ended(x.ended)
+}
+
+func (x *exchange) serve(ctx context.Context, io *caller, r *http.Request) *reject.Rejection {
+	key, rejection := x.accept(r)
+	if rejection != nil {
+		return rejection
+	}
+	if strings.HasPrefix(x.target.Path, jobsPrefix) {
+		return x.serveJob(ctx, io, key)
+	}
+	if rejection = x.admit(r, key); rejection != nil {
+		return rejection
+	}
+	if rejection = x.receive(io, r, key); rejection != nil {
+		return rejection
+	}
+	if x.claimKey != "" {
+		// A caller that hangs up must not keep the outcome from being recorded.
+		ctx = context.WithoutCancel(ctx)
+	}
+	defer x.start(ctx)()
+	return x.dispatch(io)
+}
+
+// dispatch starts each way with a check of the view: it may have changed after
+// the key was checked and before Revalidate could see the request.
+func (x *exchange) dispatch(io *caller) *reject.Rejection {
+	switch {
+	case deferred(x.route):
+		return x.enqueue(io)
+	case x.claimKey != "":
+		return x.serveClaimed(io)
+	}
+	a, rejection := x.forward()
+	if rejection != nil {
+		return rejection
+	}
+	defer a.close()
+	x.answer(io, a)
+	return nil
+}
+
+// forward sends the request by the rules of its route.
+func (x *exchange) forward() (*attempt, *reject.Rejection) {
+	if rejection := x.allowed(); rejection != nil {
+		return nil, rejection
+	}
+	if rejection := x.enter(); rejection != nil {
+		return nil, rejection
+	}
+	if x.route.Idempotent {
+		return newRace(x).run()
+	}
+	return x.once()
+}
--- /dev/null
+++ b/forward/jobs.go
@@ -0,0 +1,130 @@
+package forward
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"pistachiomount.example/pistachiomount/apipb"
+	"pistachiomount.example/pistachiomount/forward/reject"
+)
+
+// jobStatusDeadline bounds the reading of a job's state.
+const jobStatusDeadline = 5 * time.Second
+
+type jobAnswer struct {
+	JobID   string      `json:"job_id"`
+	State   string      `json:"state,omitempty"`
+	Outcome *jobOutcome `json:"outcome,omitempty"`
+}
+
+type jobOutcome struct {
+	StatusCode  int32             `json:"status_code"`
+	Headers     map[string]string `json:"headers,omitempty"`
+	Body        []byte            `json:"body,omitempty"` // base64
+	BodyOmitted bool              `json:"body_omitted,omitempty"`
+}
+
+var jobStates = map[apipb.JobState]string{
+	apipb.JobState_JOB_STATE_QUEUED:  "queued",
+	apipb.JobState_JOB_STATE_STARTED: "started",
+	apipb.JobState_JOB_STATE_DONE:    "done",
+	apipb.JobState_JOB_STATE_UNKNOWN: "unknown",
+}
+
+// enqueue hands a deferred request over to the job queue.
+func (x *exchange) enqueue(c *caller) *reject.Rejection {
+	if rejection := x.allowed(); rejection != nil {
+		return rejection
+	}
+	reply, err := x.h.cfg.Jobs.Enqueue(x.ctx, &apipb.EnqueueRequest{
+		Job: x.job(), IdempotencyKey: x.claimKey, BodyDigest: x.digest(),
+	})
+	switch {
+	case err != nil:
+		return reject.NewUnknown(reject.OutcomeUnknown, "it is not known whether the job was accepted")
+	case reply.GetFull():
+		return reject.New(reject.JobsFull, "the job queue is full").After(retrySoon)
+	case reply.GetMismatch():
+		return reject.New(reject.IdempotencyConflict, "the Idempotency-Key was used with another request")
+	}
+	c.w.Header().Set("Location", jobsPrefix+reply.GetJobId())
+	if reply.GetRepeated() {
+		c.w.Header().Set("Idempotency-Replayed", "true")
+	}
+	x.answerJSON(c, http.StatusAccepted, jobAnswer{JobID: reply.GetJobId()})
+	return nil
+}
+
+func (x *exchange) job() *apipb.Job {
+	return &apipb.Job{
+		Id: x.id, Environment: x.h.cfg.Environment, Customer: x.who.customer,
+		Service: x.service.Name, Route: x.route.Prefix, Idempotent: x.route.Idempotent,
+		Method: x.method, Path: x.target.String(), Headers: flatten(x.header), Body: x.body,
+	}
+}
+
+// serveJob answers the owner of a job. A job of another customer looks like one
+// that does not exist.
+func (x *exchange) serveJob(ctx context.Context, c *caller, key string) *reject.Rejection {
+	if x.method != http.MethodGet {
+		return reject.New(reject.MethodNotAllowed, "jobs are read with GET")
+	}
+	if rejection := x.identifyOwner(key); rejection != nil {
+		return rejection
+	}
+	x.deadline = time.Now().Add(jobStatusDeadline)
+	defer x.start(ctx)()
+	reply, err := x.h.cfg.Jobs.Status(x.ctx, &apipb.JobStatusRequest{
+		JobId: strings.TrimPrefix(x.target.Path, jobsPrefix), Customer: x.who.customer,
+	})
+	if rejection := x.allowed(); rejection != nil {
+		return rejection // the key was revoked while the state was read
+	}
+	if err != nil {
+		return reject.New(reject.OverCapacity, "the state of the job could not be read").After(retrySoon)
+	}
+	if !reply.GetFound() || reply.GetJob().GetCustomer() != x.who.customer {
+		return reject.New(reject.RouteUnknown, "no such job")
+	}
+	x.answerJSON(c, http.StatusOK, describe(reply.GetJob()))
+	return nil
+}
+
+func (x *exchange) identifyOwner(key string) *reject.Rejection {
+	x.who.anyService = true
+	if rejection := x.identify(key, true); rejection != nil {
+		return rejection
+	}
+	return x.takeRate()
+}
+
+func describe(job *apipb.Job) jobAnswer {
+	a := jobAnswer{JobID: job.GetId(), State: jobStates[job.GetState()]}
+	if o := job.GetOutcome(); o != nil {
+		a.Outcome = &jobOutcome{
+			StatusCode: o.GetStatusCode(), Headers: o.GetHeaders(), Body: o.GetBody(), BodyOmitted: o.GetBodyOmitted(),
+		}
+	}
+	return a
+}
+
+func (x *exchange) answerJSON(c *caller, status int, value any) {
+	body, err := json.Marshal(value)
+	if err != nil {
+		panic(http.ErrAbortHandler) // only plain strings, numbers and bytes are encoded
+	}
+	h := c.w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	h.Set("Cache-Control", "no-store")
+	x.ended.Status = status
+	c.allowWrite()
+	c.w.WriteHeader(status)
+	if c.write(body) != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
--- /dev/null
+++ b/forward/once.go
@@ -0,0 +1,44 @@
+package forward
+
+import (
+	"context"
+
+	"github.com/juju/errors"
+
+	"pistachiomount.example/pistachiomount/forward/pool"
+	"pistachiomount.example/pistachiomount/forward/reject"
+)
+
+// once makes the only attempt of a request that may not be repeated.
+func (x *exchange) once() (*attempt, *reject.Rejection) {
+	a, rejection := x.pick(nil)
+	if rejection != nil {
+		return nil, rejection
+	}
+	a.run(pool.Fresh, 0)
+	if a.err == nil {
+		return a, nil
+	}
+	defer a.close()
+	x.sent = a.sent
+	return nil, x.failure(a)
+}
+
+// failure explains a failed attempt to the caller.
+func (x *exchange) failure(a *attempt) *reject.Rejection {
+	var r *reject.Rejection
+	switch {
+	case x.ctx.Err() != nil:
+		return x.refusal(context.Cause(x.ctx))
+	case errors.Is(a.err, pool.ErrNoPermit):
+		r = reject.New(reject.OverCapacity, "no connection to the upstream is left").After(retrySoon)
+	case x.sent && !x.route.Idempotent:
+		return reject.NewUnknown(reject.OutcomeUnknown, "the upstream gave no whole answer")
+	default:
+		r = reject.New(reject.UpstreamFailed, "no upstream gave a whole answer").After(retrySoon)
+	}
+	if x.sent {
+		r.Run = reject.Unknown
+	}
+	return r
+}
--- /dev/null
+++ b/forward/queue.go
@@ -0,0 +1,23 @@
+package forward
+
+import (
+	"context"
+
+	"github.com/juju/errors"
+)
+
+const (
+	// ErrQueueFull reports that the customer already has its bound of waiting requests.
+	ErrQueueFull = errors.ConstError("queue full")
+	// ErrQueueTooLong reports that the expected wait exceeds the deadline.
+	ErrQueueTooLong = errors.ConstError("expected wait exceeds the deadline")
+)
+
+// Queue is the weighted fair queue of each service in front of its slots.
+type Queue interface {
+	// Acquire waits for the customer's turn. It returns ErrQueueFull,
+	// ErrQueueTooLong or the context's error; then there is no turn to release.
+	Acquire(ctx context.Context, service, customer string) error
+	// Release ends a turn.
+	Release(service, customer string)
+}
--- /dev/null
+++ b/forward/race.go
@@ -0,0 +1,145 @@
+package forward
+
+import (
+	"time"
+
+	"pistachiomount.example/pistachiomount/forward/pool"
+	"pistachiomount.example/pistachiomount/forward/reject"
+)
+
+// race runs the attempts of a request on an idempotent route: retries after
+// failures, and one hedge while the first attempt takes long.
+type race struct {
+	x        *exchange
+	results  chan *attempt
+	running  []*attempt
+	pending  int
+	excluded []string
+}
+
+func newRace(x *exchange) *race {
+	return &race{x: x, results: make(chan *attempt, x.h.cfg.Limits.Attempts)}
+}
+
+// run returns the first attempt with a usable answer.
+func (rc *race) run() (*attempt, *reject.Rejection) {
+	for {
+		if rejection := rc.launch(false); rejection != nil {
+			return nil, rejection
+		}
+		if a := rc.wait(); a != nil {
+			rc.dropOthers(a)
+			return a, nil
+		}
+		if rejection := rc.mayRetry(); rejection != nil {
+			return nil, rejection
+		}
+	}
+}
+
+// launch starts an attempt. It runs on its own goroutine and returns itself
+// through results, which has room for every attempt.
+func (rc *race) launch(hedge bool) *reject.Rejection {
+	a, rejection := rc.x.pick(rc.excluded)
+	if rejection != nil {
+		if len(rc.excluded) > 0 {
+			return rc.failed()
+		}
+		return rejection
+	}
+	a.hedge = hedge
+	rc.excluded = append(rc.excluded, a.upstream.Name)
+	rc.running = append(rc.running, a)
+	rc.pending++
+	timeout := rc.attemptTimeout()
+	go func() {
+		a.run(pool.Reuse, timeout)
+		rc.results <- a
+	}()
+	return nil
+}
+
+// attemptTimeout leaves half of the remaining time for further attempts.
+func (rc *race) attemptTimeout() time.Duration {
+	if !rc.attemptsLeft() {
+		return 0
+	}
+	return max(time.Until(rc.x.deadline)/2, time.Millisecond)
+}
+
+func (rc *race) attemptsLeft() bool { return len(rc.running) < rc.x.h.cfg.Limits.Attempts }
+
+// wait returns a usable attempt, or nil once all of them failed or the request
+// ended. No attempt is pending when it returns nil.
+func (rc *race) wait() *attempt {
+	var hedge <-chan time.Time
+	if delay := rc.x.h.cfg.Chooser.HedgeDelay(rc.x.query); delay > 0 && len(rc.running) == 1 {
+		timer := time.NewTimer(delay)
+		defer timer.Stop()
+		hedge = timer.C
+	}
+	for rc.pending > 0 {
+		select {
+		case a := <-rc.results:
+			if rc.usable(a) {
+				return a
+			}
+		case <-hedge:
+			rc.hedge()
+		}
+	}
+	return nil
+}
+
+// usable takes over a finished attempt and closes it if it failed. Attempts end
+// with the request, so none is waited for longer.
+func (rc *race) usable(a *attempt) bool {
+	rc.pending--
+	if a.err == nil && a.refused() {
+		a.err = errRefused
+	}
+	rc.x.sent = rc.x.sent || a.sent
+	if a.err != nil {
+		a.close()
+		return false
+	}
+	return true
+}
+
+func (rc *race) hedge() {
+	if rc.attemptsLeft() && rc.x.allowed() == nil && rc.x.h.cfg.Chooser.TakeRetry(rc.x.query.Service) {
+		_ = rc.launch(true) // without a grant the first attempt goes on alone
+	}
+}
+
+func (rc *race) mayRetry() *reject.Rejection {
+	if rejection := rc.x.allowed(); rejection != nil {
+		return rejection
+	}
+	if !rc.attemptsLeft() || !rc.x.h.cfg.Chooser.TakeRetry(rc.x.query.Service) {
+		return rc.failed()
+	}
+	return nil
+}
+
+func (rc *race) failed() *reject.Rejection {
+	return rc.x.failure(rc.running[len(rc.running)-1])
+}
+
+// dropOthers cancels the attempts that lost. Each is closed, with its buffer,
+// once its goroutine is done with it.
+func (rc *race) dropOthers(winner *attempt) {
+	for _, a := range rc.running {
+		if a != winner {
+			a.cancel(errNotWanted)
+		}
+	}
+	if rc.pending == 0 {
+		return
+	}
+	go func(n int) {
+		for range n {
+			(<-rc.results).close()
+		}
+	}(rc.pending)
+}
--- /dev/null
+++ b/forward/registry.go
@@ -0,0 +1,130 @@
+package forward
+
+import (
+	"context"
+	"sync"
+
+	"github.com/juju/errors"
+
+	"pistachiomount.example/pistachiomount/document"
+	"pistachiomount.example/pistachiomount/forward/reject"
+)
+
+const (
+	errRevoked    = errors.ConstError("key revoked")
+	errNotAllowed = errors.ConstError("service no longer allowed")
+	errStale      = errors.ConstError("view stale")
+)
+
+// grantee is the caller that a request runs for.
+type grantee struct {
+	digest       [32]byte
+	customer, id string
+	service      string
+	keyed        bool
+	trusted      bool // carries no key: a job, accepted with one before
+	anyService   bool // concerns no service: the state of a job
+}
+
+// check returns why the request may not go on under the view.
+func (g *grantee) check(v View) error {
+	if !g.keyed {
+		return nil
+	}
+	customer := v.Index.Customer(g.customer)
+	if !g.trusted {
+		var id string
+		var ok bool
+		customer, id, ok = v.Index.Authenticate(g.digest)
+		if !ok || customer.Name != g.customer || id != g.id {
+			return errRevoked
+		}
+	}
+	if customer == nil || !g.anyService && !customer.AllowsService(g.service) {
+		return errNotAllowed
+	}
+	return nil
+}
+
+// registry holds the running requests on routes that need a key, by key.
+type registry struct {
+	mu   sync.Mutex
+	keys map[keyRef]map[*exchange]struct{}
+}
+
+type keyRef struct{ customer, id string }
+
+func (g *registry) add(x *exchange) {
+	ref := keyRef{x.who.customer, x.who.id}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.keys == nil {
+		g.keys = map[keyRef]map[*exchange]struct{}{}
+	}
+	if g.keys[ref] == nil {
+		g.keys[ref] = map[*exchange]struct{}{}
+	}
+	g.keys[ref][x] = struct{}{}
+}
+
+func (g *registry) remove(x *exchange) {
+	ref := keyRef{x.who.customer, x.who.id}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.keys[ref], x)
+	if len(g.keys[ref]) == 0 {
+		delete(g.keys, ref)
+	}
+}
+
+// revalidate cancels the requests that the view no longer permits.
+func (g *registry) revalidate(v View, l Limits) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	stale := !v.Fresh && v.StaleFor > l.StaleStream
+	for _, group := range g.keys {
+		for x := range group {
+			if stale && !x.who.trusted {
+				x.cancel(errStale)
+			} else if err := x.who.check(v); err != nil {
+				x.cancel(err)
+			}
+		}
+	}
+}
+
+// allowed returns why a request may not be sent now.
+func (x *exchange) allowed() *reject.Rejection {
+	if x.ctx.Err() != nil {
+		return x.refusal(context.Cause(x.ctx))
+	}
+	if !x.who.keyed {
+		return nil
+	}
+	v := x.h.cfg.Views.View()
+	if !v.Fresh {
+		return x.refusal(errStale)
+	}
+	if v.Revision == x.view.Revision {
+		return nil
+	}
+	x.view = v
+	if err := x.who.check(v); err != nil {
+		return x.refusal(err)
+	}
+	return nil
+}
+
+// authenticate finds the customer of a key.
+func (g *grantee) authenticate(v View, key string) *reject.Rejection {
+	g.digest = document.KeyDigest(key)
+	customer, id, ok := v.Index.Authenticate(g.digest)
+	if !ok {
+		return reject.New(reject.KeyUnknown, "the key is not valid")
+	}
+	g.customer, g.id = customer.Name, id
+	if !g.anyService && !customer.AllowsService(g.service) {
+		return reject.New(reject.NotAllowed, "the customer may not use this service")
+	}
+	return nil
+}
--- /dev/null
+++ b/forward/run_job.go
@@ -0,0 +1,92 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"go.opentelemetry.io/otel/trace"
+
+	"pistachiomount.example/pistachiomount/apipb"
+	"pistachiomount.example/pistachiomount/forward/reject"
+	"pistachiomount.example/pistachiomount/forward/sanitize"
+)
+
+// RunJob sends a deferred request. An error is a *reject.Rejection; its Run
+// says whether the job may go back to the queue. The job must have been marked
+// started if it is not idempotent.
+func (h *Handler) RunJob(ctx context.Context, job *apipb.Job) (*apipb.Outcome, error) {
+	started := time.Now()
+	x := h.newExchange()
+	ctx, span := h.cfg.Tracer.Start(ctx, "job", trace.WithSpanKind(trace.SpanKindConsumer))
+	defer x.end(span, started)
+	outcome, rejection := x.runJob(ctx, job)
+	if rejection != nil {
+		x.ended.Reason, x.ended.Run = rejection.Reason, rejection.Run
+		return nil, rejection
+	}
+	x.ended.Status = int(outcome.GetStatusCode())
+	return outcome, nil
+}
+
+func (x *exchange) runJob(ctx context.Context, job *apipb.Job) (*apipb.Outcome, *reject.Rejection) {
+	if rejection := x.acceptJob(job); rejection != nil {
+		return nil, rejection
+	}
+	defer x.start(ctx)()
+	a, rejection := x.forward()
+	if rejection != nil {
+		return nil, rejection
+	}
+	defer a.close()
+	outcome := a.outcome(x.h.cfg.Limits.StoredOutcome)
+	if !a.whole {
+		if a.err = a.discardRest(); a.err != nil {
+			x.sent = true
+			return nil, x.failure(a)
+		}
+	}
+	return outcome, nil
+}
+
+// acceptJob restores the request. The route may have changed since the job was
+// accepted: it is repeated only if both the old and the new route allow that.
+func (x *exchange) acceptJob(job *apipb.Job) *reject.Rejection {
+	var rejection *reject.Rejection
+	if x.target, rejection = parseTarget(job.GetPath()); rejection != nil {
+		return rejection
+	}
+	match, ok := x.view.Index.Match(x.target.Path)
+	if !ok || match.Service.Name != job.GetService() {
+		return reject.New(reject.RouteUnknown, "no route has this path any more")
+	}
+	route := *match.Route
+	route.Idempotent = route.Idempotent && job.GetIdempotent()
+	x.service, x.route, x.method, x.body = match.Service, &route, job.GetMethod(), job.GetBody()
+	x.who = grantee{customer: job.GetCustomer(), service: job.GetService(), keyed: true, trusted: true}
+	x.query = Query{Service: job.GetService(), Customer: job.GetCustomer(), From: x.view.Region}
+	x.header = jobHeader(job)
+	x.deadline = time.Now().Add(route.Deadline())
+	if err := x.who.check(x.view); err != nil {
+		return x.refusal(err)
+	}
+	return x.takeRate()
+}
+
+func jobHeader(job *apipb.Job) http.Header {
+	h := make(http.Header, len(job.GetHeaders()))
+	for name, value := range job.GetHeaders() {
+		h[http.CanonicalHeaderKey(name)] = []string{value}
+	}
+	return sanitize.RequestHeader(h, "")
+}
+
+// discardRest reads the answer to its end to learn whether it is whole.
+func (a *attempt) discardRest() error {
+	for {
+		a.buf.clear()
+		if _, err := a.read(a.buf.room(readChunk)); err != nil {
+			return ignoreEOF(err)
+		}
+	}
+}
--- /dev/null
+++ b/forward/sanitize/target.go
@@ -0,0 +1,181 @@
+package sanitize
+
+import (
+	"net/url"
+	"strings"
+	"unicode/utf8"
+)
+
+// Target is a checked request target.
+type Target struct {
+	// Path is decoded and selects the route.
+	Path string
+	// Raw is the path as it goes to the upstream.
+	Raw string
+	// Query is the raw query without its question mark.
+	Query string
+}
+
+// String returns the target in origin form.
+func (t Target) String() string {
+	if t.Query == "" {
+		return t.Raw
+	}
+	return t.Raw + "?" + t.Query
+}
+
+// ParseTarget checks a request target in origin form. It refuses every path
+// that another implementation could resolve to a different route, instead of
+// cleaning it, so that all hops agree on what the path means.
+func ParseTarget(uri string) (Target, error) {
+	if uri == "" || uri[0] != '/' {
+		return Target{}, ErrTarget
+	}
+	raw, query, _ := strings.Cut(uri, "?")
+	path, ok := decodePath(raw)
+	if !ok || !plainSegments(path) || !plainQuery(query) {
+		return Target{}, ErrTarget
+	}
+	if err := checkParameters(query); err != nil {
+		return Target{}, err
+	}
+	return Target{Path: path, Raw: raw, Query: query}, nil
+}
+
+func decodePath(raw string) (string, bool) {
+	var decoded []byte
+	for i := 0; i < len(raw); i++ {
+		c := raw[i]
+		if c != '%' {
+			if c <= ' ' || c >= 0x7f || c == '\\' || c == ';' || c == '#' {
+				return "", false
+			}
+			if decoded != nil {
+				decoded = append(decoded, c)
+			}
+			continue
+		}
+		v, ok := unhex(raw, i)
+		if !ok || mustStandPlain(v) {
+			return "", false
+		}
+		if decoded == nil {
+			decoded = append(make([]byte, 0, len(raw)), raw[:i]...)
+		}
+		decoded = append(decoded, v)
+		i += 2
+	}
+	if decoded == nil {
+		return raw, true
+	}
+	return string(decoded), utf8.Valid(decoded)
+}
+
+// mustStandPlain reports bytes that may not be percent-encoded in a path:
+// unreserved characters, whose encoded form is another spelling of the same
+// path, and those that separate, climb or decode again.
+func mustStandPlain(v byte) bool {
+	switch {
+	case 'a' <= v && v <= 'z', 'A' <= v && v <= 'Z', '0' <= v && v <= '9', v < ' ', v == 0x7f:
+		return true
+	}
+	return strings.IndexByte(`-._~/\;%`, v) >= 0
+}
+
+func unhex(s string, i int) (byte, bool) {
+	if i+2 >= len(s) {
+		return 0, false
+	}
+	hi, ok1 := hexDigit(s[i+1])
+	lo, ok2 := hexDigit(s[i+2])
+	return hi<<4 | lo, ok1 && ok2
+}
+
+func hexDigit(c byte) (byte, bool) {
+	switch {
+	case '0' <= c && c <= '9':
+		return c - '0', true
+	case 'a' <= c && c <= 'f':
+		return c - 'a' + 10, true
+	case 'A' <= c && c <= 'F':
+		return c - 'A' + 10, true
+	}
+	return 0, false
+}
+
+func plainSegments(path string) bool {
+	if strings.Contains(path, "//") {
+		return false
+	}
+	for rest := path[1:]; rest != ""; {
+		var segment string
+		segment, rest, _ = strings.Cut(rest, "/")
+		if segment == "." || segment == ".." {
+			return false
+		}
+	}
+	return true
+}
+
+func plainQuery(query string) bool {
+	for i := range len(query) {
+		if c := query[i]; c <= ' ' || c >= 0x7f || c == '#' {
+			return false
+		}
+	}
+	return true
+}
+
+func checkParameters(query string) error {
+	for query != "" {
+		pair, rest := cutPair(query)
+		query = rest
+		name, _, _ := strings.Cut(pair, "=")
+		decoded, err := url.QueryUnescape(name)
+		if err != nil {
+			return ErrTarget
+		}
+		if namesKey(decoded) {
+			return ErrKeyInQuery
+		}
+	}
+	return nil
+}
+
+// cutPair separates at semicolons too: some upstreams accept them.
+func cutPair(query string) (pair, rest string) {
+	if i := strings.IndexAny(query, "&;"); i >= 0 {
+		return query[:i], query[i+1:]
+	}
+	return query, ""
+}
+
+func namesKey(name string) bool {
+	switch strings.ToLower(strings.ReplaceAll(name, "-", "_")) {
+	case "api_key", "x_api_key", "key", "access_token":
+		return true
+	}
+	return false
+}
+
+// WithoutKey returns the target without the query parameters that contain the
+// key. It reports false if the path contains it.
+func (t Target) WithoutKey(key string) (Target, bool) {
+	if Holds(t.Raw, key) {
+		return Target{}, false
+	}
+	if !Holds(t.Query, key) {
+		return t, true
+	}
+	kept := make([]string, 0, 4)
+	for query := t.Query; query != ""; {
+		var pair string
+		if pair, query = cutPair(query); !Holds(pair, key) {
+			kept = append(kept, pair)
+		}
+	}
+	if t.Query = strings.Join(kept, "&"); Holds(t.Query, key) {
+		t.Query = "" // a key that itself contains a separator
+	}
+	return t, true
+}
--- /dev/null
+++ b/forward/slots.go
@@ -0,0 +1,7 @@
+package forward
+
+// Slots holds the slots of upstreams.
+type Slots interface {
+	TryAcquire(upstream string) bool
+	Release(upstream string)
+}
--- /dev/null
+++ b/forward/view.go
@@ -0,0 +1,24 @@
+package forward
+
+import (
+	"time"
+
+	"pistachiomount.example/pistachiomount/document"
+)
+
+// View is the state that a request is decided by. It is immutable.
+type View struct {
+	Index    *document.Index
+	Revision uint64
+	// Fresh is false once the view is older than the revocation bound allows.
+	Fresh bool
+	// StaleFor is the time since the view stopped being fresh.
+	StaleFor time.Duration
+	// Region is the region of this entry VM.
+	Region string
+}
+
+// Views gives the current view. Implementations are safe for concurrent use.
+type Views interface {
+	View() View
+}
