Test the request path; close a data race of hedges

Cause: a hedge that found no grant read the state of the attempt that was still running, to explain a failure nobody asked for. Seen by the race detector in TestHedgeSpendsBudgetAndGrants.

--- a/forward/answer.go
+++ b/forward/answer.go
@@ -27,6 +27,7 @@
 	if len(a.resp.Trailer) == 0 && mayHaveBody(x.method, a.resp.StatusCode) {
 		c.w.Header()["Content-Length"] = []string{strconv.Itoa(len(body))}
 	}
+	addTrailer(c.w.Header(), a.resp.Trailer) // before the head: it rules out a Content-Length
 	a.release()
 	x.leaveQueue()
 	c.allowWrite()
@@ -34,7 +35,6 @@
 	if c.write(body) != nil {
 		panic(http.ErrAbortHandler)
 	}
-	addTrailer(c.w.Header(), a.resp.Trailer)
 }
 
 func mayHaveBody(method string, status int) bool {
--- a/forward/once.go
+++ b/forward/once.go
@@ -21,16 +21,16 @@
 	}
 	defer a.close()
 	x.sent = a.sent
-	return nil, x.failure(a)
+	return nil, x.failure(a.err)
 }
 
 // failure explains a failed attempt to the caller.
-func (x *exchange) failure(a *attempt) *reject.Rejection {
+func (x *exchange) failure(err error) *reject.Rejection {
 	var r *reject.Rejection
 	switch {
 	case x.ctx.Err() != nil:
 		return x.refusal(context.Cause(x.ctx))
-	case errors.Is(a.err, pool.ErrNoPermit):
+	case errors.Is(err, pool.ErrNoPermit):
 		r = reject.New(reject.OverCapacity, "no connection to the upstream is left").After(retrySoon)
 	case x.sent && !x.route.Idempotent:
 		return reject.NewUnknown(reject.OutcomeUnknown, "the upstream gave no whole answer")
--- /dev/null
+++ b/forward/once_test.go
@@ -0,0 +1,144 @@
+package forward
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"pistachiomount.example/pistachiomount/apipb"
+)
+
+// hijack ends the connection after the request was read and some bytes sent.
+func hijack(answer string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, _ := w.(http.Hijacker).Hijack()
+		_, _ = io.WriteString(conn, answer)
+		_ = conn.Close()
+	}
+}
+
+func silent(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+
+// Guards against a second run of a request that may not be repeated, and against
+// not_run once an upstream has read it. The standard transport repeats requests
+// with an Idempotency-Key, or without a body, on reused connections.
+func TestNonIdempotentRunsAtMostOnce(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		serve http.HandlerFunc
+		path  string
+		want  string
+	}{
+		{"closes", hijack(""), "/book", "outcome_unknown/unknown"},
+		{"cuts head", hijack("HTTP/1.1 200 OK\r\nContent-Le"), "/book", "outcome_unknown/unknown"},
+		{"cuts body", hijack("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc"), "/book", "outcome_unknown/unknown"},
+		{"cuts chunks", hijack("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"), "/book", "outcome_unknown/unknown"},
+		{"no length", hijack("HTTP/1.1 200 OK\r\n\r\nabc"), "/book", "outcome_unknown/unknown"},
+		{"large head", hijack("HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 70<<10) + "\r\n\r\n"), "/book", "outcome_unknown/unknown"},
+		{"switches", hijack("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n"), "/book", "outcome_unknown/unknown"},
+		{"silent", silent, "/brief", "deadline/unknown"},
+	} {
+		for _, claim := range []string{"", "claim"} {
+			t.Run(c.name+claim, func(t *testing.T) {
+				is := is.New(t)
+				first := true
+				up := newRecorder(t, "a", "near", func(w http.ResponseWriter, r *http.Request) {
+					if !first {
+						c.serve(w, r)
+					}
+					first = false
+				})
+				w := newWorld(t, up, newRecorder(t, "b", "near", nil))
+				is.Equal(w.keyed("POST", "/book", "").status, 200) // leaves a connection to reuse, if any
+				if claim == "" {
+					is.Equal(w.keyed("POST", c.path, "").reason(), c.want)
+					is.Equal(up.count(), 2)
+					return
+				}
+				is.Equal(w.keyed("POST", c.path, "", "Idempotency-Key", claim).reason(), c.want)
+				is.Equal(w.keyed("POST", c.path, "", "Idempotency-Key", claim).reason(), "outcome_unknown/unknown")
+				is.Equal(up.count(), 2)
+				is.Equal(len(w.completed), 0) // nothing is known to record
+			})
+		}
+	}
+}
+
+// Guards against an unknown outcome where nothing can have been sent, and
+// against a claim that stays behind such a request.
+func TestRefusedConnectionIsNotRun(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	dead := &recorder{upstream: Upstream{Name: "dead", Address: l.Addr().String(), Region: "near"}}
+	is.NoErr(l.Close())
+	spare := newRecorder(t, "spare", "near", nil)
+	w := newWorld(t, dead, spare)
+	is.Equal(w.keyed("POST", "/book", "x").reason(), "upstream_failed/not_run")
+	is.Equal(w.keyed("POST", "/book", "x", "Idempotency-Key", "c").reason(), "upstream_failed/not_run")
+	is.Equal(spare.count(), 0)
+	eventually(t, "claim released", func() bool { return len(w.completed) == 1 && w.completed[0].Outcome.NotRun }, &w.mu)
+	w.upstreams = w.upstreams[1:]
+	is.Equal(w.keyed("POST", "/book", "x", "Idempotency-Key", "c").body, "spare") // may run now
+}
+
+// Guards against a duplicate that runs again or gets another answer.
+func TestClaimReplaysFirstOutcome(t *testing.T) {
+	is := is.New(t)
+	up := newRecorder(t, "a", "near", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Number", "7")
+		w.WriteHeader(http.StatusCreated)
+		_, _ = io.WriteString(w, "booked")
+	})
+	w := newWorld(t, up)
+	first := w.keyed("POST", "/book", "x", "Idempotency-Key", "c")
+	eventually(t, "outcome recorded", func() bool { return len(w.completed) == 1 }, &w.mu)
+	again := w.keyed("POST", "/book", "x", "Idempotency-Key", "c")
+	is.Equal(first.status, 201)
+	is.Equal(first.header.Get("Idempotency-Replayed"), "")
+	is.Equal(again.header.Get("Idempotency-Replayed"), "true")
+	is.Equal(again.status, 201)
+	is.Equal(again.body+again.header.Get("X-Number"), "booked7")
+	is.Equal(up.count(), 1)
+	w.claims["d"] = &apipb.ClaimReply{Status: apipb.ClaimStatus_CLAIM_STATUS_DONE, Outcome: &apipb.Outcome{StatusCode: 200, BodyOmitted: true}}
+	is.Equal(w.keyed("POST", "/book", "x", "Idempotency-Key", "d").reason(), "outcome_unknown/unknown")
+}
+
+// Guards against the body alone deciding whether two requests are the same.
+func TestClaimDigestCoversTarget(t *testing.T) {
+	is := is.New(t)
+	digest := func(method, target, body string) string {
+		x := exchange{method: method, body: []byte(body)}
+		x.target, _ = parseTarget(target)
+		return string(x.digest())
+	}
+	is.Equal(digest("POST", "/book?a=1", "b"), digest("POST", "/book?a=1", "b"))
+	is.True(digest("POST", "/book/x", "b") != digest("POST", "/book/y", "b"))
+	is.True(digest("POST", "/book", "b") != digest("PUT", "/book", "b"))
+	is.True(digest("POST", "/book", "b") != digest("POST", "/book", "c"))
+}
+
+// Guards against an outcome lost because its caller hung up.
+func TestClaimedRequestOutlivesCaller(t *testing.T) {
+	is := is.New(t)
+	arrived, proceed := make(chan struct{}), make(chan struct{})
+	up := newRecorder(t, "a", "near", func(w http.ResponseWriter, _ *http.Request) {
+		close(arrived)
+		<-proceed
+		_, _ = io.WriteString(w, "booked")
+	})
+	w := newWorld(t, up)
+	conn, err := net.Dial("tcp", w.server.Listener.Addr().String())
+	is.NoErr(err)
+	_, err = io.WriteString(conn, "POST /book HTTP/1.1\r\nHost: x\r\nX-Api-Key: "+aliceKey+"\r\nIdempotency-Key: c\r\nContent-Length: 1\r\n\r\nx")
+	is.NoErr(err)
+	<-arrived
+	is.NoErr(conn.Close())
+	close(proceed)
+	eventually(t, "outcome recorded", func() bool { return len(w.completed) == 1 }, &w.mu)
+	is.Equal(string(w.completed[0].Outcome.Body), "booked")
+}
--- a/forward/race.go
+++ b/forward/race.go
@@ -15,6 +15,7 @@
 	running  []*attempt
 	pending  int
 	excluded []string
+	last     error // of the attempt that failed last
 }
 
 func newRace(x *exchange) *race {
@@ -42,8 +43,8 @@
 func (rc *race) launch(hedge bool) *reject.Rejection {
 	a, rejection := rc.x.pick(rc.excluded)
 	if rejection != nil {
-		if len(rc.excluded) > 0 {
-			return rc.failed()
+		if rc.last != nil {
+			return rc.x.failure(rc.last)
 		}
 		return rejection
 	}
@@ -100,6 +101,7 @@
 	}
 	rc.x.sent = rc.x.sent || a.sent
 	if a.err != nil {
+		rc.last = a.err
 		a.close()
 		return false
 	}
@@ -117,15 +119,11 @@
 		return rejection
 	}
 	if !rc.attemptsLeft() || !rc.x.h.cfg.Chooser.TakeRetry(rc.x.query.Service) {
-		return rc.failed()
+		return rc.x.failure(rc.last)
 	}
 	return nil
 }
 
-func (rc *race) failed() *reject.Rejection {
-	return rc.x.failure(rc.running[len(rc.running)-1])
-}
-
 // dropOthers cancels the attempts that lost. Each is closed, with its buffer,
 // once its goroutine is done with it.
 func (rc *race) dropOthers(winner *attempt) {
--- /dev/null
+++ b/forward/race_test.go
@@ -0,0 +1,188 @@
+package forward
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against cut, refused and failed answers that reach a caller of an
+// idempotent route while another upstream works.
+func TestIdempotentRetries(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		serve http.HandlerFunc
+		want  Result
+	}{
+		{"closes", hijack(""), ResultFailed},
+		{"cuts body", hijack("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc"), ResultFailed},
+		{"cuts chunks", hijack("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"), ResultFailed},
+		{"no length", hijack("HTTP/1.1 200 OK\r\n\r\nabc"), ResultFailed},
+		{"502", status(502), ResultRefused},
+		{"503", status(503), ResultRefused},
+		{"504", status(504), ResultRefused},
+		{"silent", silent, ResultTimeout},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			bad, good := newRecorder(t, "bad", "near", c.serve), newRecorder(t, "good", "near", nil)
+			w := newWorld(t, bad, good)
+			is.Equal(w.keyed("GET", "/short", "").body, "good")
+			is.Equal(bad.count(), 1)
+			is.Equal(w.reports[c.want], 1)
+			w.retries = 0 // an empty budget leaves the one attempt
+			is.Equal(w.keyed("GET", "/look", "", "X-Request-Deadline-Ms", "100").header.Get("X-Request-Run"), "unknown")
+			is.Equal(good.count(), 1)
+		})
+	}
+}
+
+func status(code int) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(code) }
+}
+
+// Guards against a draining upstream that goes unnoticed, and against one that
+// is taken for draining because the hop itself asked to close the connection.
+func TestDrainingIsReported(t *testing.T) {
+	is := is.New(t)
+	up := newRecorder(t, "a", "near", func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == "GET" {
+			w.Header().Set("Connection", "close")
+		}
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	w := newWorld(t, up)
+	is.Equal(w.keyed("POST", "/book", "").status, 503)
+	is.Equal(w.draining, 0)
+	is.Equal(w.keyed("GET", "/look", "").reason(), "upstream_failed/unknown")
+	is.Equal(w.draining, 1)
+}
+
+// Guards against a refused connection that costs the caller its answer, and
+// against unknown where no attempt could send anything.
+func TestConnectErrors(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	dead := &recorder{upstream: Upstream{Name: "dead", Address: l.Addr().String(), Region: "near"}}
+	is.NoErr(l.Close())
+	is.Equal(newWorld(t, dead, newRecorder(t, "b", "far", nil)).keyed("GET", "/look", "").body, "b")
+	is.Equal(newWorld(t, dead).keyed("GET", "/look", "").reason(), "upstream_failed/not_run")
+}
+
+// Guards against the late answer of a cancelled attempt reaching any caller:
+// the slow upstream answers every request after its hedge has won.
+func TestLateAnswersReachNobody(t *testing.T) {
+	is := is.New(t)
+	echo := func(w http.ResponseWriter, r *http.Request, from string) {
+		_, _ = io.WriteString(w, strings.Repeat(from+r.URL.RawQuery+".", 500))
+	}
+	var late atomic.Int64
+	slow := newRecorder(t, "slow", "near", func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, "slow")
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+		echo(w, r, "slow")
+		late.Add(1)
+	})
+	fast := newRecorder(t, "fast", "near", func(w http.ResponseWriter, r *http.Request) { echo(w, r, "fast") })
+	w := newWorld(t, slow, fast)
+	w.hedge, w.retries = time.Millisecond, 1000
+	var wg sync.WaitGroup
+	wrong := make(chan string, 400)
+	for worker := range 10 {
+		wg.Go(func() {
+			for i := range 20 {
+				q := fmt.Sprintf("n=%d-%d", worker, i)
+				got := w.keyed("GET", "/look?"+q, "")
+				if got.status != 200 || got.body != strings.Repeat("fast"+q+".", 500) {
+					wrong <- q
+				}
+			}
+		})
+	}
+	wg.Wait()
+	is.Equal(len(wrong), 0)
+	is.Equal(fast.count(), 200)
+	eventually(t, "every loser reported", func() bool { return w.reports[ResultCancelled] == 200 }, &w.mu)
+	is.Equal(w.reports[ResultAnswered], 200)
+}
+
+// Guards against hedges that are made without budget or grants.
+func TestHedgeSpendsBudgetAndGrants(t *testing.T) {
+	for _, refuse := range []string{"", "slotfast"} {
+		is := is.New(t)
+		var fast *recorder
+		slow := newRecorder(t, "slow", "near", func(w http.ResponseWriter, _ *http.Request) {
+			for range 40 { // longer than the hedge delay
+				time.Sleep(time.Millisecond)
+			}
+			_, _ = io.WriteString(w, "slow")
+		})
+		fast = newRecorder(t, "fast", "near", nil)
+		w := newWorld(t, slow, fast)
+		w.hedge, w.refuse[refuse] = time.Millisecond, refuse != ""
+		w.retries = len(refuse) // none for the first round
+		is.Equal(w.keyed("GET", "/look", "").body, "slow")
+		is.Equal(fast.count(), 0)
+	}
+}
+
+// Guards against a part of a large answer passing for the whole.
+func TestLargeCutAnswerAbortsCaller(t *testing.T) {
+	is := is.New(t)
+	part := strings.Repeat("x", 2<<20)
+	for name, serve := range map[string]http.HandlerFunc{
+		"length": hijack("HTTP/1.1 200 OK\r\nContent-Length: 3000000\r\n\r\n" + part),
+		"chunks": hijack("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n200000\r\n" + part + "\r\n"),
+	} {
+		up, spare := newRecorder(t, name, "near", serve), newRecorder(t, "spare", "near", nil)
+		w := newWorld(t, up, spare)
+		got := w.keyed("GET", "/look", "")
+		is.Equal(got.status, 200)
+		is.True(got.err != nil) // the cut is visible
+		is.Equal(spare.count(), 0)
+		eventually(t, "reported as failed", func() bool { return w.reports[ResultFailed] == 1 && w.ended[0].Aborted }, &w.mu)
+	}
+}
+
+// Guards against answers that lose bytes, trailers or their form on the way.
+func TestWholeAnswers(t *testing.T) {
+	up := newRecorder(t, "a", "far", func(w http.ResponseWriter, r *http.Request) {
+		size := 0
+		_, _ = fmt.Sscanf(r.URL.RawQuery, "%d", &size)
+		if r.Method == http.MethodPut {
+			w.Header().Set("Trailer", "X-Sum")
+			defer w.Header().Set("X-Sum", "7")
+		}
+		w.Header().Set("Content-Encoding", "gzip") // must not be undone
+		_, _ = io.WriteString(w, strings.Repeat("y", size))
+	})
+	w := newWorld(t, up)
+	for _, size := range []int{0, 1, 8 << 10, 64<<10 + 1, 1<<20 - 1, 1 << 20, 1<<20 + 1, 5 << 20} {
+		for _, method := range []string{"GET", "PUT", "HEAD"} {
+			t.Run(fmt.Sprint(method, size), func(t *testing.T) {
+				is := is.New(t)
+				got := w.keyed(method, fmt.Sprintf("/look?%d", size), "")
+				is.NoErr(got.err)
+				is.Equal(got.status, 200)
+				is.True(method == "HEAD" || got.body == strings.Repeat("y", size))
+				is.Equal(got.header.Get("Content-Encoding"), "gzip")
+				is.True(method != "PUT" || got.header.Get("Trailer-X-Sum") == "7")
+			})
+		}
+	}
+	is := is.New(t)
+	// The charges cover what passed and no more than the estimate of heads beyond it.
+	passed := 2 * (8<<10 + 64<<10 + 3<<20 + 5<<20 + 2)
+	is.True(w.links["far>near"] >= passed && w.links["far>near"] < passed+24*4096)
+	is.True(w.links["near>far"] >= 24*headOverhead && w.links["near>far"] < 24*4096)
+}
--- /dev/null
+++ b/forward/revoke_test.go
@@ -0,0 +1,184 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pistachiomount.example/pistachiomount/apipb"
+	"pistachiomount.example/pistachiomount/document"
+)
+
+func revoke(v *View) {
+	v.Index, v.Revision = document.NewIndex(testDocument("another-key-of-alice")), v.Revision+1
+}
+
+func expire(v *View) { v.Fresh, v.StaleFor = false, time.Hour }
+
+// endless sends chunks until its caller is gone.
+func endless(w http.ResponseWriter, r *http.Request) {
+	for r.Context().Err() == nil {
+		_, _ = io.WriteString(w, strings.Repeat("z", 64<<10))
+	}
+}
+
+// Guards against a revoked key, or one that cannot be checked, that goes on
+// working for a request that waits or is between two attempts.
+func TestRevokedBeforeSending(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(*View)
+		want   string
+	}{{"revoked", revoke, "key_unknown/"}, {"stale", expire, "view_stale/"}} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			up := newRecorder(t, "a", "near", nil)
+			w := newWorld(t, up)
+			w.queueGate = func(ctx context.Context) error {
+				go w.setView(c.change) // while the request waits
+				<-ctx.Done()
+				return ctx.Err()
+			}
+			is.Equal(w.keyed("POST", "/book", "").reason(), c.want+"not_run")
+			is.Equal(up.count(), 0)
+
+			var second *world
+			bad := newRecorder(t, "bad", "near", func(rw http.ResponseWriter, _ *http.Request) {
+				second.mu.Lock()
+				c.change(&second.view) // without Revalidate: the next attempt must look itself
+				second.mu.Unlock()
+				rw.WriteHeader(http.StatusServiceUnavailable)
+			})
+			second = newWorld(t, bad, up)
+			is.Equal(second.keyed("GET", "/look", "").reason(), c.want+"unknown")
+			is.Equal(up.count(), 0)
+		})
+	}
+}
+
+// Guards against a long answer that goes on for a revoked key, a stale view or a
+// caller that does not read, and against such a caller holding up others.
+func TestLongAnswersStop(t *testing.T) {
+	for name, change := range map[string]func(*View){"revoked": revoke, "stale": expire} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t, newRecorder(t, "a", "near", endless))
+			conn, err := net.Dial("tcp", w.server.Listener.Addr().String())
+			is.NoErr(err)
+			defer conn.Close()
+			_, err = io.WriteString(conn, "GET /look HTTP/1.1\r\nHost: x\r\nX-Api-Key: "+aliceKey+"\r\n\r\n")
+			is.NoErr(err)
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			is.NoErr(err)
+			_, err = io.ReadFull(resp.Body, make([]byte, 2<<20))
+			is.NoErr(err)
+			// The caller reads nothing from here on; the write of the hop blocks.
+			w.setView(func(v *View) { v.Revision++ }) // an unrelated change stops nothing
+			is.Equal(w.handler.memory.left.Load(), w.handler.cfg.Limits.BodyMemory)
+			is.Equal(len(w.ended), 0)
+			w.setView(change)
+			eventually(t, "the request ended", func() bool { return len(w.ended) == 1 && w.ended[0].Aborted }, &w.mu)
+			_, err = io.Copy(io.Discard, resp.Body)
+			is.True(err != nil)
+		})
+	}
+}
+
+// Guards against slots held for a caller that does not read a whole answer, and
+// against a view that is stale for less than the bound ending answers.
+func TestSlowReaderHoldsNoSlot(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, newRecorder(t, "a", "near", func(rw http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(rw, strings.Repeat("z", 1<<20))
+	}))
+	for range 20 { // 20 MiB that nobody reads
+		conn, err := net.Dial("tcp", w.server.Listener.Addr().String())
+		is.NoErr(err)
+		defer conn.Close()
+		is.NoErr(conn.(*net.TCPConn).SetReadBuffer(4096))
+		_, err = io.WriteString(conn, "GET /look HTTP/1.1\r\nHost: x\r\nX-Api-Key: "+aliceKey+"\r\n\r\n")
+		is.NoErr(err)
+	}
+	eventually(t, "all slots and turns are free", func() bool {
+		return w.reports[ResultAnswered] == 20 && w.taken["slota"] == 0 && w.taken["turnsvcalice"] == 0
+	}, &w.mu)
+	w.setView(func(v *View) { v.Fresh, v.StaleFor = false, time.Second })
+	w.setView(func(v *View) { v.Fresh = true })
+	is.Equal(len(w.keyed("GET", "/look", "").body), 1<<20)
+}
+
+// Guards against a slow sender that holds more than its own connection.
+func TestSlowSenderHoldsNothing(t *testing.T) {
+	is := is.New(t)
+	up := newRecorder(t, "a", "near", nil)
+	w := newWorld(t, up)
+	conn, err := net.Dial("tcp", w.server.Listener.Addr().String())
+	is.NoErr(err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "POST /brief HTTP/1.1\r\nHost: x\r\nX-Api-Key: "+aliceKey+"\r\nContent-Length: 1000\r\n\r\nabc")
+	is.NoErr(err)
+	is.Equal(w.keyed("POST", "/book", "x").body, "a") // meanwhile
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err)
+	is.Equal(resp.Header.Get("X-Request-Run"), "not_run")
+	is.Equal(resp.StatusCode, http.StatusGatewayTimeout)
+	is.Equal(up.count(), 1)
+}
+
+// Guards against request bodies that together take more memory than allowed.
+func TestBodyMemoryIsBounded(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, newRecorder(t, "a", "near", nil))
+	w.handler.memory.take(int(w.handler.cfg.Limits.BodyMemory) - 10)
+	is.Equal(w.keyed("POST", "/book", "12345678901").reason(), "over_capacity/not_run")
+	is.Equal(w.keyed("POST", "/book", "1234567890").status, 200)
+	w.handler.memory.give(int(w.handler.cfg.Limits.BodyMemory) - 10)
+}
+
+// Guards against jobs that others can read, that lose their request or keep the key.
+func TestDeferredJobs(t *testing.T) {
+	is := is.New(t)
+	up := newRecorder(t, "a", "near", nil)
+	w := newWorld(t, up)
+	got := w.keyed("POST", "/later/x?a=1&k="+aliceKey, "work", "X-Note", "n")
+	is.Equal(got.status, http.StatusAccepted)
+	is.Equal(got.body, `{"job_id":"j1"}`)
+	is.Equal(got.header.Get("Location"), "/v1/jobs/j1")
+	is.Equal(up.count(), 0)
+	is.True(!strings.Contains(w.job.String(), aliceKey))
+	is.Equal(w.do("GET", "/v1/jobs/j1", "").reason(), "key_missing/not_run")
+	is.Equal(w.do("GET", "/v1/jobs/j1", "", "X-Api-Key", bobKey).reason(), "route_unknown/not_run")
+	is.Equal(w.keyed("GET", "/v1/jobs/j2", "").reason(), "route_unknown/not_run")
+
+	outcome, err := w.handler.RunJob(context.Background(), w.job)
+	is.NoErr(err)
+	is.Equal(string(outcome.Body), "a")
+	is.True(strings.HasPrefix(up.seen[0], "POST /later/x?a=1 HTTP/1.1\r\n") && strings.HasSuffix(up.seen[0], "\r\n\r\nwork"))
+	is.True(strings.Contains(up.seen[0], "X-Customer: alice\r\n") && strings.Contains(up.seen[0], "X-Note: n\r\n"))
+	w.job.State, w.job.Outcome = apipb.JobState_JOB_STATE_DONE, outcome
+	is.True(strings.Contains(w.keyed("GET", "/v1/jobs/j1", "").body, `"state":"done","outcome":{"status_code":200`))
+}
+
+// Guards against a job that runs twice, or is said not to have run after it did.
+func TestJobFailures(t *testing.T) {
+	is := is.New(t)
+	bad := newRecorder(t, "bad", "near", hijack(""))
+	w := newWorld(t, bad, newRecorder(t, "b", "near", nil))
+	job := &apipb.Job{Customer: "alice", Service: "svc", Method: "POST", Path: "/later", Idempotent: true}
+	_, err := w.handler.RunJob(context.Background(), job) // the route is not idempotent any more
+	is.Equal(err.Error(), "outcome_unknown (unknown): the upstream gave no whole answer")
+	is.Equal(bad.count(), 1)
+	w.refuse["slot"] = true
+	_, err = w.handler.RunJob(context.Background(), job)
+	is.True(strings.HasPrefix(err.Error(), "over_capacity (not_run)"))
+	job.Customer = "removed"
+	_, err = w.handler.RunJob(context.Background(), job)
+	is.True(strings.HasPrefix(err.Error(), "not_allowed (not_run)"))
+}
--- a/forward/run_job.go
+++ b/forward/run_job.go
@@ -43,7 +43,7 @@
 	if !a.whole {
 		if a.err = a.discardRest(); a.err != nil {
 			x.sent = true
-			return nil, x.failure(a)
+			return nil, x.failure(a.err)
 		}
 	}
 	return outcome, nil
--- /dev/null
+++ b/forward/world_test.go
@@ -0,0 +1,338 @@
+package forward
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"pistachiomount.example/pistachiomount/apipb"
+	"pistachiomount.example/pistachiomount/document"
+	"pistachiomount.example/pistachiomount/forward/pool"
+)
+
+const (
+	aliceKey = "alice-key-0123456789"
+	bobKey   = "bob-key-9876543210"
+)
+
+// world fakes everything around the handler and checks that all grants return.
+type world struct {
+	mu        sync.Mutex
+	view      View
+	upstreams []Upstream
+	taken     map[string]int // grants out, by kind and name
+	refuse    map[string]bool
+	reports   map[Result]int
+	draining  int
+	links     map[string]int
+	linkGate  func(ctx context.Context) error
+	queueGate func(ctx context.Context) error
+	hedge     time.Duration
+	retries   int
+	ended     []Ended
+	claims    map[string]*apipb.ClaimReply
+	claimErr  error
+	completed []*apipb.CompleteRequest
+	job       *apipb.Job
+	enqueue   *apipb.EnqueueReply
+	handler   *Handler
+	server    *httptest.Server
+}
+
+func testDocument(aliceKeys ...string) *document.Document {
+	routes := []document.Route{
+		{Prefix: "/look", Methods: []string{"GET", "HEAD", "PUT"}, Idempotent: true, DeadlineMS: 20_000, MaxBodyBytes: 1 << 20},
+		{Prefix: "/open", Methods: []string{"GET"}, Idempotent: true, Public: true, DeadlineMS: 20_000, MaxBodyBytes: 100},
+		{Prefix: "/pay", Methods: []string{"POST"}, Public: true, DeadlineMS: 20_000, MaxBodyBytes: 100},
+		{Prefix: "/book", Methods: []string{"POST"}, DeadlineMS: 20_000, MaxBodyBytes: 1000},
+		{Prefix: "/short", Methods: []string{"GET"}, Idempotent: true, DeadlineMS: 400, MaxBodyBytes: 100},
+		{Prefix: "/brief", Methods: []string{"POST"}, DeadlineMS: 200, MaxBodyBytes: 1000},
+		{Prefix: "/later", Methods: []string{"POST"}, Mode: document.ModeDeferred, DeadlineMS: 20_000, MaxBodyBytes: 1000},
+	}
+	alice := document.Customer{Name: "alice", Services: []string{"svc"}}
+	for i, key := range aliceKeys {
+		alice.Keys = append(alice.Keys, document.Key{ID: fmt.Sprint("k", i), SHA256: fmt.Sprintf("%x", document.KeyDigest(key))})
+	}
+	bob := document.Customer{Name: "bob", Services: []string{"other"}, Keys: []document.Key{{ID: "b", SHA256: fmt.Sprintf("%x", document.KeyDigest(bobKey))}}}
+	return &document.Document{Services: []document.Service{{Name: "svc", Routes: routes}}, Customers: []document.Customer{alice, bob}}
+}
+
+// newWorld starts an entry server in region near in front of the upstreams.
+func newWorld(t testing.TB, upstreams ...*recorder) *world {
+	w := &world{
+		view:  View{Index: document.NewIndex(testDocument(aliceKey)), Revision: 1, Fresh: true, Region: "near"},
+		taken: map[string]int{}, refuse: map[string]bool{}, reports: map[Result]int{}, links: map[string]int{},
+		retries: 100, claims: map[string]*apipb.ClaimReply{}, enqueue: &apipb.EnqueueReply{JobId: "j1"},
+	}
+	for _, u := range upstreams {
+		w.upstreams = append(w.upstreams, u.upstream)
+	}
+	connections := pool.NewSet(pool.Options{Permits: w})
+	w.handler = New(Config{
+		Views: w, Admitter: (*customers)(w), Regions: (*regions)(w), Links: w, Slots: (*slots)(w), Chooser: w, Queue: (*queue)(w),
+		Claims: w, Jobs: w, Observer: w, Pool: connections, Limits: Limits{CompleteTimeout: time.Second, WriteStall: 20 * time.Second},
+	})
+	w.server = httptest.NewUnstartedServer(w.handler)
+	w.server.Config.DisableGeneralOptionsHandler = true
+	w.server.Start()
+	w.server.Client().Transport.(*http.Transport).DisableCompression = true
+	t.Cleanup(func() {
+		w.server.Close()
+		connections.CloseIdle()
+		eventually(t, "all grants, turns and picks returned", func() bool {
+			for _, n := range w.taken {
+				if n != 0 {
+					return false
+				}
+			}
+			return len(w.handler.running.keys) == 0 && w.handler.memory.left.Load() == w.handler.cfg.Limits.BodyMemory
+		}, &w.mu)
+	})
+	return w
+}
+
+// eventually waits for a condition; the limit only ends a test that would hang.
+func eventually(t testing.TB, what string, cond func() bool, mu sync.Locker) {
+	t.Helper()
+	for range 3000 {
+		mu.Lock()
+		ok := cond()
+		mu.Unlock()
+		if ok {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Errorf("never happened: %s", what)
+}
+
+func (w *world) take(kind, name string, n int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if n > 0 && (w.refuse[kind] || w.refuse[kind+name]) {
+		return false
+	}
+	w.taken[kind+name] += n
+	return true
+}
+
+func (w *world) View() View {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.view
+}
+
+func (w *world) setView(change func(*View)) {
+	w.mu.Lock()
+	change(&w.view)
+	v := w.view
+	w.mu.Unlock()
+	w.handler.Revalidate(v)
+}
+
+type (
+	customers world
+	regions   world
+	slots     world
+	queue     world
+)
+
+func (c *customers) TryTake(string) (time.Duration, bool) {
+	return 1500 * time.Millisecond, !c.refuse["rate"]
+}
+
+func (r *regions) TryTake(region, _ string) bool {
+	return (*world)(r).take("region", region, 0) && !r.refuse["region"]
+}
+func (r *regions) Refund(string, string)      {}
+func (s *slots) TryAcquire(u string) bool     { return (*world)(s).take("slot", u, 1) }
+func (s *slots) Release(u string)             { (*world)(s).take("slot", u, -1) }
+func (w *world) AcquireConn(u string) bool    { return w.take("conn", u, 1) }
+func (w *world) ReleaseConn(u string)         { w.take("conn", u, -1) }
+func (q *queue) Release(service, user string) { (*world)(q).take("turn", service+user, -1) }
+
+func (q *queue) Acquire(ctx context.Context, service, user string) error {
+	if q.queueGate != nil {
+		if err := q.queueGate(ctx); err != nil {
+			return err
+		}
+	}
+	(*world)(q).take("turn", service+user, 1)
+	return nil
+}
+
+func (w *world) Wait(ctx context.Context, from, to string, n int) error {
+	if w.linkGate != nil {
+		if err := w.linkGate(ctx); err != nil {
+			return err
+		}
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.links[from+">"+to] += n
+	return ctx.Err()
+}
+
+func (w *world) Refund(from, to string, n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.links[from+">"+to] -= n
+}
+
+func (w *world) Regions(dst []string, _ Query) []string { return append(dst, "near", "far") }
+
+func (w *world) Pick(_ Query, region string, excluded []string) (Upstream, bool) {
+	for _, u := range w.upstreams {
+		if u.Region == region && !slices.Contains(excluded, u.Name) {
+			w.take("pick", u.Name, 1)
+			return u, true
+		}
+	}
+	return Upstream{}, false
+}
+
+func (w *world) Report(_ Query, u Upstream, r Report) {
+	w.take("pick", u.Name, -1)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.reports[r.Result]++
+	if r.Draining {
+		w.draining++
+	}
+}
+
+func (w *world) HedgeDelay(Query) time.Duration { return w.hedge }
+
+func (w *world) TakeRetry(string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.retries--
+	return w.retries >= 0
+}
+
+func (w *world) Ended(e Ended) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ended = append(w.ended, e)
+}
+
+// recorder is an upstream that keeps what reaches it, byte for byte.
+type recorder struct {
+	*httptest.Server
+	upstream Upstream
+	mu       sync.Mutex
+	seen     []string
+}
+
+func newRecorder(t testing.TB, name, region string, serve http.HandlerFunc) *recorder {
+	u := &recorder{}
+	u.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		var head strings.Builder
+		fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.RequestURI, r.Host)
+		_ = r.Header.Write(&head)
+		_ = r.Trailer.Write(&head)
+		u.mu.Lock()
+		u.seen = append(u.seen, head.String()+"\r\n"+string(body))
+		u.mu.Unlock()
+		if serve != nil {
+			serve(w, r)
+		} else {
+			_, _ = io.WriteString(w, name)
+		}
+	}))
+	u.upstream = Upstream{Name: name, Address: u.Listener.Addr().String(), Region: region}
+	t.Cleanup(func() {
+		u.CloseClientConnections()
+		u.Close()
+	})
+	return u
+}
+
+func (u *recorder) count() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return len(u.seen)
+}
+
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func (r reply) reason() string {
+	_, rest, _ := strings.Cut(r.body, `"reason":"`)
+	reason, _, _ := strings.Cut(rest, `"`)
+	return reason + "/" + r.header.Get("X-Request-Run")
+}
+
+func (w *world) do(method, path, body string, headers ...string) reply {
+	req, err := http.NewRequest(method, w.server.URL+path, strings.NewReader(body))
+	if err != nil {
+		return reply{err: err}
+	}
+	for i := 0; i < len(headers); i += 2 {
+		req.Header.Add(headers[i], headers[i+1])
+	}
+	resp, err := w.server.Client().Do(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer resp.Body.Close()
+	got, err := io.ReadAll(resp.Body)
+	for name, values := range resp.Trailer {
+		resp.Header["Trailer-"+name] = values
+	}
+	return reply{resp.StatusCode, resp.Header, string(got), err}
+}
+
+// keyed sends a request with alice's key.
+func (w *world) keyed(method, path, body string, headers ...string) reply {
+	return w.do(method, path, body, append(headers, "X-Api-Key", aliceKey)...)
+}
+
+func (w *world) Claim(_ context.Context, r *apipb.ClaimRequest) (*apipb.ClaimReply, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.claimErr != nil {
+		return nil, w.claimErr
+	}
+	if reply := w.claims[r.IdempotencyKey]; reply != nil {
+		return reply, nil
+	}
+	w.claims[r.IdempotencyKey] = &apipb.ClaimReply{Status: apipb.ClaimStatus_CLAIM_STATUS_RUNNING}
+	return &apipb.ClaimReply{Status: apipb.ClaimStatus_CLAIM_STATUS_GRANTED}, nil
+}
+
+func (w *world) Complete(_ context.Context, r *apipb.CompleteRequest) (*apipb.CompleteReply, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.completed = append(w.completed, r)
+	if r.Outcome.NotRun {
+		delete(w.claims, r.IdempotencyKey)
+	} else {
+		w.claims[r.IdempotencyKey] = &apipb.ClaimReply{Status: apipb.ClaimStatus_CLAIM_STATUS_DONE, Outcome: r.Outcome}
+	}
+	return &apipb.CompleteReply{Recorded: true}, nil
+}
+
+func (w *world) Enqueue(_ context.Context, r *apipb.EnqueueRequest) (*apipb.EnqueueReply, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	r.Job.Id = w.enqueue.JobId
+	w.job = r.Job
+	return w.enqueue, nil
+}
+
+func (w *world) Status(_ context.Context, r *apipb.JobStatusRequest) (*apipb.JobStatusReply, error) {
+	return &apipb.JobStatusReply{Found: w.job != nil && r.JobId == w.job.Id, Job: w.job}, nil
+}
