Condemn all connections open at a timed-out attempt; test links, spans, hang-ups

Cause: with the order of opening alone, a connection opened an instant after the silent one was still trusted; a test with two such connections got the second silent one. A wait for the link also counted as an upstream failure. Conclusion: everything open when the attempt got its connection is condemned; a missing link grant is over_capacity, not_run and blames no upstream.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -24,6 +24,7 @@
 
 const (
 	errAttemptTimeout = errors.ConstError("attempt timed out")
+	errNoLink         = errors.ConstError("no link capacity in time")
 	errNotWanted      = errors.ConstError("attempt no longer wanted")
 	errNoLength       = errors.ConstError("the end of the answer cannot be told from a cut")
 	errRefused        = errors.ConstError("upstream refused the request")
@@ -75,7 +76,7 @@
 		}()
 	}
 	a.err = a.exchange()
-	if a.err != nil && a.ctx.Err() != nil {
+	if a.err != nil && a.ctx.Err() != nil && !errors.Is(a.err, errNoLink) {
 		a.err = context.Cause(a.ctx)
 	}
 	if isTimedOut(a.err) && a.hadTime() {
@@ -95,7 +96,7 @@
 
 func (a *attempt) exchange() error {
 	if err := a.meter.open(a.ctx, a.x.requestBytes()); err != nil {
-		return err
+		return errNoLink
 	}
 	resp, err := a.x.h.cfg.Pool.RoundTrip(a.upstream.Name, a.upstream.Address, a.class, a.request(), &a.use)
 	if err != nil {
@@ -240,7 +241,7 @@
 		return ResultRefused
 	case a.err == nil:
 		return ResultAnswered
-	case errors.Is(a.err, pool.ErrNoPermit):
+	case errors.Is(a.err, pool.ErrNoPermit), errors.Is(a.err, errNoLink):
 		return ResultUnused
 	case isTimedOut(a.err) && a.hadTime():
 		return ResultTimeout
--- a/forward/bench_test.go
+++ b/forward/bench_test.go
@@ -89,7 +89,7 @@
 func BenchmarkHop(b *testing.B) { benchmarkHop(b, newWorld(b, plainUpstream(b)).server) }
 
 // Guards against growth of the work per request: the hop may allocate at most
-// twice the objects and bytes of a bare one, caller and upstream included.
+// 1.75 times the objects and bytes of a bare one, caller and upstream included.
 func TestHopAllocationRatio(t *testing.T) {
 	is := is.New(t)
 	up := plainUpstream(t)
@@ -98,8 +98,8 @@
 	bareObjects, bareBytes := measure(t, bare)
 	objects, bytes := measure(t, newWorld(t, up).server)
 	t.Logf("objects per request: hop %.0f, bare %.0f; bytes: hop %.0f, bare %.0f", objects, bareObjects, bytes, bareBytes)
-	is.True(objects < 2*bareObjects)
-	is.True(bytes < 2*bareBytes)
+	is.True(objects < 1.75*bareObjects)
+	is.True(bytes < 1.75*bareBytes)
 }
 
 func measure(t *testing.T, server *httptest.Server) (objects, bytes float64) {
--- /dev/null
+++ b/forward/path_test.go
@@ -0,0 +1,155 @@
+package forward
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+)
+
+// Guards against further requests on connections as old as one that went
+// silent: this upstream answers only the first request of a connection.
+func TestSilentConnectionCondemnsItsAge(t *testing.T) {
+	is := is.New(t)
+	var mu sync.Mutex
+	var both sync.WaitGroup
+	both.Add(2)
+	used := map[string]bool{}
+	a := newRecorder(t, "a", "near", func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		again := used[r.RemoteAddr]
+		used[r.RemoteAddr] = true
+		mu.Unlock()
+		switch {
+		case again:
+			silent(w, r)
+		case r.URL.RawQuery == "pair": // opens two connections
+			both.Done()
+			both.Wait()
+		}
+		_, _ = io.WriteString(w, "a")
+	})
+	w := newWorld(t, a, newRecorder(t, "b", "near", nil))
+	var pair sync.WaitGroup
+	for range 2 {
+		pair.Go(func() { w.keyed("GET", "/look?pair", "") })
+	}
+	pair.Wait()
+	is.Equal(w.keyed("GET", "/short", "").body, "b") // one is silent
+	is.Equal(w.reports[ResultTimeout], 1)
+	is.Equal(w.keyed("GET", "/short", "").body, "a") // the other is not tried
+	is.Equal(len(used), 3)
+}
+
+// Guards against timeouts held against an upstream when the caller left it no time.
+func TestShortCallerDeadlineBlamesNobody(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, newRecorder(t, "a", "near", silent))
+	is.Equal(w.keyed("POST", "/book", "", "X-Request-Deadline-Ms", "30").reason(), "deadline/unknown")
+	is.Equal(w.reports[ResultTimeout], 0)
+	is.Equal(w.reports[ResultCancelled], 1)
+}
+
+// Guards against requests sent before the link allows it, and against not_run
+// being withheld or bytes staying charged when none was sent.
+func TestLinkGrantComesFirst(t *testing.T) {
+	is := is.New(t)
+	up := newRecorder(t, "a", "far", nil)
+	w := newWorld(t, up)
+	waits := 0
+	w.linkGate = func(ctx context.Context) error {
+		if waits++; waits%2 == 0 { // the second wait is for the reverse direction
+			<-ctx.Done()
+			return ctx.Err()
+		}
+		return nil
+	}
+	is.Equal(w.keyed("POST", "/brief", "").reason(), "deadline/not_run")
+	is.Equal(w.keyed("GET", "/look", "", "X-Request-Deadline-Ms", "50").reason(), "over_capacity/not_run")
+	is.Equal(up.count(), 0)
+	is.Equal(w.links["near>far"]+w.links["far>near"], 0)
+}
+
+// Guards against an answer that is read ahead of its link grant.
+func TestAnswerWaitsForLink(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, newRecorder(t, "a", "far", func(rw http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(rw, strings.Repeat("l", 3<<20))
+	}))
+	open := make(chan struct{})
+	waits := 0
+	w.linkGate = func(context.Context) error {
+		if waits++; waits > 2 {
+			<-open
+		}
+		return nil
+	}
+	done := make(chan int)
+	go func() { done <- len(w.keyed("GET", "/look", "").body) }()
+	eventually(t, "the reserve is charged", func() bool { return w.links["far>near"] == linkReserve }, &w.mu)
+	is.Equal(len(done), 0)
+	close(open)
+	is.Equal(<-done, 3<<20)
+}
+
+// Guards against upstreams that work on for a caller who hung up.
+func TestCallerHangUpCancelsAttempt(t *testing.T) {
+	for _, request := range []string{"GET /look", "POST /book"} {
+		is := is.New(t)
+		up := newRecorder(t, "a", "near", silent)
+		w := newWorld(t, up)
+		conn, err := net.Dial("tcp", w.server.Listener.Addr().String())
+		is.NoErr(err)
+		_, err = fmt.Fprintf(conn, "%s HTTP/1.1\r\nHost: x\r\nX-Api-Key: %s\r\n\r\n", request, aliceKey)
+		is.NoErr(err)
+		eventually(t, "the upstream has the request", func() bool { return len(up.seen) == 1 }, &up.mu)
+		is.NoErr(conn.Close())
+		eventually(t, "the attempt is cancelled", func() bool { return w.reports[ResultCancelled] == 1 }, &w.mu)
+	}
+}
+
+// Guards against a caller that takes nothing and keeps its connection for ever.
+func TestStalledCallerIsCut(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, newRecorder(t, "a", "near", endless))
+	w.handler.cfg.Limits.WriteStall = 50 * time.Millisecond
+	conn, err := net.Dial("tcp", w.server.Listener.Addr().String())
+	is.NoErr(err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "GET /look HTTP/1.1\r\nHost: x\r\nX-Api-Key: "+aliceKey+"\r\n\r\n")
+	is.NoErr(err)
+	eventually(t, "the answer is aborted", func() bool {
+		return len(w.ended) == 1 && w.ended[0].Aborted && w.taken["slota"] == 0
+	}, &w.mu)
+}
+
+// Guards against hops without a span, a wrong parent at the upstream, and keys in spans.
+func TestSpans(t *testing.T) {
+	is := is.New(t)
+	bad, good := newRecorder(t, "bad", "near", status(503)), newRecorder(t, "good", "near", nil)
+	w := newWorld(t, bad, good)
+	spans := tracetest.NewInMemoryExporter()
+	w.handler.cfg.Tracer = sdktrace.NewTracerProvider(sdktrace.WithSyncer(spans)).Tracer("test")
+	is.Equal(w.keyed("GET", "/look?copy="+aliceKey, "", "Traceparent", "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01").body, "good")
+	is.Equal(w.keyed("GET", "/look?api_key="+aliceKey, "").status, 400)
+	eventually(t, "all spans ended", func() bool { return len(spans.GetSpans()) == 4 }, &w.mu)
+	got := spans.GetSpans()
+	server := got[2]
+	is.Equal(server.Name, "forward")
+	is.True(!server.Parent.IsValid()) // callers are not trusted with trace ids
+	for i, up := range []*recorder{bad, good} {
+		is.Equal(got[i].Name, "attempt")
+		is.Equal(got[i].Parent.SpanID(), server.SpanContext.SpanID())
+		is.True(strings.Contains(up.seen[0], "Traceparent: 00-"+got[i].SpanContext.TraceID().String()+"-"+got[i].SpanContext.SpanID().String()))
+	}
+	is.True(!strings.Contains(fmt.Sprintf("%+v", got), aliceKey))
+}
--- a/forward/pool/pool_test.go
+++ b/forward/pool/pool_test.go
@@ -81,29 +81,22 @@
 // went silent, and against the loss of younger ones.
 func TestTimeoutCondemnsOlderConnections(t *testing.T) {
 	is := is.New(t)
-	var entered sync.WaitGroup
+	entered := make(chan struct{})
 	release := make(chan struct{})
 	f := newFixture(t, func(_ http.ResponseWriter, r *http.Request) {
 		if r.Method == "PUT" {
-			entered.Done()
+			entered <- struct{}{}
 			<-release
 		}
 	})
-	entered.Add(3)
 	uses := make([]Use, 3)
 	var running sync.WaitGroup
 	for i := range uses {
 		running.Go(func() { _ = f.send(context.Background(), Reuse, &uses[i], "PUT") })
+		<-entered
 	}
-	entered.Wait()
 	is.Equal(f.opened.Load(), int64(3))
-	middle := &uses[0]
-	for i := range uses {
-		if uses[i].current.order == 2 {
-			middle = &uses[i]
-		}
-	}
-	middle.Condemn() // all three are in use: none may be closed now
+	uses[1].Condemn() // all three are in use: none may be closed now
 	is.Equal(f.permits.open.Load(), int64(3))
 	close(release)
 	running.Wait()
@@ -174,7 +167,7 @@
 	p := newUpstreamPool("u", "", Options{Permits: &counter{}})
 	c := p.track(near)
 	var use Use
-	use.got(c)
+	use.got(c, 1)
 	is.True(!use.Seal())
 	_, err := c.Write([]byte("late"))
 	is.True(errors.Is(err, errSealed))
--- a/forward/pool/set.go
+++ b/forward/pool/set.go
@@ -40,8 +40,7 @@
 		GotConn: func(info httptrace.GotConnInfo) {
 			if c, ok := info.Conn.(*conn); ok {
 				last = c
-				p.taken(c)
-				use.got(c)
+				use.got(c, p.taken(c))
 			}
 		},
 		PutIdleConn: func(err error) {
--- a/forward/pool/upstream_pool.go
+++ b/forward/pool/upstream_pool.go
@@ -78,10 +78,12 @@
 	}
 }
 
-func (p *upstreamPool) taken(c *conn) {
+// taken notes the start of a use and returns the order of the youngest connection.
+func (p *upstreamPool) taken(c *conn) uint64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c.uses++
+	return p.opened
 }
 
 // idle notes the end of a use. The next use may have been noted already, since
--- a/forward/pool/use.go
+++ b/forward/pool/use.go
@@ -6,16 +6,18 @@
 type Use struct {
 	mu      sync.Mutex
 	current *conn
-	earlier bool // the transport moved on from a connection that had been written to
+	// youngest is the order of the last connection opened when current was taken.
+	youngest uint64
+	earlier  bool // the transport moved on from a connection that had been written to
 }
 
-func (u *Use) got(c *conn) {
+func (u *Use) got(c *conn, youngest uint64) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.current != nil && u.current.wasWritten() {
 		u.earlier = true
 	}
-	u.current = c
+	u.current, u.youngest = c, youngest
 }
 
 // Seal forbids further writes for the attempt and reports whether any byte of
@@ -33,14 +35,15 @@
 	return earlier || written
 }
 
-// Condemn closes the idle connections to the same upstream that are as old as
-// the one in use or older, and those in use once they become idle: a path that
-// went silent is silent for all connections opened before.
+// Condemn closes the idle connections to the same upstream that were open when
+// the attempt got its own, and those in use once they become idle. A path that
+// went silent is silent for all of them; later ones were opened through the
+// fault or after it.
 func (u *Use) Condemn() {
 	u.mu.Lock()
-	c := u.current
+	c, youngest := u.current, u.youngest
 	u.mu.Unlock()
 	if c != nil {
-		c.owner.condemn(c.order)
+		c.owner.condemn(youngest)
 	}
 }
--- a/forward/refuse_test.go
+++ b/forward/refuse_test.go
@@ -78,6 +78,9 @@
 			is.Equal(got.reason(), c.want)
 			is.True(strings.Contains(got.body, `"run":"`+got.header.Get("X-Request-Run")))
 			is.Equal(up.count(), 0)
+			eventually(t, "counted once", func() bool {
+				return len(w.ended) == 1 && string(w.ended[0].Reason)+"/"+string(w.ended[0].Run) == c.want
+			}, &w.mu)
 			is.True(!strings.Contains(got.body, aliceKey))
 		})
 	}
