Block slow readers soon in tests

Cause: on a scratch copy with the slot held while the answer is written, and with a blocked write not ended by revocation, the tests still passed, because socket buffers took the whole answer. Conclusion: the entry side has small send buffers in tests; both faults are caught now.

--- a/forward/world_test.go
+++ b/forward/world_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -81,6 +82,10 @@
 	})
 	w.server = httptest.NewUnstartedServer(w.handler)
 	w.server.Config.DisableGeneralOptionsHandler = true
+	w.server.Config.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		_ = c.(*net.TCPConn).SetWriteBuffer(64 << 10) // a caller that does not read blocks the hop soon
+		return ctx
+	}
 	w.server.Start()
 	w.server.Client().Transport.(*http.Transport).DisableCompression = true
 	t.Cleanup(func() {
