steering: bound attempts when all upstreams fail

Cause: the budget was tested alone, not with retries and hedges together. Ruled out: nothing; this adds a simulation in which no upstream answers. Conclusion: attempts stay within 10% of the requests plus the start and floor.

--- a/steering/sim_test.go
+++ b/steering/sim_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -31,7 +32,7 @@
 	rng       *rand.Rand
 	free      map[string][]time.Duration // when each slot of an upstream is free
 	slow      string
-	lost      string
+	lost      string  // names of lost regions
 	stalls    float64 // part of the responses that take stallTime more
 	latencies []time.Duration
 	attempts  int
@@ -60,7 +61,7 @@
 // never within the timeout in the lost region.
 func (s *sim) serve(id string) time.Duration {
 	s.attempts++
-	if id[:1] == s.lost {
+	if strings.Contains(s.lost, id[:1]) {
 		return s.now + time.Hour
 	}
 	if s.free[id] == nil {
@@ -229,3 +230,14 @@
 	is.True(float64(managed.attempts) <= 1.12*float64(len(managed.latencies)))
 	is.Equal(managed.failed, 0)
 }
+
+// Guards against retries and hedges that multiply the load on upstreams that all
+// fail, and against requests that never end.
+func TestAttemptsAreBoundedWhenAllFail(t *testing.T) {
+	is := is.New(t)
+	_, managed := simulate(t, 300, 20*time.Second, func(s *sim) { s.lost = "ab" })
+	requests := len(managed.latencies)
+	is.True(requests > 5000)
+	is.Equal(managed.failed, requests)
+	is.True(managed.attempts <= requests+requests/10+20)
+}
