--- /dev/null
+++ b/cmd/pm-control/options.go
@@ -0,0 +1,140 @@
+package main
+
+import (
+	"context"
+	"encoding/hex"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"pistachiomount.example/pistachiomount/apipb"
+	"pistachiomount.example/pistachiomount/clock"
+	"pistachiomount.example/pistachiomount/control"
+	"pistachiomount.example/pistachiomount/platform"
+	"pistachiomount.example/pistachiomount/settings"
+	"pistachiomount.example/pistachiomount/telemetry"
+	"pistachiomount.example/pistachiomount/transport"
+)
+
+// platformPeriod is how often the platform's lists are fetched.
+const platformPeriod = time.Second
+
+// options are the settings of the program.
+type options struct {
+	VM             settings.Name      `name:"vm" required:"" help:"Name of this VM."`
+	Region         settings.Name      `required:"" help:"Region of this VM."`
+	FailureDomain  settings.Name      `required:"" help:"Failure domain of this VM."`
+	Deployment     settings.Name      `required:"" help:"Installation whose documents are accepted."`
+	DataDir        settings.DataDir   `required:"" help:"Folder for all durable state."`
+	RPCAddress     settings.Address   `name:"rpc-address" default:"127.0.0.1:0" help:"Address for other daemons."`
+	HTTPAddress    settings.Address   `name:"http-address" default:"127.0.0.1:0" help:"Address for operators, metrics and readiness."`
+	Peers          []settings.Address `help:"RPC addresses of other control daemons."`
+	OperatorTokens []string           `help:"Operators as name:digest, with the SHA-256 digest of the token in hexadecimal."`
+
+	PlatformTrial      settings.Address `help:"Address of the platform's lists for trial."`
+	PlatformProduction settings.Address `help:"Address of the platform's lists for production."`
+
+	TLSCert  string `name:"tls-cert" help:"Certificate file of this daemon, with organisational unit control."`
+	TLSKey   string `name:"tls-key" help:"Key file of the certificate."`
+	TLSCA    string `name:"tls-ca" help:"File with the authority of all daemons."`
+	Insecure bool   `help:"Allow plaintext between daemons on loopback addresses."`
+
+	telemetry.Settings `embed:""`
+}
+
+func (o *options) run(ctx context.Context) error {
+	observed, err := telemetry.New(o.Settings, telemetry.Identity{Service: "pm-control", VM: string(o.VM)}, telemetry.Outputs{})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer func() { _ = observed.Shutdown(context.WithoutCancel(ctx)) }()
+	cfg, ready, err := o.config(ctx, observed)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	daemon, err := control.New(*cfg)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	ready.SetState("serving", true)
+	return errors.Trace(daemon.Run(ctx))
+}
+
+func (o *options) config(ctx context.Context, observed *telemetry.Telemetry) (*control.Config, *settings.Ready, error) {
+	security := &transport.Security{CertFile: o.TLSCert, KeyFile: o.TLSKey, CAFile: o.TLSCA, Insecure: o.Insecure}
+	if err := security.Check(); err != nil {
+		return nil, nil, errors.Trace(err)
+	}
+	tokens, err := parseTokens(o.OperatorTokens)
+	if err != nil {
+		return nil, nil, errors.Trace(err)
+	}
+	rpc, err := settings.Listen(o.RPCAddress, "rpc", observed.Logger)
+	if err != nil {
+		return nil, nil, errors.Trace(err)
+	}
+	operators, err := settings.Listen(o.HTTPAddress, "http", observed.Logger)
+	if err != nil {
+		return nil, nil, errors.Trace(err)
+	}
+	ready := settings.NewReady()
+	ready.AddListener("rpc", rpc.Addr())
+	ready.AddListener("http", operators.Addr())
+	clk := clock.NewSystem()
+	return &control.Config{
+		Name: string(o.VM), Region: string(o.Region), FailureDomain: string(o.FailureDomain),
+		Deployment: string(o.Deployment), DataDir: string(o.DataDir), Peers: addressStrings(o.Peers),
+		OperatorTokens: tokens, RPCListener: rpc, HTTPListener: operators, Security: security,
+		Clock: clk, Log: observed.Logger, Meter: observed.MeterProvider.Meter("control"),
+		Handlers:  map[string]http.Handler{"/metrics": observed.MetricsHandler(), "/ready": ready},
+		Platforms: o.platforms(ctx, clk, observed),
+	}, ready, nil
+}
+
+// platforms starts a poller for each environment that has a platform.
+func (o *options) platforms(ctx context.Context, clk clock.Clock, observed *telemetry.Telemetry) map[apipb.Environment]control.PlatformLists {
+	listers := map[apipb.Environment]control.PlatformLists{}
+	for env, address := range map[apipb.Environment]settings.Address{
+		apipb.Environment_ENVIRONMENT_TRIAL:      o.PlatformTrial,
+		apipb.Environment_ENVIRONMENT_PRODUCTION: o.PlatformProduction,
+	} {
+		if !address.IsValid() {
+			continue
+		}
+		client := platform.NewClient(platform.ClientConfig{Address: address, Clock: clk, Logger: observed.Logger})
+		lists := &platformLists{}
+		poller := platform.NewPoller(platform.PollerConfig{
+			Client: client, Period: platformPeriod, Logger: observed.Logger, OnUpstreams: lists.setUpstreams, OnVMs: lists.setVMs,
+		})
+		go poller.Run(ctx)
+		listers[env] = lists
+	}
+	return listers
+}
+
+// parseTokens reads operators given as name:digest.
+func parseTokens(values []string) (map[string]string, error) {
+	tokens := map[string]string{}
+	for _, value := range values {
+		name, digest, ok := strings.Cut(value, ":")
+		raw, err := hex.DecodeString(digest)
+		if !ok || name == "" || err != nil || len(raw) != 32 {
+			return nil, &settings.InvalidError{
+				Flag: "--operator-tokens", Variable: "PM_OPERATOR_TOKENS", Value: name + ":...",
+				Allowed: "a list of name:digest with a SHA-256 digest of 64 hexadecimal digits",
+			}
+		}
+		tokens[digest] = name
+	}
+	return tokens, nil
+}
+
+func addressStrings(addresses []settings.Address) []string {
+	texts := make([]string, len(addresses))
+	for i, a := range addresses {
+		texts[i] = a.String()
+	}
+	return texts
+}
--- /dev/null
+++ b/control/caps.go
@@ -0,0 +1,64 @@
+package control
+
+import (
+	"pistachiomount.example/pistachiomount/apipb"
+	"pistachiomount.example/pistachiomount/document"
+	"pistachiomount.example/pistachiomount/grant"
+	"pistachiomount.example/pistachiomount/platform"
+)
+
+const (
+	// linkBurst and regionBurst are the shares of a cap that are granted as
+	// depth; the rest is granted as rate. Over any window of at least 1 s, rate
+	// and depth together then stay within the cap itself.
+	linkBurst   = 0.05
+	regionBurst = 0.1
+	// linkMinDepth is one read buffer, the largest amount taken at once.
+	linkMinDepth = 64 << 10
+)
+
+// capsOf returns every limit that a document and the list of upstreams set.
+func capsOf(doc *document.Document, upstreams []platform.Upstream) []grant.Cap {
+	caps := make([]grant.Cap, 0, len(doc.Links)+len(doc.Customers)+2*len(upstreams)+8*len(doc.Services))
+	for _, l := range doc.Links {
+		limit := float64(l.BytesPerSecond)
+		caps = append(caps, grant.Cap{
+			Resource: grant.LinkID(l.From, l.To), Kind: apipb.ResourceKind_RESOURCE_KIND_RATE,
+			Rate: limit * (1 - linkBurst), Burst: limit * linkBurst, MinDepth: linkMinDepth,
+		})
+	}
+	for _, c := range doc.Customers {
+		caps = append(caps, grant.Cap{
+			Resource: grant.CustomerID(c.Name), Kind: apipb.ResourceKind_RESOURCE_KIND_RATE,
+			Rate: c.Rate, Burst: c.Burst,
+		})
+	}
+	services := map[string]*document.Service{}
+	for i := range doc.Services {
+		s := &doc.Services[i]
+		services[s.Name] = s
+		caps = append(caps, regionCaps(s)...)
+	}
+	for _, u := range upstreams {
+		if s := services[u.Service]; s != nil {
+			caps = append(caps, unitCap(grant.SlotsID(u.ID), s.SlotsPerUpstream),
+				unitCap(grant.ConnsID(u.ID), s.ConnectionsPerUpstream))
+		}
+	}
+	return caps
+}
+
+func regionCaps(s *document.Service) []grant.Cap {
+	caps := make([]grant.Cap, 0, len(s.RegionCapacity))
+	for region, limit := range s.RegionCapacity {
+		caps = append(caps, grant.Cap{
+			Resource: grant.RegionID(region, s.Name), Kind: apipb.ResourceKind_RESOURCE_KIND_RATE,
+			Rate: limit * (1 - regionBurst), Burst: limit * regionBurst,
+		})
+	}
+	return caps
+}
+
+func unitCap(id grant.ResourceID, units uint32) grant.Cap {
+	return grant.Cap{Resource: id, Kind: apipb.ResourceKind_RESOURCE_KIND_UNITS, Units: units}
+}
--- /dev/null
+++ b/control/config.go
@@ -0,0 +1,48 @@
+package control
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"go.opentelemetry.io/otel/metric"
+
+	"pistachiomount.example/pistachiomount/apipb"
+	"pistachiomount.example/pistachiomount/clock"
+	"pistachiomount.example/pistachiomount/transport"
+)
+
+// Config holds the settings of a control daemon. Its listeners are bound
+// already, so that their addresses are known.
+type Config struct {
+	// Name is the VM's name. Two running daemons must not share one.
+	Name          string
+	Region        string
+	FailureDomain string
+	// Deployment is the installation; documents of others are refused.
+	Deployment string
+	DataDir    string
+	// Peers are the RPC addresses of other control daemons, used to find a
+	// cluster. One that answers is enough.
+	Peers []string
+	// OperatorTokens maps the SHA-256 digest of a token, in hexadecimal, to the
+	// operator's name.
+	OperatorTokens map[string]string
+	// Platforms gives the lists of each environment; the slots of its upstreams are
+	// shared out.
+	Platforms map[apipb.Environment]PlatformLists
+
+	RPCListener  net.Listener
+	HTTPListener net.Listener
+	Security     *transport.Security
+	Clock        clock.Clock
+	Log          logrus.FieldLogger
+	Meter        metric.Meter
+	// Handlers are further GET handlers of the HTTP listener, by path, such as
+	// metrics and readiness.
+	Handlers map[string]http.Handler
+	// Quarantine is how long units of a lost holder stay unused; 0 means the
+	// longest route deadline that a document may set.
+	Quarantine time.Duration
+}
--- /dev/null
+++ b/control/consensus_service.go
@@ -0,0 +1,63 @@
+package control
+
+import (
+	"context"
+
+	"github.com/juju/errors"
+
+	"pistachiomount.example/pistachiomount/apipb"
+)
+
+// consensusService answers other control daemons. Before the daemon belongs to
+// a cluster there is no engine.
+type consensusService struct {
+	daemon *Daemon
+}
+
+// Deliver takes in consensus messages.
+func (s *consensusService) Deliver(ctx context.Context, batch *apipb.MessageBatch) (*apipb.DeliverReply, error) {
+	engine, err := s.daemon.running()
+	if err != nil {
+		return nil, err
+	}
+	if batch.ClusterId != engine.cfg.ClusterID {
+		return nil, errors.Trace(ErrOtherCluster)
+	}
+	return &apipb.DeliverReply{}, engine.Step(ctx, batch.Sender, batch.Messages)
+}
+
+// PeerStatus tells which cluster this daemon belongs to.
+func (s *consensusService) PeerStatus(ctx context.Context, _ *apipb.PeerStatusRequest) (*apipb.PeerStatusReply, error) {
+	reply := &apipb.PeerStatusReply{MemberId: s.daemon.memberID}
+	engine, err := s.daemon.running()
+	if err != nil {
+		return reply, nil
+	}
+	return reply, engine.do(ctx, func() {
+		status := engine.node.Status()
+		reply.ClusterId = engine.cfg.ClusterID
+		reply.LeaderId, reply.Term, reply.Commit = status.Leader, status.Term, status.Commit
+		reply.Members = status.Members.GetMembers()
+	})
+}
+
+// Join adds a daemon to the group.
+func (s *consensusService) Join(ctx context.Context, request *apipb.JoinRequest) (*apipb.JoinReply, error) {
+	engine, err := s.daemon.running()
+	if err != nil {
+		return nil, err
+	}
+	if request.Member.GetId() == 0 || request.Member.GetName() == "" {
+		return &apipb.JoinReply{Reason: "the member needs an id and a name"}, nil
+	}
+	return engine.Join(ctx, request.Member)
+}
+
+// Propose commits a command for a daemon that does not lead.
+func (s *consensusService) Propose(ctx context.Context, request *apipb.ProposeRequest) (*apipb.ProposeReply, error) {
+	engine, err := s.daemon.running()
+	if err != nil {
+		return nil, err
+	}
+	return (&commander{engine: engine, peers: s.daemon.peers}).runForwarded(ctx, request)
+}
--- /dev/null
+++ b/control/daemon.go
@@ -0,0 +1,276 @@
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/alexedwards/flow"
+	"github.com/juju/errors"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcmux"
+
+	"pistachiomount.example/pistachiomount/apipb"
+	"pistachiomount.example/pistachiomount/consensus"
+	"pistachiomount.example/pistachiomount/document"
+	"pistachiomount.example/pistachiomount/transport"
+	"pistachiomount.example/pistachiomount/wal"
+)
+
+// Timeouts of the operators' HTTP interface.
+const (
+	httpReadTimeout  = 10 * time.Second
+	httpWriteTimeout = 15 * time.Second
+	httpIdleTimeout  = 60 * time.Second
+	httpStopTimeout  = 5 * time.Second
+	maxHeaderBytes   = 16 << 10
+)
+
+// Daemon is a control daemon.
+type Daemon struct {
+	cfg       Config
+	log       *wal.Log
+	memberID  uint64
+	self      *apipb.Member
+	peers     *transport.Peers
+	ownership *ownership
+
+	mu      sync.Mutex
+	engine  *Engine
+	joined  chan uint64 // cluster id from an operator's init
+	initing bool
+	// bootstrap is the state of a cluster that this process formed; the log
+	// hands out only what it found when it was opened.
+	bootstrap *consensus.Persisted
+}
+
+// New opens the data folder and returns a daemon that Run starts.
+func New(cfg Config) (*Daemon, error) {
+	log, err := wal.Open(cfg.DataDir, wal.Identity{})
+	if err != nil {
+		return nil, errors.Annotatef(err, "data folder %s", cfg.DataDir)
+	}
+	d := &Daemon{
+		cfg:      cfg,
+		log:      log,
+		memberID: log.Identity().MemberID,
+		peers:    transport.NewPeers(cfg.Security),
+		joined:   make(chan uint64, 1),
+	}
+	d.self = &apipb.Member{
+		Id: d.memberID, Name: cfg.Name, Region: cfg.Region, FailureDomain: cfg.FailureDomain,
+		RpcAddress: cfg.RPCListener.Addr().String(), HttpAddress: cfg.HTTPListener.Addr().String(),
+	}
+	if cfg.Quarantine == 0 {
+		d.cfg.Quarantine = document.MaxDeadlineMS * time.Millisecond
+	}
+	d.ownership = newOwnership(&d.cfg)
+	return d, nil
+}
+
+// Run serves until the context ends, then hands over leadership and stops.
+func (d *Daemon) Run(ctx context.Context) error {
+	defer func() { _ = d.log.Close() }()
+	defer d.peers.Close()
+	serveCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	failed := make(chan error, 3)
+	wg.Go(func() { failed <- d.serveRPC(serveCtx) })
+	wg.Go(func() { failed <- d.serveHTTP(serveCtx) })
+	wg.Go(func() { failed <- d.runMember(serveCtx) })
+	select {
+	case err := <-failed:
+		stop()
+		return errors.Trace(err)
+	case <-ctx.Done():
+	}
+	if engine, err := d.running(); err == nil {
+		engine.handOver(serveCtx)
+	}
+	return nil
+}
+
+// running returns the engine, once the daemon belongs to a cluster.
+func (d *Daemon) running() (*Engine, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.engine == nil {
+		return nil, errors.Trace(ErrNotInitialised)
+	}
+	return d.engine, nil
+}
+
+// runMember finds the cluster if need be, and then runs the engine.
+func (d *Daemon) runMember(ctx context.Context) error {
+	clusterID := d.log.Identity().ClusterID
+	if clusterID == 0 {
+		id, err := d.awaitCluster(ctx)
+		if err != nil {
+			return nil // the context ended
+		}
+		clusterID = id
+	} else {
+		d.announceLater(ctx)
+	}
+	engine, outboxes, err := d.startEngine(clusterID)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer outboxes.Close()
+	go engine.keepMembers(ctx)
+	return errors.Trace(engine.Run(ctx))
+}
+
+func (d *Daemon) newJoiner() *joiner {
+	return &joiner{self: d.self, addrs: d.cfg.Peers, peers: d.peers, log: d.cfg.Log}
+}
+
+// announceLater tells the group of a changed address without delaying the start.
+func (d *Daemon) announceLater(ctx context.Context) {
+	if len(d.cfg.Peers) > 0 {
+		go d.newJoiner().announce(ctx)
+	}
+}
+
+// awaitCluster waits until a peer's cluster takes this daemon in, or an operator
+// initialises one here. It makes the identity durable before it returns.
+func (d *Daemon) awaitCluster(ctx context.Context) (uint64, error) {
+	d.cfg.Log.Info("no cluster yet: waiting for a peer's cluster or for init")
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	found := make(chan uint64, 1)
+	go func() {
+		if id, err := d.newJoiner().discover(ctx); err == nil {
+			found <- id
+		}
+	}()
+	select {
+	case <-ctx.Done():
+		return 0, errors.Trace(ctx.Err())
+	case id := <-d.joined:
+		return id, nil
+	case id := <-found:
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		if d.initing {
+			return <-d.joined, nil
+		}
+		return id, errors.Trace(d.log.SetCluster(id))
+	}
+}
+
+// initialise forms a new cluster with this daemon as its only voter. Others join
+// it by themselves.
+func (d *Daemon) initialise(ctx context.Context) (uint64, error) {
+	if err := d.newJoiner().checkUninitialised(ctx); err != nil {
+		return 0, errors.Trace(err)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.engine != nil || d.initing || d.log.Identity().ClusterID != 0 {
+		return 0, errors.Trace(ErrAlreadyInitialised)
+	}
+	persisted, err := consensus.Bootstrap([]*apipb.Member{d.self})
+	if err != nil {
+		return 0, errors.Trace(err)
+	}
+	if err := d.log.SaveSnapshot(persisted.Snapshot); err != nil {
+		return 0, errors.Trace(err)
+	}
+	if err := d.log.Save(persisted.HardState, nil); err != nil {
+		return 0, errors.Trace(err)
+	}
+	id := rand.Uint64() | 1
+	if err := d.log.SetCluster(id); err != nil {
+		return 0, errors.Trace(err)
+	}
+	d.initing = true
+	d.bootstrap = &persisted
+	d.ownership.firstTerm = true
+	d.joined <- id
+	return id, nil
+}
+
+// persisted returns the state that the engine continues from.
+func (d *Daemon) persisted() (consensus.Persisted, error) {
+	loaded, err := d.log.Load()
+	if err != nil {
+		return consensus.Persisted{}, errors.Annotate(err, "load log")
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.bootstrap != nil {
+		return *d.bootstrap, nil
+	}
+	return loaded, nil
+}
+
+func (d *Daemon) startEngine(clusterID uint64) (*Engine, *Outboxes, error) {
+	persisted, err := d.persisted()
+	if err != nil {
+		return nil, nil, errors.Trace(err)
+	}
+	outboxes := NewOutboxes(clusterID, d.self, d.peers, d.cfg.Log)
+	engine, err := NewEngine(EngineConfig{
+		ClusterID: clusterID, Self: d.self, Persisted: persisted, Storage: d.log,
+		Sender: outboxes, Clock: d.cfg.Clock, Log: d.cfg.Log, Seed: rand.Uint64(),
+	})
+	if err != nil {
+		outboxes.Close()
+		return nil, nil, errors.Trace(err)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.engine = engine
+	d.cfg.Log.WithField("cluster", clusterID).WithField("member", d.memberID).Info("cluster member running")
+	return engine, outboxes, nil
+}
+
+// serveRPC offers each role its services.
+func (d *Daemon) serveRPC(ctx context.Context) error {
+	all, entry := drpcmux.New(), drpcmux.New()
+	for _, register := range []error{
+		apipb.DRPCRegisterConsensus(all, &consensusService{daemon: d}),
+		apipb.DRPCRegisterForwarding(all, &consensusService{daemon: d}),
+		apipb.DRPCRegisterControl(all, &controlService{daemon: d}),
+		apipb.DRPCRegisterControl(entry, &controlService{daemon: d}),
+	} {
+		if register != nil {
+			return errors.Trace(register)
+		}
+	}
+	server := transport.NewServer(d.cfg.Security, map[transport.Role]drpc.Handler{
+		transport.RoleControl: all, transport.RoleEntry: entry,
+	}, d.cfg.Log)
+	return errors.Annotate(server.Serve(ctx, d.cfg.RPCListener), "serve rpc")
+}
+
+func (d *Daemon) serveHTTP(ctx context.Context) error {
+	mux := flow.New()
+	api := &operatorAPI{daemon: d, auth: operatorAuth{tokens: d.cfg.OperatorTokens}}
+	api.routes(mux)
+	for pattern, handler := range d.cfg.Handlers {
+		mux.Handle(pattern, handler, http.MethodGet)
+	}
+	server := &http.Server{
+		Handler: mux, ReadTimeout: httpReadTimeout, WriteTimeout: httpWriteTimeout,
+		IdleTimeout: httpIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		<-ctx.Done()
+		shutdownCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), httpStopTimeout)
+		defer cancel()
+		_ = server.Shutdown(shutdownCtx)
+	}()
+	if err := server.Serve(d.cfg.HTTPListener); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Annotate(err, "serve http")
+	}
+	<-stopped
+	return nil
+}
--- /dev/null
+++ b/control/engine.go
@@ -0,0 +1,178 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"pistachiomount.example/pistachiomount/apipb"
+	"pistachiomount.example/pistachiomount/clock"
+	"pistachiomount.example/pistachiomount/consensus"
+	"pistachiomount.example/pistachiomount/store"
+)
+
+// EngineConfig holds what an Engine is made from.
+type EngineConfig struct {
+	ClusterID uint64
+	Self      *apipb.Member
+	Persisted consensus.Persisted
+	Storage   Storage
+	Sender    Sender
+	Clock     clock.Clock
+	Log       logrus.FieldLogger
+	// Seed feeds the random election timeouts.
+	Seed uint64
+}
+
+// Engine runs the consensus node and the store on one goroutine.
+type Engine struct {
+	cfg   EngineConfig
+	node  *consensus.Node
+	store *store.Store
+	inbox chan func()
+	done  chan struct{}
+
+	lastTick     clock.Instant
+	appliedIndex uint64
+	appliedTerm  uint64
+	snapshotAt   uint64
+	pending      map[uint64]chan store.Result
+	confirmation confirmation
+	heard        map[uint64]clock.Instant // by member
+	// contacts are the senders of messages. A new member answers the leader by
+	// them until it has received the membership.
+	contacts map[uint64]*apipb.Member
+	changed  chan struct{} // closed and replaced when the state changes
+}
+
+// inboxSize bounds what waits for the loop. Senders beyond it block, and their
+// own time limits end them.
+const inboxSize = 1024
+
+// NewEngine returns an engine that continues from the persisted state.
+func NewEngine(cfg EngineConfig) (*Engine, error) {
+	node, err := consensus.New(consensus.Config{
+		ID: cfg.Self.Id, Seed: cfg.Seed, MaxMessageBytes: maxMessageBytes,
+	}, cfg.Persisted)
+	if err != nil {
+		return nil, errors.Annotate(err, "consensus state")
+	}
+	e := &Engine{
+		cfg:      cfg,
+		node:     node,
+		store:    store.New(),
+		inbox:    make(chan func(), inboxSize),
+		done:     make(chan struct{}),
+		lastTick: cfg.Clock.Now(),
+		pending:  map[uint64]chan store.Result{},
+		heard:    map[uint64]clock.Instant{},
+		contacts: map[uint64]*apipb.Member{},
+		changed:  make(chan struct{}),
+	}
+	e.confirmation.init()
+	if err := e.restore(cfg.Persisted.Snapshot); err != nil {
+		return nil, errors.Trace(err)
+	}
+	return e, nil
+}
+
+// Run processes events until the context ends or the log cannot be written.
+func (e *Engine) Run(ctx context.Context) error {
+	defer close(e.done)
+	ticker := time.NewTicker(TickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			e.advance()
+			e.confirm()
+		case event := <-e.inbox:
+			e.advance()
+			event()
+			e.drain()
+		}
+		if err := e.processReady(); err != nil {
+			return errors.Trace(err)
+		}
+	}
+}
+
+// drain runs the events that wait already, so that their entries share one sync.
+func (e *Engine) drain() {
+	for range inboxSize {
+		select {
+		case event := <-e.inbox:
+			event()
+		default:
+			return
+		}
+	}
+}
+
+// advance counts the ticks that passed. After a pause of the process it counts
+// all of them before anything else happens, so that no lease outlives the pause.
+func (e *Engine) advance() {
+	now := e.cfg.Clock.Now()
+	ticks := int(now.ElapsedSince(e.lastTick) / TickInterval)
+	if ticks <= 0 {
+		return
+	}
+	if ticks > maxCatchUpTicks {
+		ticks, e.lastTick = maxCatchUpTicks, now
+	} else {
+		e.lastTick = e.lastTick.Add(time.Duration(ticks) * TickInterval)
+	}
+	for range ticks {
+		e.node.Tick()
+	}
+}
+
+// do runs the function on the loop and waits for it.
+func (e *Engine) do(ctx context.Context, f func()) error {
+	finished := make(chan struct{})
+	event := func() {
+		defer close(finished)
+		f()
+	}
+	select {
+	case e.inbox <- event:
+	case <-ctx.Done():
+		return errors.Trace(ctx.Err())
+	case <-e.done:
+		return errors.Trace(ErrStopped)
+	}
+	select {
+	case <-finished:
+		return nil
+	case <-ctx.Done():
+		return errors.Trace(ctx.Err())
+	case <-e.done:
+		return errors.Trace(ErrStopped)
+	}
+}
+
+// Step hands over messages of another member.
+func (e *Engine) Step(ctx context.Context, sender *apipb.Member, messages []*apipb.ConsensusMessage) error {
+	return e.do(ctx, func() {
+		now := e.cfg.Clock.Now()
+		if sender != nil {
+			e.contacts[sender.Id] = sender
+		}
+		for _, m := range messages {
+			e.heard[m.From] = now
+			if err := e.node.Step(m); err != nil {
+				e.cfg.Log.WithError(err).WithField("from", m.From).Warn("consensus message refused")
+			}
+		}
+	})
+}
+
+// notify wakes everyone who waits for a change.
+func (e *Engine) notify() {
+	close(e.changed)
+	e.changed = make(chan struct{})
+}
--- /dev/null
+++ b/control/engine_ready.go
@@ -0,0 +1,136 @@
+package control
+
+import (
+	"github.com/juju/errors"
+
+	"pistachiomount.example/pistachiomount/apipb"
+	"pistachiomount.example/pistachiomount/consensus"
+)
+
+// processReady does the work that the consensus node asks for. An error means
+// that the log cannot be trusted any more; the daemon stops.
+func (e *Engine) processReady() error {
+	for {
+		ready, ok := e.node.Ready()
+		if !ok {
+			return nil
+		}
+		if err := e.persist(ready); err != nil {
+			return errors.Annotate(ErrStorage, err.Error())
+		}
+		e.send(ready.Messages)
+		if err := e.apply(ready); err != nil {
+			return errors.Trace(err)
+		}
+		e.node.Advance(ready)
+		if err := e.maybeSnapshot(); err != nil {
+			return errors.Trace(err)
+		}
+	}
+}
+
+func (e *Engine) persist(ready consensus.Ready) error {
+	if ready.Snapshot != nil {
+		if err := e.cfg.Storage.SaveSnapshot(ready.Snapshot); err != nil {
+			return errors.Annotate(err, "snapshot")
+		}
+	}
+	if ready.HardState == nil && len(ready.Entries) == 0 {
+		return nil
+	}
+	return errors.Annotate(e.cfg.Storage.Save(ready.HardState, ready.Entries), "entries")
+}
+
+func (e *Engine) send(messages []*apipb.ConsensusMessage) {
+	if len(messages) == 0 {
+		return
+	}
+	byMember := map[uint64][]*apipb.ConsensusMessage{}
+	for _, m := range messages {
+		byMember[m.To] = append(byMember[m.To], m)
+	}
+	for id, batch := range byMember {
+		if member := e.contact(id); member != nil {
+			e.cfg.Sender.Send(member, batch)
+		}
+	}
+}
+
+// contact returns where a member is reached, or nil.
+func (e *Engine) contact(id uint64) *apipb.Member {
+	if member := e.member(id); member != nil {
+		return member
+	}
+	return e.contacts[id]
+}
+
+// member returns the member with the id, or nil.
+func (e *Engine) member(id uint64) *apipb.Member {
+	for _, m := range e.node.Status().Members.GetMembers() {
+		if m.Id == id {
+			return m
+		}
+	}
+	return nil
+}
+
+func (e *Engine) apply(ready consensus.Ready) error {
+	if ready.Snapshot != nil {
+		if err := e.restore(ready.Snapshot); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	for _, entry := range ready.Committed {
+		result, err := e.store.Apply(entry)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		e.appliedIndex, e.appliedTerm = entry.Index, entry.Term
+		if waiter := e.pending[result.RequestID]; waiter != nil {
+			waiter <- result
+			delete(e.pending, result.RequestID)
+		}
+	}
+	e.confirmation.answer(ready.ReadStates, e.appliedIndex)
+	if ready.Snapshot != nil || len(ready.Committed) > 0 || len(ready.ReadStates) > 0 {
+		e.notify()
+	}
+	return nil
+}
+
+// restore replaces the store by that of a snapshot. One without data stands for
+// the empty store of a new cluster.
+func (e *Engine) restore(snapshot *apipb.Snapshot) error {
+	if snapshot == nil {
+		return nil
+	}
+	if len(snapshot.Data) > 0 {
+		if err := e.store.Restore(snapshot.Data); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	e.appliedIndex, e.appliedTerm = snapshot.Meta.Index, snapshot.Meta.Term
+	e.snapshotAt = snapshot.Meta.Index
+	return nil
+}
+
+// maybeSnapshot bounds the log and so the time that a restart takes.
+func (e *Engine) maybeSnapshot() error {
+	if e.appliedIndex < e.snapshotAt+snapshotEntries {
+		return nil
+	}
+	data, err := e.store.Snapshot()
+	if err != nil {
+		return errors.Annotate(err, "encode snapshot")
+	}
+	snapshot, err := e.node.MakeSnapshot(e.appliedIndex, data)
+	if err != nil {
+		return errors.Annotate(err, "make snapshot")
+	}
+	if err := e.cfg.Storage.SaveSnapshot(snapshot); err != nil {
+		return errors.Annotate(ErrStorage, err.Error())
+	}
+	e.node.Compact(snapshot)
+	e.snapshotAt = e.appliedIndex
+	return nil
+}
--- /dev/null
+++ b/control/errors.go
@@ -0,0 +1,26 @@
+package control
+
+import "github.com/juju/errors"
+
+// Errors of the control daemon.
+const (
+	// ErrStopped: the daemon is stopping.
+	ErrStopped = errors.ConstError("the control daemon is stopping")
+	// ErrNoLeader: no leader is known at the moment; ask again.
+	ErrNoLeader = errors.ConstError("no leader is known")
+	// ErrOutcomeUnknown: the command may or may not take effect; a resend gets its answer.
+	ErrOutcomeUnknown = errors.ConstError("the outcome is unknown: send the same request again")
+	// ErrNotInitialised: the daemon belongs to no cluster yet.
+	ErrNotInitialised = errors.ConstError("the daemon belongs to no cluster yet")
+	// ErrAlreadyInitialised: a cluster exists.
+	ErrAlreadyInitialised = errors.ConstError("a cluster exists already")
+	// ErrPeerUnreachable: initialising needs every configured peer, so that no
+	// second cluster is formed beside one that cannot be seen.
+	ErrPeerUnreachable = errors.ConstError("a configured peer cannot be reached")
+	// ErrOtherCluster: a message came from another cluster.
+	ErrOtherCluster = errors.ConstError("the message belongs to another cluster")
+	// ErrNameInUse: a member with this name is running.
+	ErrNameInUse = errors.ConstError("a running member has this name")
+	// ErrStorage: the log cannot be written; the daemon must stop.
+	ErrStorage = errors.ConstError("the log cannot be written")
+)
--- /dev/null
+++ b/control/joiner.go
@@ -0,0 +1,99 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"pistachiomount.example/pistachiomount/apipb"
+	"pistachiomount.example/pistachiomount/transport"
+)
+
+// joiner finds the cluster of a daemon that belongs to none, and keeps the
+// group informed of this daemon's address.
+type joiner struct {
+	self  *apipb.Member
+	addrs []string
+	peers *transport.Peers
+	log   logrus.FieldLogger
+}
+
+// discover asks the peers until one belongs to a cluster that takes this daemon
+// in, and returns the cluster's id. It never forms a cluster.
+func (j *joiner) discover(ctx context.Context) (uint64, error) {
+	ticker := time.NewTicker(joinInterval)
+	defer ticker.Stop()
+	for {
+		for _, address := range j.addrs {
+			if id, ok := j.join(ctx, address); ok {
+				return id, nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return 0, errors.Trace(ctx.Err())
+		case <-ticker.C:
+		}
+	}
+}
+
+// announce tells the group this daemon's address once, after a restart.
+func (j *joiner) announce(ctx context.Context) {
+	if _, err := j.discover(ctx); err != nil && ctx.Err() == nil {
+		j.log.WithError(err).Warn("address not announced")
+	}
+}
+
+// join asks the daemon at the address and, where it names one, the leader.
+func (j *joiner) join(ctx context.Context, address string) (uint64, bool) {
+	reply, err := j.ask(ctx, address)
+	if err == nil && !reply.Accepted && reply.LeaderAddress != "" {
+		reply, err = j.ask(ctx, reply.LeaderAddress)
+	}
+	if err != nil {
+		j.log.WithError(err).WithField("peer", address).Debug("no cluster found")
+		return 0, false
+	}
+	if !reply.Accepted {
+		j.log.WithField("peer", address).WithField("reason", reply.Reason).Info("not taken in yet")
+		return 0, false
+	}
+	return reply.ClusterId, true
+}
+
+func (j *joiner) ask(ctx context.Context, address string) (*apipb.JoinReply, error) {
+	client, err := j.peers.Get(address)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	reply, err := apipb.NewDRPCConsensusClient(client).Join(ctx, &apipb.JoinRequest{Member: j.self})
+	return reply, errors.Trace(err)
+}
+
+// checkUninitialised makes sure that no peer belongs to a cluster. Every peer
+// must answer, since one that cannot be reached may belong to one.
+func (j *joiner) checkUninitialised(ctx context.Context) error {
+	for _, address := range j.addrs {
+		if address == j.self.RpcAddress {
+			continue
+		}
+		client, err := j.peers.Get(address)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
+		reply, err := apipb.NewDRPCConsensusClient(client).PeerStatus(callCtx, &apipb.PeerStatusRequest{})
+		cancel()
+		if err != nil {
+			return errors.Annotatef(ErrPeerUnreachable, "peer %s: %v", address, err)
+		}
+		if reply.ClusterId != 0 {
+			return errors.Annotatef(ErrAlreadyInitialised, "peer %s belongs to cluster %x", address, reply.ClusterId)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/control/member_keeper.go
@@ -0,0 +1,161 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"pistachiomount.example/pistachiomount/apipb"
+	"pistachiomount.example/pistachiomount/consensus"
+)
+
+// keepMembers lets the leader turn learners that have caught up into voters.
+func (e *Engine) keepMembers(ctx context.Context) {
+	ticker := time.NewTicker(memberCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-e.done:
+			return
+		case <-ticker.C:
+			_ = e.do(ctx, e.promoteOne)
+		}
+	}
+}
+
+// promoteOne proposes at most one change, since members change one at a time. A
+// learner replaces the voter of the same name, whose disk was lost; otherwise it
+// is added up to MaxVoters.
+func (e *Engine) promoteOne() {
+	status := e.node.Status()
+	if status.Role != consensus.RoleLeader || len(status.Members.GetOutgoingVoters()) > 0 {
+		return
+	}
+	for _, progress := range e.node.Progress() {
+		learner := e.member(progress.ID)
+		if learner == nil || learner.Voter || !progress.CaughtUp {
+			continue
+		}
+		change := promotion(learner, status.Members)
+		if change == nil {
+			continue
+		}
+		err := e.node.ProposeMember(change)
+		if err != nil && !errors.Is(err, consensus.ErrChangePending) && !errors.Is(err, consensus.ErrNotCaughtUp) {
+			e.cfg.Log.WithError(err).WithField("member", learner.Name).Warn("member not promoted")
+		}
+		return
+	}
+}
+
+// promotion returns the change that makes the learner a voter, or nil if it is
+// to stay a learner.
+func promotion(learner *apipb.Member, members *apipb.MemberSet) *apipb.MemberChange {
+	voters := 0
+	for _, m := range members.GetMembers() {
+		if !m.Voter {
+			continue
+		}
+		voters++
+		if m.Name == learner.Name {
+			return &apipb.MemberChange{
+				Type: apipb.MemberChangeType_MEMBER_CHANGE_TYPE_REPLACE, Member: learner, ReplacesId: m.Id,
+			}
+		}
+	}
+	if voters >= MaxVoters {
+		return nil
+	}
+	return &apipb.MemberChange{Type: apipb.MemberChangeType_MEMBER_CHANGE_TYPE_PROMOTE, Member: learner}
+}
+
+// Join adds a daemon as a learner, or updates the address of a member that moved.
+func (e *Engine) Join(ctx context.Context, member *apipb.Member) (*apipb.JoinReply, error) {
+	reply := &apipb.JoinReply{ClusterId: e.cfg.ClusterID}
+	err := e.do(ctx, func() {
+		if e.node.Status().Role != consensus.RoleLeader {
+			reply.LeaderAddress = e.leaderAddress()
+			return
+		}
+		if err := e.joinOnLoop(member); err != nil {
+			reply.Reason = err.Error()
+			return
+		}
+		reply.Accepted = true
+	})
+	return reply, errors.Trace(err)
+}
+
+func (e *Engine) joinOnLoop(member *apipb.Member) error {
+	if known := e.member(member.Id); known != nil {
+		return e.updateAddress(known, member)
+	}
+	now := e.cfg.Clock.Now()
+	for _, m := range e.node.Status().Members.GetMembers() {
+		if m.Name != member.Name {
+			continue
+		}
+		if heard, ok := e.heard[m.Id]; m.Id == e.cfg.Self.Id || ok && now.ElapsedSince(heard) < memberActiveFor {
+			return errors.Annotatef(ErrNameInUse, "name %q", member.Name)
+		}
+		if !m.Voter { // a learner whose disk was lost before it was promoted
+			return e.node.ProposeMember(&apipb.MemberChange{
+				Type: apipb.MemberChangeType_MEMBER_CHANGE_TYPE_REMOVE, Member: m,
+			})
+		}
+	}
+	return e.node.ProposeMember(&apipb.MemberChange{
+		Type: apipb.MemberChangeType_MEMBER_CHANGE_TYPE_ADD_LEARNER, Member: member,
+	})
+}
+
+func (e *Engine) updateAddress(known, member *apipb.Member) error {
+	if known.RpcAddress == member.RpcAddress && known.HttpAddress == member.HttpAddress {
+		return nil
+	}
+	return e.node.ProposeMember(&apipb.MemberChange{
+		Type: apipb.MemberChangeType_MEMBER_CHANGE_TYPE_UPDATE_ADDRESS, Member: member,
+	})
+}
+
+// handOver passes leadership to the member that is most up to date, so that a
+// planned stop costs no election timeout.
+func (e *Engine) handOver(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
+	defer cancel()
+	for {
+		leads := false
+		err := e.do(ctx, func() {
+			leads = e.node.Status().Role == consensus.RoleLeader
+			if leads {
+				e.startTransfer()
+			}
+		})
+		if err != nil || !leads {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(TickInterval):
+		}
+	}
+}
+
+func (e *Engine) startTransfer() {
+	best, match := uint64(0), uint64(0)
+	for _, progress := range e.node.Progress() {
+		if member := e.member(progress.ID); member != nil && member.Voter && progress.Match >= match {
+			best, match = progress.ID, progress.Match
+		}
+	}
+	if best == 0 || e.node.Status().Transferee != 0 {
+		return
+	}
+	if err := e.node.TransferLeadership(best); err != nil {
+		e.cfg.Log.WithError(err).Warn("leadership not transferred")
+	}
+}
--- /dev/null
+++ b/control/operator_api.go
@@ -0,0 +1,206 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/alexedwards/flow"
+	"github.com/juju/errors"
+
+	"pistachiomount.example/pistachiomount/apipb"
+	"pistachiomount.example/pistachiomount/document"
+	"pistachiomount.example/pistachiomount/store"
+)
+
+// historyLimit is how many accepted documents one answer lists at most.
+const historyLimit = 1000
+
+// operatorAPI serves operators over HTTP.
+type operatorAPI struct {
+	daemon *Daemon
+	auth   operatorAuth
+}
+
+func (a *operatorAPI) routes(mux *flow.Mux) {
+	mux.Group(func(mux *flow.Mux) {
+		mux.Use(a.auth.require)
+		mux.HandleFunc("/v1/init", a.initialise, http.MethodPost)
+		mux.HandleFunc("/v1/members", a.members, http.MethodGet)
+		mux.HandleFunc("/v1/status", a.status, http.MethodGet)
+		mux.HandleFunc("/v1/environments/:env/documents", a.submit, http.MethodPost)
+		mux.HandleFunc("/v1/environments/:env/documents/:number", a.document, http.MethodGet)
+		mux.HandleFunc("/v1/environments/:env/history", a.history, http.MethodGet)
+	})
+}
+
+func (a *operatorAPI) initialise(w http.ResponseWriter, r *http.Request) {
+	id, err := a.daemon.initialise(r.Context())
+	switch {
+	case errors.Is(err, ErrAlreadyInitialised):
+		writeError(w, http.StatusConflict, "already_initialised", err.Error())
+	case err != nil:
+		writeError(w, http.StatusServiceUnavailable, "not_initialised", err.Error())
+	default:
+		writeJSON(w, http.StatusOK, InitReport{ClusterID: strconv.FormatUint(id, 16)})
+	}
+}
+
+func (a *operatorAPI) submit(w http.ResponseWriter, r *http.Request) {
+	env, ok := environmentOf(w, r)
+	if !ok {
+		return
+	}
+	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, document.MaxBytes))
+	if err != nil {
+		writeError(w, http.StatusRequestEntityTooLarge, "invalid_document", "the document cannot be read or is larger than 8 MiB")
+		return
+	}
+	doc, err := document.Decode(raw)
+	if err != nil {
+		writeError(w, http.StatusUnprocessableEntity, "invalid_document", err.Error())
+		return
+	}
+	if doc.Deployment != a.daemon.cfg.Deployment {
+		writeError(w, http.StatusUnprocessableEntity, "invalid_document",
+			"deployment: "+strconv.Quote(doc.Deployment)+" is not this installation, "+strconv.Quote(a.daemon.cfg.Deployment))
+		return
+	}
+	operator, _ := a.auth.operator(r)
+	a.propose(w, r.Context(), &apipb.SubmitDocument{
+		Environment: env, Document: raw, Number: doc.Number, Operator: operator,
+	})
+}
+
+func (a *operatorAPI) propose(w http.ResponseWriter, ctx context.Context, submit *apipb.SubmitDocument) {
+	engine, err := a.daemon.running()
+	if err != nil {
+		writeFailure(w, err)
+		return
+	}
+	reply, err := (&commander{engine: engine, peers: a.daemon.peers}).run(ctx,
+		&apipb.Command{Body: &apipb.Command_SubmitDocument{SubmitDocument: submit}})
+	if err != nil {
+		writeFailure(w, err)
+		return
+	}
+	writeSubmit(w, reply.Submit)
+}
+
+func writeSubmit(w http.ResponseWriter, result *apipb.SubmitResult) {
+	report := SubmitReport{
+		Number: result.Number, Digest: result.Digest, Revision: result.Revision, Repeated: result.Repeated,
+		NumberInForce: result.NumberInForce, DigestInForce: result.DigestInForce, Message: result.Message,
+	}
+	switch result.Status {
+	case apipb.SubmitStatus_SUBMIT_STATUS_ACCEPTED:
+		report.Status = "accepted"
+		writeJSON(w, http.StatusOK, report)
+	case apipb.SubmitStatus_SUBMIT_STATUS_CONFLICT:
+		report.Status = "conflict"
+		writeJSON(w, http.StatusConflict, report)
+	case apipb.SubmitStatus_SUBMIT_STATUS_NOT_IN_TRIAL:
+		report.Status = "not_in_trial"
+		writeJSON(w, http.StatusConflict, report)
+	default:
+		report.Status = "invalid"
+		writeJSON(w, http.StatusUnprocessableEntity, report)
+	}
+}
+
+func (a *operatorAPI) document(w http.ResponseWriter, r *http.Request) {
+	env, ok := environmentOf(w, r)
+	if !ok {
+		return
+	}
+	var version *store.Version
+	number := r.PathValue("number")
+	found := a.read(w, r, func(s *store.Store) {
+		if number == "current" {
+			version = s.InForce(env)
+			return
+		}
+		if n, err := strconv.ParseUint(number, 10, 64); err == nil {
+			version = s.ByNumber(env, n)
+		}
+	})
+	if !found {
+		return
+	}
+	if version == nil {
+		writeError(w, http.StatusNotFound, "not_found", "no document with this number is kept; history lists its digest")
+		return
+	}
+	w.Header().Set("Content-Type", "application/yaml")
+	w.Header().Set("X-Document-Number", strconv.FormatUint(version.Number, 10))
+	w.Header().Set("X-Document-Digest", version.Digest)
+	_, _ = w.Write(version.Raw)
+}
+
+func (a *operatorAPI) history(w http.ResponseWriter, r *http.Request) {
+	env, ok := environmentOf(w, r)
+	if !ok {
+		return
+	}
+	report := HistoryReport{Documents: []HistoryItem{}}
+	found := a.read(w, r, func(s *store.Store) {
+		for _, h := range s.History(env, historyLimit) {
+			report.Documents = append(report.Documents, HistoryItem{
+				Number: h.Number, Digest: h.Digest, Revision: h.Revision, AcceptedMS: h.TimeMs, Operator: h.Operator,
+			})
+		}
+	})
+	if found {
+		writeJSON(w, http.StatusOK, report)
+	}
+}
+
+// read runs the function on a store that holds everything committed before the request.
+func (a *operatorAPI) read(w http.ResponseWriter, r *http.Request, f func(*store.Store)) bool {
+	engine, err := a.daemon.running()
+	if err == nil {
+		ctx, cancel := context.WithTimeout(r.Context(), proposeTimeout)
+		defer cancel()
+		if err = engine.barrier(ctx); err == nil {
+			err = engine.do(ctx, func() { f(engine.store) })
+		}
+	}
+	if err != nil {
+		writeFailure(w, err)
+	}
+	return err == nil
+}
+
+func environmentOf(w http.ResponseWriter, r *http.Request) (apipb.Environment, bool) {
+	switch r.PathValue("env") {
+	case "trial":
+		return apipb.Environment_ENVIRONMENT_TRIAL, true
+	case "production":
+		return apipb.Environment_ENVIRONMENT_PRODUCTION, true
+	}
+	writeError(w, http.StatusNotFound, "not_found", "the environments are trial and production")
+	return 0, false
+}
+
+func writeFailure(w http.ResponseWriter, err error) {
+	switch {
+	case errors.Is(err, ErrOutcomeUnknown):
+		writeError(w, http.StatusGatewayTimeout, "outcome_unknown", err.Error())
+	case errors.Is(err, ErrNotInitialised):
+		writeError(w, http.StatusServiceUnavailable, "not_initialised", err.Error())
+	default:
+		writeError(w, http.StatusServiceUnavailable, "unavailable", err.Error())
+	}
+}
+
+func writeError(w http.ResponseWriter, status int, reason, message string) {
+	writeJSON(w, status, ErrorReport{Error: ErrorDetail{Reason: reason, Message: message}})
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body) // an error here means that the operator has gone
+}
--- /dev/null
+++ b/control/ownership.go
@@ -0,0 +1,185 @@
+package control
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"pistachiomount.example/pistachiomount/apipb"
+	"pistachiomount.example/pistachiomount/clock"
+	"pistachiomount.example/pistachiomount/consensus"
+	"pistachiomount.example/pistachiomount/document"
+	"pistachiomount.example/pistachiomount/grant"
+	"pistachiomount.example/pistachiomount/membership"
+	"pistachiomount.example/pistachiomount/platform"
+	"pistachiomount.example/pistachiomount/store"
+)
+
+// capsInterval bounds how often the caps are compared with the document and the
+// list of upstreams.
+const capsInterval = 200 * time.Millisecond
+
+// ownership holds the grants and the fleet lists of the term in which this
+// daemon leads. It is rebuilt from the renewals of each new term.
+type ownership struct {
+	cfg *Config
+	// firstTerm is set when this process formed the cluster, so that no earlier
+	// term can have issued grants.
+	firstTerm bool
+
+	mu      sync.Mutex
+	term    uint64
+	tenures map[apipb.Environment]*tenure
+}
+
+// tenure is the ownership of one environment during one term.
+type tenure struct {
+	owner     *grant.Owner
+	fleet     *membership.Fleet
+	revision  uint64
+	upstreams []platform.Upstream
+	checked   clock.Instant
+	checkedOK bool
+}
+
+func newOwnership(cfg *Config) *ownership {
+	return &ownership{cfg: cfg, tenures: map[apipb.Environment]*tenure{}}
+}
+
+// leadership is what the loop knows when a renewal arrives.
+type leadership struct {
+	term    uint64
+	valid   bool
+	leader  string
+	version *store.Version
+}
+
+func (e *Engine) leadership(ctx context.Context, env apipb.Environment) (leadership, error) {
+	var l leadership
+	err := e.do(ctx, func() {
+		status := e.node.Status()
+		l.term = status.Term
+		l.valid = status.Role == consensus.RoleLeader && status.LeaseValid && status.TermCommitted && e.appliedTerm == status.Term
+		l.leader = e.leaderAddress()
+		l.version = e.store.InForce(env)
+	})
+	return l, errors.Trace(err)
+}
+
+// renew answers a renewal if this daemon leads, and otherwise names the leader.
+func (o *ownership) renew(ctx context.Context, engine *Engine, request *apipb.RenewRequest) (*apipb.RenewReply, error) {
+	l, err := engine.leadership(ctx, request.Environment)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	if !l.valid || request.GetVm().GetName() == "" {
+		return &apipb.RenewReply{NotLeader: true, LeaderAddress: l.leader, Term: l.term}, nil
+	}
+	t := o.tenure(l.term, request.Environment, l.version)
+	if t == nil {
+		return &apipb.RenewReply{NotLeader: true, LeaderAddress: l.leader, Term: l.term}, nil
+	}
+	if err := t.fleet.Heartbeat(request.Vm); err != nil {
+		return &apipb.RenewReply{Term: l.term, Sequence: request.Sequence, StaleIncarnation: true}, nil
+	}
+	reply := t.owner.Renew(request, true)
+	t.addFleet(reply, request.HaveFleetVersion)
+	return reply, nil
+}
+
+// addFleet adds the fleet list if the caller lacks it. A list that is not
+// complete yet must not replace one of an earlier leader.
+func (t *tenure) addFleet(reply *apipb.RenewReply, have uint64) {
+	t.fleet.Expire()
+	vms, version := t.fleet.List()
+	reply.FleetVersion = have
+	if version != have && (have == 0 || t.fleet.Complete()) {
+		reply.FleetVersion, reply.Fleet = version, vms
+	}
+}
+
+// tenure returns the ownership of the term, begun anew if the term is. A term
+// below the current one has ended.
+func (o *ownership) tenure(term uint64, env apipb.Environment, version *store.Version) *tenure {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if term < o.term {
+		return nil
+	}
+	if term > o.term {
+		o.term = term
+		o.tenures = map[apipb.Environment]*tenure{}
+	}
+	t := o.tenures[env]
+	if t == nil {
+		t = o.begin(term)
+		o.tenures[env] = t
+	}
+	o.refreshCaps(t, env, version)
+	return t
+}
+
+func (o *ownership) begin(term uint64) *tenure {
+	owner := grant.NewOwner(grant.OwnerConfig{
+		Term: term, Quarantine: o.cfg.Quarantine, NoPredecessor: o.firstTerm,
+	}, o.cfg.Clock)
+	o.firstTerm = false
+	return &tenure{owner: owner, fleet: membership.NewFleet(term, o.cfg.Clock)}
+}
+
+// refreshCaps sets the caps when the document or the list of upstreams changed.
+func (o *ownership) refreshCaps(t *tenure, env apipb.Environment, version *store.Version) {
+	now := o.cfg.Clock.Now()
+	if version == nil || t.checkedOK && t.revision == version.Revision && now.ElapsedSince(t.checked) < capsInterval {
+		return
+	}
+	t.checked, t.checkedOK = now, true
+	upstreams := o.upstreams(env)
+	t.fleet.SetPlatform(o.vms(env))
+	if t.revision == version.Revision && slices.Equal(t.upstreams, upstreams) {
+		return
+	}
+	doc, err := document.Decode(version.Raw)
+	if err != nil {
+		o.cfg.Log.WithError(err).Error("the document in force cannot be decoded")
+		return
+	}
+	t.revision, t.upstreams = version.Revision, upstreams
+	t.owner.SetCaps(capsOf(doc, upstreams))
+}
+
+func (o *ownership) upstreams(env apipb.Environment) []platform.Upstream {
+	lists, ok := o.cfg.Platforms[env]
+	if !ok {
+		return nil
+	}
+	return lists.Upstreams()
+}
+
+// vms returns the platform's list of VMs, a hint beside the heartbeats.
+func (o *ownership) vms(env apipb.Environment) []membership.VM {
+	lists, ok := o.cfg.Platforms[env]
+	if !ok {
+		return nil
+	}
+	var vms []membership.VM
+	for _, vm := range lists.VMs() {
+		vms = append(vms, membership.VM{Name: vm.Name, Leaving: vm.State == platform.Leaving})
+	}
+	return vms
+}
+
+// fleet returns the entry VMs of the environment, if this daemon leads.
+func (o *ownership) fleet(term uint64, env apipb.Environment) []*apipb.Vm {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	t := o.tenures[env]
+	if term != o.term || t == nil {
+		return nil
+	}
+	vms, _ := t.fleet.List()
+	return vms
+}
--- /dev/null
+++ b/control/watch.go
@@ -0,0 +1,126 @@
+package control
+
+import (
+	"context"
+	"math"
+	"time"
+
+	"github.com/juju/errors"
+
+	"pistachiomount.example/pistachiomount/apipb"
+	"pistachiomount.example/pistachiomount/document"
+	"pistachiomount.example/pistachiomount/store"
+)
+
+// watchState is what the loop knows when a poll is answered.
+type watchState struct {
+	version   *store.Version
+	base      *store.Version
+	age       time.Duration
+	confirmed bool
+	leader    string
+	controls  []string
+	changed   <-chan struct{}
+}
+
+// Watch answers a poll as soon as there is a newer revision than the caller has,
+// or after the wait.
+func (e *Engine) Watch(ctx context.Context, request *apipb.WatchRequest) (*apipb.WatchReply, error) {
+	wait := min(time.Duration(request.WaitMs)*time.Millisecond, MaxWatchWait)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		state, err := e.watchState(ctx, request)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		if state.newer(request) {
+			return state.reply(request), nil
+		}
+		select {
+		case <-state.changed:
+		case <-timer.C:
+			return e.lastReply(ctx, request)
+		case <-ctx.Done():
+			return nil, errors.Trace(ctx.Err())
+		case <-e.done:
+			return nil, errors.Trace(ErrStopped)
+		}
+	}
+}
+
+// lastReply answers with the state at the end of the wait, whose age is lower
+// than it was at the start.
+func (e *Engine) lastReply(ctx context.Context, request *apipb.WatchRequest) (*apipb.WatchReply, error) {
+	state, err := e.watchState(ctx, request)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	return state.reply(request), nil
+}
+
+func (e *Engine) watchState(ctx context.Context, request *apipb.WatchRequest) (watchState, error) {
+	var state watchState
+	err := e.do(ctx, func() {
+		now := e.cfg.Clock.Now()
+		e.confirmation.watch(now)
+		state.version = e.store.InForce(request.Environment)
+		state.base = e.store.Former(request.Environment, request.HaveRevision)
+		state.age, state.confirmed = e.confirmation.age(now)
+		state.leader = e.leaderAddress()
+		state.changed = e.changed
+		for _, m := range e.node.Status().Members.GetMembers() {
+			state.controls = append(state.controls, m.RpcAddress)
+		}
+	})
+	return state, err
+}
+
+func (s *watchState) newer(request *apipb.WatchRequest) bool {
+	return s.version != nil && s.version.Revision > request.HaveRevision
+}
+
+func (s *watchState) reply(request *apipb.WatchRequest) *apipb.WatchReply {
+	reply := &apipb.WatchReply{
+		Kind:             apipb.WatchKind_WATCH_KIND_UNCHANGED,
+		Confirmed:        s.confirmed,
+		ConfirmedAgeMs:   uint32(min(s.age.Milliseconds(), math.MaxUint32)),
+		LeaderAddress:    s.leader,
+		ControlAddresses: s.controls,
+	}
+	if s.version == nil {
+		return reply
+	}
+	reply.Revision, reply.Number, reply.Digest = s.version.Revision, s.version.Number, s.version.Digest
+	switch {
+	case !s.newer(request):
+	case s.base != nil && s.base.Digest == request.HaveDigest:
+		reply.Kind = apipb.WatchKind_WATCH_KIND_DELTA
+		reply.Sections = document.Delta(s.base.Raw, s.version.Raw)
+	default:
+		reply.Kind = apipb.WatchKind_WATCH_KIND_SNAPSHOT
+		reply.SnapshotChunks = chunkCount(s.version.Raw)
+	}
+	return reply
+}
+
+func chunkCount(raw []byte) uint32 {
+	return uint32((len(raw) + chunkBytes - 1) / chunkBytes)
+}
+
+// FetchChunk returns one piece of a document. Pieces of one revision never
+// change, so a caller may fetch them from different control daemons.
+func (e *Engine) FetchChunk(ctx context.Context, request *apipb.ChunkRequest) (*apipb.ChunkReply, error) {
+	var version *store.Version
+	if err := e.do(ctx, func() { version = e.store.Former(request.Environment, request.Revision) }); err != nil {
+		return nil, errors.Trace(err)
+	}
+	if version == nil || request.Chunk >= chunkCount(version.Raw) {
+		return &apipb.ChunkReply{Gone: true}, nil
+	}
+	start := int(request.Chunk) * chunkBytes
+	return &apipb.ChunkReply{
+		Data:   version.Raw[start:min(start+chunkBytes, len(version.Raw))],
+		Chunks: chunkCount(version.Raw),
+	}, nil
+}
--- /dev/null
+++ b/e2e/installation_test.go
@@ -0,0 +1,224 @@
+package e2e_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"pistachiomount.example/pistachiomount/control"
+	"pistachiomount.example/pistachiomount/operator"
+)
+
+const operatorToken = "e2e-operator"
+
+var regionNames = []string{"bogota", "medellin", "cali"}
+
+// installation is the whole system: a platform, upstreams, control and entry VMs.
+type installation struct {
+	t         *testing.T
+	dir       string
+	platform  *process
+	upstreams []*process
+	controls  []*process
+	entries   []*process
+	operator  *operator.Client
+}
+
+// newInstallation starts the given number of control and entry VMs, spread over
+// the regions, and two upstreams of the service records in each region.
+func newInstallation(t *testing.T, controls, entries int) *installation {
+	t.Helper()
+	in := &installation{t: t, dir: t.TempDir(), operator: &operator.Client{Token: operatorToken}}
+	in.platform = start(t, "platform", "standin-platform")
+	for _, region := range regionNames {
+		in.upstreams = append(in.upstreams, start(t, "upstreams-"+region, "standin-upstream",
+			"--platform", in.platform.address("http"), "--count", "2", "--service", "records",
+			"--region", region, "--failure-domain", region+"-1", "--slots", "6", "--service-time", "2ms",
+			"--secrets", "demo-key-belen,demo-key-veracruz"))
+	}
+	for i := range controls {
+		in.addControl(i)
+		if i == 0 {
+			in.initialise()
+		}
+	}
+	in.awaitVoters(controls)
+	for i := range entries {
+		in.addEntry(i)
+	}
+	return in
+}
+
+func (in *installation) addControl(i int) *process {
+	in.t.Helper()
+	digest := sha256.Sum256([]byte(operatorToken))
+	platform := in.platform.address("http")
+	args := []string{
+		"--vm", fmt.Sprintf("control-%d", i), "--region", regionNames[i%3], "--failure-domain", regionNames[i%3] + "-1",
+		"--deployment", "bancas", "--data-dir", filepath.Join(in.dir, fmt.Sprintf("control-%d", i)),
+		"--operator-tokens", "tester:" + hex.EncodeToString(digest[:]),
+		"--platform-trial", platform, "--platform-production", platform,
+	}
+	if peers := in.rpcAddresses(); peers != "" {
+		args = append(args, "--peers", peers)
+	}
+	p := start(in.t, fmt.Sprintf("control-%d", i), "pm-control", args...)
+	in.operator.Addresses = append(in.operator.Addresses, p.address("http"))
+	in.controls = append(in.controls, p)
+	return p
+}
+
+func (in *installation) rpcAddresses() string {
+	addresses := []string{}
+	for _, c := range in.controls {
+		addresses = append(addresses, c.address("rpc"))
+	}
+	return strings.Join(addresses, ",")
+}
+
+func (in *installation) initialise() {
+	in.t.Helper()
+	eventually(in.t, "cluster formed", func() bool {
+		_, err := in.operator.Init(in.t.Context())
+		return err == nil
+	})
+}
+
+func (in *installation) awaitVoters(count int) {
+	in.t.Helper()
+	eventually(in.t, fmt.Sprintf("%d voters", count), func() bool {
+		report := in.status()
+		voters := 0
+		for _, m := range report.Members {
+			if m.Voter {
+				voters++
+			}
+		}
+		return voters == count
+	})
+}
+
+// status returns the leader's view, or an empty report if no leader answers.
+func (in *installation) status() *control.StatusReport {
+	ctx, cancel := context.WithTimeout(in.t.Context(), 5*time.Second)
+	defer cancel()
+	report, err := in.operator.Status(ctx)
+	if err != nil {
+		return &control.StatusReport{}
+	}
+	return report
+}
+
+func (in *installation) addEntry(i int, extra ...string) *process {
+	in.t.Helper()
+	name := fmt.Sprintf("entry-%d", i)
+	args := append([]string{
+		"--vm", name, "--region", regionNames[i%3], "--failure-domain", fmt.Sprintf("%s-%d", regionNames[i%3], 1+i/3%2),
+		"--deployment", "bancas", "--environment", "trial", "--platform", in.platform.address("http"),
+		"--controls", in.rpcAddresses(),
+	}, extra...)
+	p := start(in.t, name, "pm-entry", args...)
+	in.entries = append(in.entries, p)
+	return p
+}
+
+// documentWith returns the example document with a number and replacements.
+func documentWith(t *testing.T, number int, replacements ...string) []byte {
+	t.Helper()
+	raw, err := os.ReadFile("../examples/bancas.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	replacements = append(replacements, "\nnumber: 1\n", fmt.Sprintf("\nnumber: %d\n", number))
+	return []byte(strings.NewReplacer(replacements...).Replace(string(raw)))
+}
+
+// accept submits a document to trial until it is accepted.
+func (in *installation) accept(raw []byte) *control.SubmitReport {
+	in.t.Helper()
+	var report *control.SubmitReport
+	eventually(in.t, "document accepted", func() bool {
+		var err error
+		report, err = in.operator.Submit(in.t.Context(), "trial", raw)
+		return err == nil && report.Status == "accepted"
+	})
+	return report
+}
+
+// awaitServing waits until every entry VM serves at least the revision and
+// answers a request.
+func (in *installation) awaitServing(revision uint64) {
+	in.t.Helper()
+	for _, e := range in.entries {
+		address := e.address("callers")
+		eventually(in.t, e.name+" serves", func() bool {
+			got := request(in.t, address, http.MethodGet, "/records/ready", "demo-key-veracruz", nil)
+			return got.status == http.StatusOK && in.inForce(e.name) >= revision
+		})
+	}
+}
+
+func (in *installation) inForce(vm string) uint64 {
+	for _, v := range in.status().Environments["trial"].VMs {
+		if v.Name == vm {
+			return v.Revision
+		}
+	}
+	return 0
+}
+
+// response is what a caller got.
+type response struct {
+	status int
+	header http.Header
+	body   []byte
+	err    error
+}
+
+// reason returns the machine-readable reason of a refusal.
+func (r response) reason() (reason, run string) {
+	var refusal struct {
+		Error struct{ Reason, Run string }
+	}
+	_ = json.Unmarshal(r.body, &refusal)
+	return refusal.Error.Reason, refusal.Error.Run
+}
+
+// request sends one request on a connection of its own.
+func request(t *testing.T, address, method, path, key string, header map[string]string) response {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	var body io.Reader
+	if method == http.MethodPost {
+		body = bytes.NewReader([]byte(`{"truck":1}`))
+	}
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if key != "" {
+		r.Header.Set("X-Api-Key", key)
+	}
+	for name, value := range header {
+		r.Header.Set(name, value)
+	}
+	transport := &http.Transport{DisableKeepAlives: true}
+	resp, err := transport.RoundTrip(r)
+	if err != nil {
+		return response{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	return response{status: resp.StatusCode, header: resp.Header, body: data, err: err}
+}
--- /dev/null
+++ b/entry/applying.go
@@ -0,0 +1,144 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"pistachiomount.example/pistachiomount/apipb"
+	"pistachiomount.example/pistachiomount/document"
+	"pistachiomount.example/pistachiomount/forward"
+	"pistachiomount.example/pistachiomount/platform"
+	"pistachiomount.example/pistachiomount/steering"
+)
+
+// View returns the view that a request is decided by.
+func (d *Daemon) View() forward.View {
+	v := d.keeper.load()
+	age, confirmed := v.age(d.cfg.Clock.Now())
+	out := forward.View{Index: v.index, Revision: v.revision, Region: d.cfg.Region}
+	switch {
+	case !confirmed:
+		out.StaleFor = MaxViewAge
+	case age <= MaxViewAge:
+		out.Fresh = true
+	default:
+		out.StaleFor = age - MaxViewAge
+	}
+	return out
+}
+
+// applyView hands a new document to everything that depends on it.
+func (d *Daemon) applyView(v *view) {
+	doc := v.index.Document()
+	d.mu.Lock()
+	if err := d.steerer.SetConfig(steeringConfig(doc)); err != nil {
+		d.cfg.Log.WithError(err).Error("steering keeps its former rules")
+	}
+	d.applyUpstreams(v)
+	d.mu.Unlock()
+	d.forgetCustomers(v.index)
+	for i := range doc.Customers {
+		d.grants.customer(doc.Customers[i].Name)
+	}
+	d.lookups.setRegions(doc, d.cfg.Region)
+	d.forwarder.Revalidate(d.View())
+	if d.lifecycle.State() == apipb.VmState_VM_STATE_STARTING && d.lifecycle.Serve() == nil {
+		d.cfg.Ready.SetState("serving", true)
+	}
+}
+
+// forgetCustomers hands back the rates of customers that left the document.
+func (d *Daemon) forgetCustomers(index *document.Index) {
+	d.grants.customers.Range(func(key, _ any) bool {
+		if name := key.(string); index.Customer(name) == nil {
+			d.grants.forgetCustomer(name)
+		}
+		return true
+	})
+}
+
+// applyUpstreams hands the platform's list to steering. The lock is held.
+func (d *Daemon) applyUpstreams(v *view) {
+	list := steeringUpstreams(d.upstreams, v.index)
+	if err := d.steerer.SetUpstreams(list); err != nil {
+		d.cfg.Log.WithError(err).Error("steering keeps its former upstreams")
+		return
+	}
+	byService := map[string][]string{}
+	listed := map[string]bool{}
+	for _, u := range list {
+		byService[u.Service] = append(byService[u.Service], u.ID)
+		listed[u.ID] = true
+	}
+	d.queue.setUpstreams(byService)
+	d.grants.slots.Range(func(key, _ any) bool {
+		if id := key.(string); !listed[id] {
+			d.grants.forgetUpstream(id)
+			d.pool.Forget(id)
+		}
+		return true
+	})
+}
+
+// runPlatform follows the platform's list of upstreams.
+func (d *Daemon) runPlatform(ctx context.Context) {
+	client := platform.NewClient(platform.ClientConfig{Address: d.cfg.Platform, Clock: d.cfg.Clock, Logger: d.cfg.Log})
+	defer client.Close()
+	platform.NewPoller(platform.PollerConfig{
+		Client: client, Period: platformPeriod, Logger: d.cfg.Log, OnUpstreams: d.setUpstreams,
+	}).Run(ctx)
+}
+
+func (d *Daemon) setUpstreams(list platform.List[platform.Upstream]) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.upstreams = list.Entries
+	d.applyUpstreams(d.keeper.load())
+}
+
+// runProbe asks the upstreams for their load.
+func (d *Daemon) runProbe(ctx context.Context) {
+	d.probe.Run(ctx, probePeriod, func() []platform.Upstream {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return d.upstreams
+	})
+}
+
+func (d *Daemon) takeLoad(report platform.LoadReport) {
+	if report.HasLoad {
+		d.steerer.ReportLoad(steering.LoadReport{
+			UpstreamID: report.UpstreamID, InFlight: report.Load.InFlight, Age: report.Age(d.cfg.Clock.Now()),
+		})
+	}
+}
+
+// runTicks moves ramps and estimates, takes in grants, and ends what a stale
+// view no longer allows.
+func (d *Daemon) runTicks(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		d.steerer.Tick()
+		d.queue.refresh()
+		if view := d.View(); !view.Fresh {
+			d.forwarder.Revalidate(view)
+		}
+	}
+}
+
+// describe returns this VM as the fleet shall see it.
+func (d *Daemon) describe() *apipb.Vm {
+	v := d.keeper.load()
+	age, _ := v.age(d.cfg.Clock.Now())
+	return &apipb.Vm{
+		Name: d.cfg.VM, Incarnation: d.incarnation, Address: d.cfg.Advertise, Region: d.cfg.Region,
+		FailureDomain: d.cfg.FailureDomain, State: d.lifecycle.State(), RevisionInForce: v.revision,
+		ViewAgeMs: uint32(age.Milliseconds()), Load: d.queue.load(),
+	}
+}
--- /dev/null
+++ b/entry/chooser.go
@@ -0,0 +1,101 @@
+package entry
+
+import (
+	"sync"
+	"time"
+
+	"pistachiomount.example/pistachiomount/forward"
+	"pistachiomount.example/pistachiomount/steering"
+)
+
+// chooser adapts steering to the request path.
+type chooser struct {
+	steerer *steering.Steerer
+	targets sync.Map // upstream id -> *steering.Target
+}
+
+// Regions appends the regions to try to dst, the preferred one first.
+func (c *chooser) Regions(dst []string, q forward.Query) []string {
+	order, err := c.steerer.Choose(steering.Request{
+		Service: q.Service, Customer: q.Customer, From: q.From, Idempotent: true,
+	})
+	if err != nil {
+		return dst
+	}
+	for {
+		pool, ok := order.Next()
+		if !ok {
+			return dst
+		}
+		dst = append(dst, pool.Region())
+	}
+}
+
+// Pick returns an upstream of the region that is not excluded.
+func (c *chooser) Pick(q forward.Query, region string, excluded []string) (forward.Upstream, bool) {
+	pool, ok := c.steerer.Pool(q.Service, region)
+	if !ok {
+		return forward.Upstream{}, false
+	}
+	var exclusion steering.Exclusion
+	for _, id := range excluded {
+		if target, ok := c.targets.Load(id); ok {
+			exclusion.Add(target.(*steering.Target))
+		}
+	}
+	target, ok := pool.Pick(&exclusion)
+	if !ok {
+		return forward.Upstream{}, false
+	}
+	target.Begin()
+	u := target.Upstream()
+	c.remember(u.ID, target)
+	return forward.Upstream{Name: u.ID, Address: u.Address, Region: u.Region}, true
+}
+
+func (c *chooser) remember(id string, target *steering.Target) {
+	if known, ok := c.targets.Load(id); !ok || known != target {
+		c.targets.Store(id, target)
+	}
+}
+
+// Report tells steering how an attempt ended.
+func (c *chooser) Report(_ forward.Query, u forward.Upstream, r forward.Report) {
+	if target, ok := c.targets.Load(u.Name); ok {
+		target.(*steering.Target).Finish(steering.Outcome{Result: resultOf(r), Latency: r.Elapsed})
+	}
+}
+
+func resultOf(r forward.Report) steering.Result {
+	if r.Draining {
+		return steering.Draining
+	}
+	switch r.Result {
+	case forward.ResultAnswered:
+		return steering.Success
+	case forward.ResultRefused:
+		return steering.Rejected
+	case forward.ResultFailed, forward.ResultTimeout:
+		return steering.Failure
+	}
+	return steering.Cancelled
+}
+
+// HedgeDelay returns how long to wait before a second attempt; 0 means none.
+func (c *chooser) HedgeDelay(q forward.Query) time.Duration {
+	pool, ok := c.steerer.Pool(q.Service, q.From)
+	if !ok {
+		return 0
+	}
+	delay, ok := pool.HedgeDelay()
+	if !ok {
+		return 0
+	}
+	return delay
+}
+
+// TakeRetry takes one attempt beyond the first from the retry budget.
+func (c *chooser) TakeRetry(service string) bool {
+	budget, ok := c.steerer.Budget(service)
+	return ok && budget.TryRetry()
+}
--- /dev/null
+++ b/entry/commands.go
@@ -0,0 +1,85 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/juju/errors"
+
+	"pistachiomount.example/pistachiomount/apipb"
+)
+
+// commands passes claims and jobs to the control daemons. Every command can be
+// sent twice without effect, so one that failed is tried at another daemon.
+type commands struct {
+	controls *controls
+}
+
+// commandTries is how many control daemons are asked.
+const commandTries = 3
+
+// call runs the function with control daemons until it succeeds.
+func call[T any](ctx context.Context, c *controls, f func(context.Context, apipb.DRPCControlClient) (T, error)) (T, error) {
+	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	var zero T
+	last := errors.Trace(ErrNoControl)
+	for range commandTries {
+		client, address, err := c.current()
+		if err != nil {
+			return zero, err
+		}
+		reply, err := f(ctx, client)
+		if err == nil {
+			return reply, nil
+		}
+		if ctx.Err() != nil {
+			return zero, errors.Trace(err)
+		}
+		last = err
+		c.rotate(address)
+		pause(ctx, retryPause)
+	}
+	return zero, errors.Trace(last)
+}
+
+// Claim commits that a request is about to run.
+func (c *commands) Claim(ctx context.Context, request *apipb.ClaimRequest) (*apipb.ClaimReply, error) {
+	return call(ctx, c.controls, func(ctx context.Context, client apipb.DRPCControlClient) (*apipb.ClaimReply, error) {
+		return client.Claim(ctx, request)
+	})
+}
+
+// Complete commits the outcome of a claimed request.
+func (c *commands) Complete(ctx context.Context, request *apipb.CompleteRequest) (*apipb.CompleteReply, error) {
+	return call(ctx, c.controls, func(ctx context.Context, client apipb.DRPCControlClient) (*apipb.CompleteReply, error) {
+		return client.Complete(ctx, request)
+	})
+}
+
+// Enqueue commits a deferred job.
+func (c *commands) Enqueue(ctx context.Context, request *apipb.EnqueueRequest) (*apipb.EnqueueReply, error) {
+	return call(ctx, c.controls, func(ctx context.Context, client apipb.DRPCControlClient) (*apipb.EnqueueReply, error) {
+		return client.Enqueue(ctx, request)
+	})
+}
+
+// Status returns a customer's job.
+func (c *commands) Status(ctx context.Context, request *apipb.JobStatusRequest) (*apipb.JobStatusReply, error) {
+	return call(ctx, c.controls, func(ctx context.Context, client apipb.DRPCControlClient) (*apipb.JobStatusReply, error) {
+		return client.JobStatus(ctx, request)
+	})
+}
+
+// start takes a job to run.
+func (c *commands) start(ctx context.Context, request *apipb.StartJobRequest) (*apipb.StartJobReply, error) {
+	return call(ctx, c.controls, func(ctx context.Context, client apipb.DRPCControlClient) (*apipb.StartJobReply, error) {
+		return client.StartJob(ctx, request)
+	})
+}
+
+// finish records how a job ended.
+func (c *commands) finish(ctx context.Context, request *apipb.FinishJobRequest) (*apipb.FinishJobReply, error) {
+	return call(ctx, c.controls, func(ctx context.Context, client apipb.DRPCControlClient) (*apipb.FinishJobReply, error) {
+		return client.FinishJob(ctx, request)
+	})
+}
--- /dev/null
+++ b/entry/controls.go
@@ -0,0 +1,113 @@
+package entry
+
+import (
+	"slices"
+	"sync"
+
+	"github.com/juju/errors"
+
+	"pistachiomount.example/pistachiomount/apipb"
+	"pistachiomount.example/pistachiomount/transport"
+)
+
+// controls knows the control daemons: those from the settings and those that
+// joined later. It is safe for concurrent use.
+type controls struct {
+	peers *transport.Peers
+
+	mu        sync.Mutex
+	seeds     []string
+	addresses []string
+	next      int
+	leader    string
+}
+
+// newControls starts at an address that depends on the VM, so that the fleet
+// spreads over the control daemons.
+func newControls(seeds []string, start uint64, peers *transport.Peers) *controls {
+	c := &controls{peers: peers, seeds: seeds, addresses: slices.Clone(seeds)}
+	if len(seeds) > 0 {
+		c.next = int(start % uint64(len(seeds)))
+	}
+	return c
+}
+
+// current returns a client of the control daemon in use.
+func (c *controls) current() (apipb.DRPCControlClient, string, error) {
+	c.mu.Lock()
+	if len(c.addresses) == 0 {
+		c.mu.Unlock()
+		return nil, "", errors.Trace(ErrNoControl)
+	}
+	address := c.addresses[c.next%len(c.addresses)]
+	c.mu.Unlock()
+	client, err := c.client(address)
+	return client, address, err
+}
+
+// rotate moves on from a control daemon that failed, unless another goroutine
+// has done so already.
+func (c *controls) rotate(failed string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n := len(c.addresses); n > 0 && c.addresses[c.next%n] == failed {
+		c.next = (c.next + 1) % n
+	}
+}
+
+// leaderClient returns a client of the leader, as far as it is known.
+func (c *controls) leaderClient() (apipb.DRPCControlClient, string, error) {
+	c.mu.Lock()
+	leader := c.leader
+	c.mu.Unlock()
+	if leader == "" {
+		return c.current()
+	}
+	client, err := c.client(leader)
+	return client, leader, err
+}
+
+// setLeader records who leads; "" means that it is not known.
+func (c *controls) setLeader(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leader = address
+}
+
+// learn takes in the addresses of the group. The seeds stay, since the group's
+// list may be that of a daemon that was cut off.
+func (c *controls) learn(addresses []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, a := range addresses {
+		if !slices.Contains(c.addresses, a) {
+			c.addresses = append(c.addresses, a)
+		}
+	}
+	c.forgetMissing(addresses)
+}
+
+// forgetMissing drops learned addresses that left the group.
+func (c *controls) forgetMissing(addresses []string) {
+	if len(addresses) == 0 {
+		return
+	}
+	inUse := ""
+	if len(c.addresses) > 0 {
+		inUse = c.addresses[c.next%len(c.addresses)]
+	}
+	c.addresses = slices.DeleteFunc(c.addresses, func(a string) bool {
+		return !slices.Contains(addresses, a) && !slices.Contains(c.seeds, a)
+	})
+	if at := slices.Index(c.addresses, inUse); at >= 0 {
+		c.next = at
+	}
+}
+
+func (c *controls) client(address string) (apipb.DRPCControlClient, error) {
+	client, err := c.peers.Get(address)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	return apipb.NewDRPCControlClient(client), nil
+}
--- /dev/null
+++ b/entry/daemon.go
@@ -0,0 +1,195 @@
+package entry
+
+import (
+	"context"
+	"hash/fnv"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/alexedwards/flow"
+	"github.com/juju/errors"
+
+	"pistachiomount.example/pistachiomount/apipb"
+	"pistachiomount.example/pistachiomount/forward"
+	"pistachiomount.example/pistachiomount/forward/pool"
+	"pistachiomount.example/pistachiomount/grant"
+	"pistachiomount.example/pistachiomount/membership"
+	"pistachiomount.example/pistachiomount/platform"
+	"pistachiomount.example/pistachiomount/steering"
+	"pistachiomount.example/pistachiomount/transport"
+)
+
+// Timeouts of the listeners.
+const (
+	headerTimeout  = 10 * time.Second
+	idleTimeout    = 90 * time.Second
+	maxHeaderBytes = 32 << 10
+	stopTimeout    = 150 * time.Second // above the longest route deadline
+	platformPeriod = time.Second
+	probePeriod    = time.Second
+)
+
+// Daemon is an entry daemon.
+type Daemon struct {
+	cfg         Config
+	incarnation uint64
+	peers       *transport.Peers
+	controls    *controls
+	keeper      *viewKeeper
+	holder      *grant.Holder
+	grants      *grants
+	renewer     *renewer
+	steerer     *steering.Steerer
+	chooser     *chooser
+	queue       *turnQueue
+	commands    *commands
+	pool        *pool.Set
+	forwarder   *forward.Handler
+	lookups     *lookups
+	lifecycle   *membership.Lifecycle
+	probe       *platform.LoadProbe
+
+	mu        sync.Mutex // guards the lists below and their hand-over to steering
+	upstreams []platform.Upstream
+	inFlight  atomic.Int64
+}
+
+// New assembles a daemon that Run starts.
+func New(cfg Config) (*Daemon, error) {
+	d := &Daemon{
+		cfg: cfg,
+		// The wall clock orders the starts of one VM; a second start within the
+		// same nanosecond is not possible.
+		incarnation: uint64(cfg.Clock.Now().Wall),
+		peers:       transport.NewPeers(cfg.Security),
+		steerer:     steering.New(cfg.Clock, nil),
+		lifecycle:   membership.NewLifecycle(cfg.Clock),
+	}
+	d.controls = newControls(cfg.Controls, hashOf(cfg.VM), d.peers)
+	d.commands = &commands{controls: d.controls}
+	d.holder = grant.NewHolder(grant.HolderConfig{
+		Environment: cfg.Environment, VM: cfg.VM, Incarnation: d.incarnation,
+	}, cfg.Clock)
+	d.grants = &grants{holder: d.holder}
+	d.chooser = &chooser{steerer: d.steerer}
+	d.queue = newTurnQueue(cfg.Clock, d.grants, d.customerWeight)
+	d.lookups = newLookups(cfg.Region)
+	d.keeper = &viewKeeper{
+		controls: d.controls, environment: cfg.Environment, deployment: cfg.Deployment, vm: cfg.VM,
+		incarnation: d.incarnation, clock: cfg.Clock, log: cfg.Log, onChange: d.applyView,
+	}
+	d.renewer = &renewer{controls: d.controls, holder: d.holder, log: cfg.Log, describe: d.describe, onFleet: d.lookups.setFleet}
+	d.probe = platform.NewLoadProbe(platform.LoadProbeConfig{Clock: cfg.Clock, OnReport: d.takeLoad})
+	d.pool = pool.NewSet(pool.Options{Permits: connGrants{d.grants}})
+	observer, err := newObserver(cfg.Meter, d)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	d.forwarder = forward.New(forward.Config{
+		Views: d, Admitter: admitter{d.grants}, Regions: regionGrants{d.grants}, Links: linkGrants{d.grants},
+		Slots: slotGrants{d.grants}, Chooser: d.chooser, Queue: d.queue, Claims: d.commands, Jobs: d.commands,
+		Observer: observer, Pool: d.pool, Tracer: cfg.Tracer, Holder: cfg.VM, Incarnation: d.incarnation,
+		Environment: cfg.Environment,
+	})
+	return d, nil
+}
+
+func hashOf(name string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(name)) // never fails
+	return h.Sum64()
+}
+
+// Run serves until the context ends, then stops without cutting a request.
+func (d *Daemon) Run(ctx context.Context) error {
+	defer d.peers.Close()
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer stop()
+	for _, work := range []func(context.Context){
+		d.keeper.run, d.renewer.run, d.runPlatform, d.runProbe, d.runTicks, d.runJobs,
+	} {
+		wg.Go(func() { work(background) })
+	}
+	admin := d.adminServer()
+	callers := d.callerServer()
+	failed := make(chan error, 2)
+	wg.Go(func() { failed <- serve(admin, d.cfg.AdminListener) })
+	wg.Go(func() { failed <- serve(callers, d.cfg.CallerListener) })
+	select {
+	case err := <-failed:
+		_ = admin.Close()
+		_ = callers.Close()
+		return errors.Trace(err)
+	case <-ctx.Done():
+	}
+	err := d.leave(callers)
+	_ = admin.Close()
+	return errors.Trace(err)
+}
+
+// leave is the planned stop: out of the look-ups first, then as long as callers
+// may hold an answer that names this VM, then until every request has ended.
+func (d *Daemon) leave(callers *http.Server) error {
+	if err := d.lifecycle.Leave(); err != nil {
+		return errors.Trace(err)
+	}
+	d.cfg.Ready.SetState("leaving", false)
+	d.cfg.Log.Info("leaving: waiting for look-up answers to expire")
+	time.Sleep(LookupTTL + stopMargin)
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	err := callers.Shutdown(ctx)
+	d.holder.Stop()
+	if stopErr := d.lifecycle.Stop(); err == nil {
+		err = stopErr
+	}
+	renewCtx, cancelRenew := context.WithTimeout(context.Background(), renewTimeout)
+	defer cancelRenew()
+	if renewErr := d.renewer.renew(renewCtx); renewErr != nil {
+		d.cfg.Log.WithError(renewErr).Info("grants not handed back; they end with their lease")
+	}
+	d.pool.CloseIdle()
+	d.cfg.Log.Info("stopped")
+	return err
+}
+
+func (d *Daemon) callerServer() *http.Server {
+	mux := flow.New()
+	mux.HandleFunc("/v1/lookup", d.serveLookup, http.MethodGet)
+	mux.Handle("/...", d.forwarder)
+	return &http.Server{
+		Handler: d.counted(mux), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes,
+	}
+}
+
+// counted keeps the number of requests under way.
+func (d *Daemon) counted(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		d.inFlight.Add(1)
+		defer d.inFlight.Add(-1)
+		if d.lifecycle.State() == apipb.VmState_VM_STATE_LEAVING {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (d *Daemon) adminServer() *http.Server {
+	mux := flow.New()
+	for path, handler := range d.cfg.AdminHandlers {
+		mux.Handle(path, handler, http.MethodGet)
+	}
+	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+}
+
+func (d *Daemon) customerWeight(name string) float64 {
+	if c := d.keeper.load().index.Customer(name); c != nil {
+		return c.Weight
+	}
+	return 1
+}
--- /dev/null
+++ b/entry/errors.go
@@ -0,0 +1,15 @@
+package entry
+
+import "github.com/juju/errors"
+
+// Errors of the entry daemon.
+const (
+	// ErrNoControl: no control daemon answered.
+	ErrNoControl = errors.ConstError("no control daemon answered")
+	// ErrLowerRevision: a control daemon offered an older document than is in force here.
+	ErrLowerRevision = errors.ConstError("the control daemon offers a lower revision")
+	// ErrUnconfirmed: a control daemon's state is not confirmed by the majority.
+	ErrUnconfirmed = errors.ConstError("the control daemon is cut off from the majority")
+	// ErrSnapshot: a document could not be fetched whole.
+	ErrSnapshot = errors.ConstError("the document could not be fetched")
+)
--- /dev/null
+++ b/entry/lookups.go
@@ -0,0 +1,97 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+
+	"pistachiomount.example/pistachiomount/apipb"
+	"pistachiomount.example/pistachiomount/document"
+	"pistachiomount.example/pistachiomount/lookup"
+)
+
+// lookups ranks entry VMs by the newest document and fleet list.
+type lookups struct {
+	home string
+
+	mu     sync.Mutex // serialises changes
+	fleet  []*apipb.Vm
+	ranker atomic.Pointer[lookup.Ranker]
+}
+
+func newLookups(home string) *lookups { return &lookups{home: home} }
+
+// setRegions takes in the regions of a document.
+func (l *lookups) setRegions(doc *document.Document, home string) {
+	regions := make([]lookup.Region, 0, len(doc.Regions))
+	for _, r := range doc.Regions {
+		regions = append(regions, lookup.Region{Name: r.Name})
+	}
+	ranker, err := lookup.New(home, regions)
+	if err != nil {
+		return // the document does not have this VM's region: the former one stays
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	ranker.Update(l.fleet)
+	l.ranker.Store(ranker)
+}
+
+// setFleet takes in a fleet list.
+func (l *lookups) setFleet(_ uint64, fleet []*apipb.Vm) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fleet = fleet
+	if ranker := l.ranker.Load(); ranker != nil {
+		ranker.Update(fleet)
+	}
+}
+
+// rank returns the VMs for a caller.
+func (l *lookups) rank(region string, caller netip.AddrPort) []*apipb.Vm {
+	ranker := l.ranker.Load()
+	if ranker == nil {
+		return nil
+	}
+	var room [lookup.Size]*apipb.Vm
+	return ranker.Rank(room[:0], region, lookup.Key(caller))
+}
+
+// serveLookup answers a caller that asks which entry VMs to use.
+func (d *Daemon) serveLookup(w http.ResponseWriter, r *http.Request) {
+	v := d.keeper.load()
+	name := r.URL.Query().Get("service")
+	if name != "" && v.index.Service(name) == nil {
+		writeLookupError(w, http.StatusNotFound, "route_unknown", "no such service")
+		return
+	}
+	caller, err := netip.ParseAddrPort(r.RemoteAddr)
+	if err != nil {
+		writeLookupError(w, http.StatusBadRequest, "bad_request", "the caller's address is not usable")
+		return
+	}
+	region := d.cfg.Region
+	if v.blocks != nil {
+		if site, ok := v.blocks.Lookup(caller.Addr()); ok {
+			region = site.Region
+		}
+	}
+	ranked := d.lookups.rank(region, caller)
+	if len(ranked) == 0 {
+		writeLookupError(w, http.StatusServiceUnavailable, "view_stale", "the list of entry VMs is not known yet")
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(lookup.NewResponse(ranked)) // an error here means that the caller has gone
+}
+
+func writeLookupError(w http.ResponseWriter, status int, reason, message string) {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("X-Request-Run", "not_run")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(map[string]any{"error": map[string]any{
+		"reason": reason, "run": "not_run", "retry_after_ms": retryPause.Milliseconds(), "message": message,
+	}})
+}
--- /dev/null
+++ b/entry/observer.go
@@ -0,0 +1,59 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/juju/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"pistachiomount.example/pistachiomount/forward"
+)
+
+// observer counts requests.
+type observer struct {
+	requests metric.Int64Counter
+	attempts metric.Int64Counter
+	latency  metric.Float64Histogram
+}
+
+func newObserver(meter metric.Meter, d *Daemon) (*observer, error) {
+	o := &observer{}
+	var err error
+	if o.requests, err = meter.Int64Counter("pm_requests", metric.WithDescription("Requests by service, customer, status and reason.")); err != nil {
+		return nil, errors.Trace(err)
+	}
+	if o.attempts, err = meter.Int64Counter("pm_attempts", metric.WithDescription("Attempts at upstreams, retries and hedges included.")); err != nil {
+		return nil, errors.Trace(err)
+	}
+	if o.latency, err = meter.Float64Histogram("pm_request_duration", metric.WithUnit("s"), metric.WithDescription("Time from arrival to the end of the answer.")); err != nil {
+		return nil, errors.Trace(err)
+	}
+	_, err = meter.Float64ObservableGauge("pm_view_age", metric.WithUnit("s"),
+		metric.WithDescription("Age of the confirmed configuration; -1 before the first."),
+		metric.WithFloat64Callback(func(_ context.Context, obs metric.Float64Observer) error {
+			age, ok := d.keeper.load().age(d.cfg.Clock.Now())
+			if !ok {
+				obs.Observe(-1)
+				return nil
+			}
+			obs.Observe(age.Seconds())
+			return nil
+		}))
+	return o, errors.Trace(err)
+}
+
+// Ended counts a request that ended.
+func (o *observer) Ended(e forward.Ended) {
+	ctx := context.Background()
+	attributes := metric.WithAttributes(
+		attribute.String("service", e.Service),
+		attribute.String("customer", e.Customer),
+		attribute.Int("status", e.Status),
+		attribute.String("reason", string(e.Reason)),
+	)
+	o.requests.Add(ctx, 1, attributes)
+	service := metric.WithAttributes(attribute.String("service", e.Service))
+	o.attempts.Add(ctx, int64(e.Attempts), service)
+	o.latency.Record(ctx, e.Elapsed.Seconds(), service)
+}
--- /dev/null
+++ b/entry/renewer.go
@@ -0,0 +1,84 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"pistachiomount.example/pistachiomount/apipb"
+	"pistachiomount.example/pistachiomount/grant"
+)
+
+// renewer keeps the grants of this daemon renewed and takes in the fleet list.
+// Its renewals are also the heartbeats of the VM.
+type renewer struct {
+	controls *controls
+	holder   *grant.Holder
+	log      logrus.FieldLogger
+	// describe returns the VM as the fleet shall see it.
+	describe func() *apipb.Vm
+	// onFleet is called with each changed fleet list.
+	onFleet func(version uint64, vms []*apipb.Vm)
+
+	fleetVersion uint64
+	failing      bool
+}
+
+// run renews until the context ends.
+func (r *renewer) run(ctx context.Context) {
+	ticker := time.NewTicker(renewCheck)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if r.holder.NeedsRenewal() {
+			r.renewAndReport(ctx)
+		}
+	}
+}
+
+func (r *renewer) renewAndReport(ctx context.Context) {
+	err := r.renew(ctx)
+	if err != nil && !r.failing && ctx.Err() == nil {
+		r.log.WithError(err).Warn("grants not renewed")
+	}
+	if err == nil && r.failing {
+		r.log.Info("grants renewed again")
+	}
+	r.failing = err != nil
+}
+
+// renew asks the leader once. An error makes the next renewal ask another.
+func (r *renewer) renew(ctx context.Context) error {
+	client, address, err := r.controls.leaderClient()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
+	defer cancel()
+	request := r.holder.BuildRequest()
+	request.Vm = r.describe()
+	request.HaveFleetVersion = r.fleetVersion
+	reply, err := client.Renew(ctx, request)
+	if err != nil {
+		r.controls.setLeader("")
+		r.controls.rotate(address)
+		return errors.Trace(err)
+	}
+	if reply.NotLeader {
+		r.controls.setLeader(reply.LeaderAddress)
+	}
+	if err := r.holder.Accept(reply); err != nil {
+		return errors.Trace(err)
+	}
+	if reply.FleetVersion != r.fleetVersion {
+		r.fleetVersion = reply.FleetVersion
+		r.onFleet(reply.FleetVersion, reply.Fleet)
+	}
+	return nil
+}
--- /dev/null
+++ b/entry/service_turns.go
@@ -0,0 +1,80 @@
+package entry
+
+import (
+	"sync/atomic"
+
+	"pistachiomount.example/pistachiomount/clock"
+	"pistachiomount.example/pistachiomount/fairqueue"
+)
+
+// serviceTurns hands out as many turns as this daemon holds slots of a service.
+type serviceTurns struct {
+	grants    *grants
+	queue     *fairqueue.Queue[struct{}]
+	upstreams atomic.Pointer[[]string]
+	capacity  atomic.Int64
+	inUse     atomic.Int64
+	asked     atomic.Uint64
+}
+
+func newServiceTurns(c clock.Clock, g *grants) *serviceTurns {
+	s := &serviceTurns{grants: g}
+	s.upstreams.Store(&[]string{})
+	s.queue = fairqueue.New(fairqueue.DefaultPerCustomer, c, s.acquire)
+	return s
+}
+
+// acquire takes a turn. Without one it tells the holder that more slots are
+// wanted, at each upstream in turn.
+func (s *serviceTurns) acquire() (struct{}, bool) {
+	for {
+		n := s.inUse.Load()
+		if n >= s.capacity.Load() {
+			s.askForSlots()
+			return struct{}{}, false
+		}
+		if s.inUse.CompareAndSwap(n, n+1) {
+			return struct{}{}, true
+		}
+	}
+}
+
+func (s *serviceTurns) askForSlots() {
+	ids := *s.upstreams.Load()
+	if len(ids) == 0 {
+		return
+	}
+	units := s.grants.slot(ids[s.asked.Add(1)%uint64(len(ids))])
+	if units.TryAcquire() {
+		units.Release()
+	}
+}
+
+func (s *serviceTurns) release() {
+	s.inUse.Add(-1)
+	s.queue.Wake()
+}
+
+func (s *serviceTurns) spare() int {
+	if s.queue.Waiting() > 0 {
+		return 0
+	}
+	return int(s.capacity.Load() - s.inUse.Load())
+}
+
+func (s *serviceTurns) setUpstreams(ids []string) {
+	s.upstreams.Store(&ids)
+	s.refresh()
+}
+
+// refresh counts the slots granted at present.
+func (s *serviceTurns) refresh() {
+	total := int64(0)
+	for _, id := range *s.upstreams.Load() {
+		_, granted := s.grants.slot(id).InUse()
+		total += int64(granted)
+	}
+	s.capacity.Store(total)
+	s.queue.Expire()
+	s.queue.Wake()
+}
--- /dev/null
+++ b/entry/timing.go
@@ -0,0 +1,34 @@
+package entry
+
+import "time"
+
+const (
+	// MaxViewAge is the revocation bound: a view that was confirmed longer ago is
+	// not used for requests that need a key. It leaves half of the 8 s in which a
+	// change must be in force everywhere.
+	MaxViewAge = 4 * time.Second
+	// watchWait is how long a control daemon may hold a poll.
+	watchWait = time.Second
+	// watchTimeout bounds a poll: the wait and a round trip between regions.
+	watchTimeout = 1500 * time.Millisecond
+	// maxConfirmedAge is the age at which the confirmation of a control daemon
+	// shows that it is cut off from the majority.
+	maxConfirmedAge = 2 * time.Second
+	// retryPause is the pause after a failed poll or renewal.
+	retryPause = 100 * time.Millisecond
+	// renewTimeout bounds a renewal, so that two fail before a lease ends.
+	renewTimeout = 900 * time.Millisecond
+	// renewCheck is how often the holder is asked whether a renewal is due.
+	renewCheck = 50 * time.Millisecond
+	// commandTimeout bounds a claim or another command that needs a commit.
+	commandTimeout = 6 * time.Second
+	// tickInterval moves ramps, estimates and ejections.
+	tickInterval = 100 * time.Millisecond
+	// LookupTTL is how long callers may keep a look-up answer.
+	LookupTTL = 5 * time.Second
+	// stopMargin is added to the TTL before a stopping daemon closes its listener,
+	// for callers whose request is on its way.
+	stopMargin = time.Second
+	// jobInterval is how often spare capacity is looked for to run deferred jobs.
+	jobInterval = 250 * time.Millisecond
+)
--- /dev/null
+++ b/entry/view_keeper.go
@@ -0,0 +1,194 @@
+package entry
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"pistachiomount.example/pistachiomount/apipb"
+	"pistachiomount.example/pistachiomount/clock"
+	"pistachiomount.example/pistachiomount/document"
+)
+
+// viewKeeper polls a control daemon for the document in force.
+type viewKeeper struct {
+	controls    *controls
+	environment apipb.Environment
+	deployment  string
+	vm          string
+	incarnation uint64
+	clock       clock.Clock
+	log         logrus.FieldLogger
+	// onChange is called with each new view before it is in force is reported.
+	onChange func(*view)
+
+	current atomic.Pointer[view]
+	failing string
+}
+
+// load returns the current view; before the first document it is empty.
+func (k *viewKeeper) load() *view {
+	if v := k.current.Load(); v != nil {
+		return v
+	}
+	return &view{index: document.NewIndex(&document.Document{})}
+}
+
+// run polls until the context ends.
+func (k *viewKeeper) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		address, err := k.poll(ctx)
+		if err == nil {
+			k.report("", nil)
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		k.report(address, err)
+		k.controls.rotate(address)
+		pause(ctx, retryPause)
+	}
+}
+
+// report logs the first of a row of failures, and its end.
+func (k *viewKeeper) report(address string, err error) {
+	switch {
+	case err != nil && k.failing == "":
+		k.log.WithError(err).WithField("control", address).Warn("configuration not confirmed")
+		k.failing = address
+	case err == nil && k.failing != "":
+		k.log.Info("configuration confirmed again")
+		k.failing = ""
+	}
+}
+
+// poll asks once and puts the answer in force.
+func (k *viewKeeper) poll(ctx context.Context) (string, error) {
+	client, address, err := k.controls.current()
+	if err != nil {
+		return address, errors.Trace(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+	have := k.load()
+	sent := k.clock.Now()
+	reply, err := client.Watch(ctx, &apipb.WatchRequest{
+		Environment: k.environment, HaveRevision: have.revision, HaveDigest: have.digest,
+		WaitMs: uint32(watchWait.Milliseconds()), Vm: k.vm, Incarnation: k.incarnation,
+	})
+	if err != nil {
+		return address, errors.Trace(err)
+	}
+	k.controls.learn(reply.ControlAddresses)
+	k.controls.setLeader(reply.LeaderAddress)
+	return address, k.take(ctx, client, have, reply, sent)
+}
+
+// take puts a reply in force. A daemon whose own confirmation is old is cut off;
+// what it has is still newer than what is here, but another must be asked.
+func (k *viewKeeper) take(ctx context.Context, client apipb.DRPCControlClient, have *view, reply *apipb.WatchReply, sent clock.Instant) error {
+	if reply.Revision < have.revision {
+		return errors.Annotatef(ErrLowerRevision, "%d after %d", reply.Revision, have.revision)
+	}
+	next, err := k.next(ctx, client, have, reply)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	changed := next.revision != have.revision
+	if reply.Confirmed {
+		confirm(next, have, sent, time.Duration(reply.ConfirmedAgeMs)*time.Millisecond)
+	}
+	k.current.Store(next)
+	if changed {
+		k.log.WithFields(logrus.Fields{"number": next.number, "revision": next.revision}).Info("document in force")
+		k.onChange(next)
+	}
+	if !reply.Confirmed || time.Duration(reply.ConfirmedAgeMs)*time.Millisecond > maxConfirmedAge {
+		return errors.Trace(ErrUnconfirmed)
+	}
+	return nil
+}
+
+// confirm moves the confirmation to the send time less the age at the control
+// daemon: whatever was accepted before that instant is part of the view.
+func confirm(next, have *view, sent clock.Instant, age time.Duration) {
+	at := sent.Add(-age)
+	if have.confirmed && at.Mono <= have.confirmedAt.Mono {
+		return
+	}
+	next.confirmed, next.confirmedAt = true, at
+}
+
+// next returns the view that the reply leads to.
+func (k *viewKeeper) next(ctx context.Context, client apipb.DRPCControlClient, have *view, reply *apipb.WatchReply) (*view, error) {
+	switch reply.Kind {
+	case apipb.WatchKind_WATCH_KIND_UNCHANGED:
+		same := *have
+		return &same, nil
+	case apipb.WatchKind_WATCH_KIND_DELTA:
+		raw, err := document.ApplyDelta(have.raw, reply.Sections, reply.Digest)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		return k.build(raw, have, reply)
+	case apipb.WatchKind_WATCH_KIND_SNAPSHOT:
+		raw, err := fetchSnapshot(ctx, client, k.environment, reply)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		return k.build(raw, have, reply)
+	}
+	return nil, errors.Annotatef(ErrSnapshot, "unknown answer %v", reply.Kind)
+}
+
+func (k *viewKeeper) build(raw []byte, have *view, reply *apipb.WatchReply) (*view, error) {
+	doc, err := document.Decode(raw)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	if doc.Deployment != k.deployment {
+		return nil, errors.Annotatef(ErrSnapshot, "deployment %q, expected %q", doc.Deployment, k.deployment)
+	}
+	blocks, err := blocksOf(doc)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	return &view{
+		raw: raw, revision: reply.Revision, number: reply.Number, digest: reply.Digest,
+		index: document.NewIndex(doc), blocks: blocks,
+		confirmed: have.confirmed, confirmedAt: have.confirmedAt,
+	}, nil
+}
+
+// fetchSnapshot fetches a document in chunks and checks its digest.
+func fetchSnapshot(ctx context.Context, client apipb.DRPCControlClient, env apipb.Environment, reply *apipb.WatchReply) ([]byte, error) {
+	var raw []byte
+	for chunk := range reply.SnapshotChunks {
+		got, err := client.FetchChunk(ctx, &apipb.ChunkRequest{Environment: env, Revision: reply.Revision, Chunk: chunk})
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		if got.Gone || len(raw)+len(got.Data) > document.MaxBytes {
+			return nil, errors.Annotatef(ErrSnapshot, "revision %d", reply.Revision)
+		}
+		raw = append(raw, got.Data...)
+	}
+	if document.Digest(raw) != reply.Digest {
+		return nil, errors.Annotatef(ErrSnapshot, "revision %d: digest differs", reply.Revision)
+	}
+	return raw, nil
+}
+
+// pause waits, or returns earlier if the context ends.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/forward/jobs.go
+++ b/forward/jobs.go
@@ -40,9 +40,7 @@
 	if rejection := x.allowed(); rejection != nil {
 		return rejection
 	}
-	reply, err := x.h.cfg.Jobs.Enqueue(x.ctx, &apipb.EnqueueRequest{
-		Job: x.job(), IdempotencyKey: x.claimKey, BodyDigest: x.digest(),
-	})
+	reply, err := x.h.cfg.Jobs.Enqueue(x.ctx, &apipb.EnqueueRequest{Job: x.job()})
 	switch {
 	case err != nil:
 		return reject.NewUnknown(reject.OutcomeUnknown, "it is not known whether the job was accepted")
@@ -64,6 +62,7 @@
 		Id: x.id, Environment: x.h.cfg.Environment, Customer: x.who.customer,
 		Service: x.service.Name, Route: x.route.Prefix, Idempotent: x.route.Idempotent,
 		Method: x.method, Path: x.target.String(), Headers: flatten(x.header), Body: x.body,
+		DeadlineMs: x.route.DeadlineMS, IdempotencyKey: x.claimKey, BodyDigest: x.digest(),
 	}
 }
 
--- /dev/null
+++ b/operator/calls.go
@@ -0,0 +1,76 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/juju/errors"
+
+	"pistachiomount.example/pistachiomount/control"
+)
+
+// Init forms the cluster at the first address. It is not tried elsewhere, since
+// two daemons must not form two clusters.
+func (c *Client) Init(ctx context.Context) (*control.InitReport, error) {
+	if len(c.Addresses) == 0 {
+		return nil, errors.Trace(ErrUnreachable)
+	}
+	got, err := c.attempt(ctx, c.Addresses[0], http.MethodPost, "/v1/init", nil)
+	if err != nil {
+		return nil, errors.Annotate(ErrUnreachable, err.Error())
+	}
+	report := &control.InitReport{}
+	return report, decode(got, report)
+}
+
+// Submit sends a document to an environment, trial or production. A refusal for
+// its number or digest is a report, not an error.
+func (c *Client) Submit(ctx context.Context, env string, raw []byte) (*control.SubmitReport, error) {
+	got, err := c.do(ctx, http.MethodPost, "/v1/environments/"+env+"/documents", raw)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	report := &control.SubmitReport{}
+	if json.Unmarshal(got.body, report) == nil && report.Status != "" {
+		return report, nil
+	}
+	return nil, refusedBy(got)
+}
+
+// Document returns the bytes of an accepted document; number 0 means the one in force.
+func (c *Client) Document(ctx context.Context, env string, number uint64) ([]byte, error) {
+	name := "current"
+	if number > 0 {
+		name = strconv.FormatUint(number, 10)
+	}
+	got, err := c.do(ctx, http.MethodGet, "/v1/environments/"+env+"/documents/"+name, nil)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	if got.status != http.StatusOK {
+		return nil, refusedBy(got)
+	}
+	return got.body, nil
+}
+
+// History lists the accepted documents, newest first.
+func (c *Client) History(ctx context.Context, env string) (*control.HistoryReport, error) {
+	report := &control.HistoryReport{}
+	return report, c.get(ctx, "/v1/environments/"+env+"/history", report)
+}
+
+// Status returns the leader's view of the installation.
+func (c *Client) Status(ctx context.Context) (*control.StatusReport, error) {
+	report := &control.StatusReport{}
+	return report, c.get(ctx, "/v1/status", report)
+}
+
+func (c *Client) get(ctx context.Context, path string, out any) error {
+	got, err := c.do(ctx, http.MethodGet, path, nil)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	return decode(got, out)
+}
