--- a/consensus/scenario_test.go
+++ b/consensus/scenario_test.go
@@ -68,7 +68,9 @@
 	s.run(5)
 	is.True(l.node.Status().LeaseValid)
 	isolate(s, l.id)
+	s.read(l)
 	s.run(int(l.node.cfg.leaseTicks()) + 2)
+	is.Equal(len(l.served), 0) // no quorum confirmed the read
 	is.True(!l.node.Status().LeaseValid)
 	s.run(s.cfg.ElectionTicks)
 	is.True(l.node.role() != RoleLeader)
