--- a/grant/bucket.go
+++ b/grant/bucket.go
@@ -10,7 +10,7 @@
 )
 
 // lowWater is the part of the depth below which more share is asked for early.
-const lowWater = 0.25
+const lowWater = 0.5
 
 // Bucket is the holder's part of a rate: a token bucket that is empty and
 // closed while its lease is not valid. It is safe for concurrent use.
--- a/grant/plan.go
+++ b/grant/plan.go
@@ -10,7 +10,7 @@
 const (
 	// floorPart of the remainder is spread equally, so that a holder to which
 	// load moves has a share before it asks; the rest follows demand.
-	floorPart = 0.5
+	floorPart = 0.25
 	// depthFloorPart of the burst is spread equally for the same reason.
 	depthFloorPart = 0.75
 	// depthTau is the time in which depth follows a lasting change of demand.
