--- a/grant/bucket.go
+++ b/grant/bucket.go
@@ -51,6 +51,9 @@
 
 // Reserve takes n tokens of which an unused part may be given back by Refund.
 func (b *Bucket) Reserve(n float64) (Reservation, bool) {
+	if !(n >= 0) { // also not a number
+		return Reservation{}, false
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
@@ -70,7 +73,10 @@
 // reservation from before an expiry is void: its depth may have gone to another
 // holder since.
 func (b *Bucket) Refund(r Reservation, unused float64) {
-	unused = max(0, min(unused, r.amount))
+	if !(unused > 0) { // also not a number
+		return
+	}
+	unused = min(unused, r.amount)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.demand.count = max(0, b.demand.count-unused)
@@ -163,8 +169,9 @@
 		return
 	}
 	b.fill(now)
-	b.early.answered(share.GetRate(), b.rate)
-	b.rate, b.depth = share.GetRate(), share.GetDepth()
+	rate := amount(share.GetRate())
+	b.early.answered(rate, b.rate)
+	b.rate, b.depth = rate, amount(share.GetDepth())
 	b.tokens = min(b.tokens, b.depth)
 	b.filled, b.leaseEnd, b.leased = now, leaseEnd, true
 }
--- a/grant/holder.go
+++ b/grant/holder.go
@@ -94,8 +94,9 @@
 	}
 }
 
-// Forget hands the grants of a resource back with the next renewal. Units stay
-// reported until the last one in use is released.
+// Forget hands the grants of a resource back with the next renewal. Nothing can be
+// taken through pointers obtained before. Units stay reported until the last one
+// in use is released.
 func (h *Holder) Forget(id ResourceID) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/grant/owner_wait.go
+++ b/grant/owner_wait.go
@@ -27,7 +27,7 @@
 	}
 	if !p.predecessorSettled {
 		p.predecessorSettled, p.dirty = true, true
-		p.unreported = max(0, int64(p.cap.Units)-p.sum.units)
+		p.unreported = max(0, int64(p.largest)-p.sum.units)
 	}
 	if p.unreported > 0 && o.predecessorGone(now) {
 		p.unreported, p.dirty = 0, true
--- a/grant/pool.go
+++ b/grant/pool.go
@@ -49,7 +49,10 @@
 	holdings []*holding
 	sum      total // of committed portions
 
-	unreported         int64 // units that holders of an earlier term may use
+	// unreported counts units that holders of an earlier term may use. It follows
+	// the largest cap of this term, since a cap may vanish and appear again.
+	unreported         int64
+	largest            uint32
 	predecessorSettled bool
 
 	dirty     bool
@@ -64,24 +67,20 @@
 	ranked     []*holding // scratch
 }
 
+// setCap changes the cap. Growth is set aside like units that nobody reported; it
+// is set free with them, or at once if they are free already.
 func (p *pool) setCap(c Cap) {
 	c.Rate, c.Burst = amount(c.Rate), amount(c.Burst)
-	if p.predecessorSettled && c.Units > p.cap.Units {
-		p.unreported = p.unreportedAfterGrowth(int64(c.Units) - int64(p.cap.Units))
+	if c.Units > p.largest {
+		if p.predecessorSettled {
+			p.unreported += int64(c.Units - p.largest)
+		}
+		p.largest = c.Units
 	}
 	p.dirty = p.dirty || c != p.cap
 	p.cap = c
 }
 
-// unreportedAfterGrowth sets growth aside while units of an earlier term may be
-// in use: the cap may have been as large before.
-func (p *pool) unreportedAfterGrowth(growth int64) int64 {
-	if p.unreported == 0 {
-		return 0
-	}
-	return p.unreported + growth
-}
-
 func (p *pool) rates() bool { return p.cap.Kind == apipb.ResourceKind_RESOURCE_KIND_RATE }
 
 // reconfirm returns what is held, reduced in proportion where the cap is smaller
