Skip the wait after election in the first term only

Cause: a daemon that formed the cluster kept the permission to skip the wait until its first renewal, also if another daemon led in between and issued grants. Ruled out: dropping the shortcut, which would delay every new installation and test by a lease. Conclusion: the permission holds for the first term by number.

--- a/control/daemon.go
+++ b/control/daemon.go
@@ -190,7 +190,7 @@
 	}
 	d.initing = true
 	d.bootstrap = &persisted
-	d.ownership.firstTerm = true
+	d.ownership.firstTerm.Store(persisted.HardState.Term + 1)
 	d.joined <- id
 	return id, nil
 }
--- a/control/ownership.go
+++ b/control/ownership.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -26,9 +27,9 @@
 // daemon leads. It is rebuilt from the renewals of each new term.
 type ownership struct {
 	cfg *Config
-	// firstTerm is set when this process formed the cluster, so that no earlier
-	// term can have issued grants.
-	firstTerm bool
+	// firstTerm is the first term of a cluster that this process formed, 0
+	// otherwise. No earlier term can have issued grants.
+	firstTerm atomic.Uint64
 
 	mu      sync.Mutex
 	term    uint64
@@ -124,9 +125,8 @@
 
 func (o *ownership) begin(term uint64) *tenure {
 	owner := grant.NewOwner(grant.OwnerConfig{
-		Term: term, Quarantine: o.cfg.Quarantine, NoPredecessor: o.firstTerm,
+		Term: term, Quarantine: o.cfg.Quarantine, NoPredecessor: term == o.firstTerm.Load(),
 	}, o.cfg.Clock)
-	o.firstTerm = false
 	return &tenure{owner: owner, fleet: membership.NewFleet(term, o.cfg.Clock)}
 }
 
