Wire budgets, region loads, probes and readiness into the entry daemon

Cause: steering needs a call for each request, measured region loads and the probes of returning upstreams; a VM that holds no slots yet must not be named in look-ups, since it would refuse requests. Ruled out: serving from the first confirmed view on, because slots come with the second renewal. Conclusion: a starting VM serves once it holds slots, or after 10 renewals where there are no upstreams.

--- a/entry/applying.go
+++ b/entry/applying.go
@@ -42,8 +42,23 @@
 	}
 	d.lookups.setRegions(doc, d.cfg.Region)
 	d.forwarder.Revalidate(d.View())
-	if d.lifecycle.State() == apipb.VmState_VM_STATE_STARTING && d.lifecycle.Serve() == nil {
+}
+
+// serveWhenReady ends the start once there is a confirmed view and a renewal
+// that could ask for the grants of its document. Before that, look-ups must not
+// name this VM: it would refuse requests for lack of grants.
+func (d *Daemon) serveWhenReady() {
+	d.queue.refresh()
+	if d.lifecycle.State() != apipb.VmState_VM_STATE_STARTING || !d.View().Fresh {
+		return
+	}
+	// Without upstreams there are no slots to wait for.
+	if d.renewals++; d.queue.empty() && d.renewals < maxStartRenewals {
+		return
+	}
+	if d.lifecycle.Serve() == nil {
 		d.cfg.Ready.SetState("serving", true)
+		d.cfg.Log.Info("serving")
 	}
 }
 
@@ -106,6 +121,7 @@
 }
 
 func (d *Daemon) takeLoad(report platform.LoadReport) {
+	d.takeProbe(report)
 	if report.HasLoad {
 		d.steerer.ReportLoad(steering.LoadReport{
 			UpstreamID: report.UpstreamID, InFlight: report.Load.InFlight, Age: report.Age(d.cfg.Clock.Now()),
@@ -113,6 +129,14 @@
 	}
 }
 
+// takeProbe lets an upstream return that had announced that it leaves and now
+// answers as a healthy one.
+func (d *Daemon) takeProbe(report platform.LoadReport) {
+	if target, ok := d.probing.LoadAndDelete(report.UpstreamID); ok {
+		target.(*steering.Target).Probed(report.Healthy && !report.Leaving)
+	}
+}
+
 // runTicks moves ramps and estimates, takes in grants, and ends what a stale
 // view no longer allows.
 func (d *Daemon) runTicks(ctx context.Context) {
@@ -125,6 +149,12 @@
 		case <-ticker.C:
 		}
 		d.steerer.Tick()
+		for _, load := range d.steerer.MeasuredLoads() {
+			d.steerer.ReportRegion(load)
+		}
+		for _, target := range d.steerer.ProbesDue() {
+			d.probing.Store(target.Upstream().ID, target)
+		}
 		d.queue.refresh()
 		if view := d.View(); !view.Fresh {
 			d.forwarder.Revalidate(view)
--- a/entry/chooser.go
+++ b/entry/chooser.go
@@ -11,6 +11,7 @@
 // chooser adapts steering to the request path.
 type chooser struct {
 	steerer *steering.Steerer
+	grants  *grants
 	targets sync.Map // upstream id -> *steering.Target
 }
 
@@ -31,7 +32,12 @@
 	}
 }
 
-// Pick returns an upstream of the region that is not excluded.
+// maxFullPasses is how many upstreams without a free slot are passed over.
+const maxFullPasses = 3
+
+// Pick returns an upstream of the region that is not excluded. It passes over
+// upstreams of which this VM holds no free slot, since slots are held for each
+// upstream and another may have one.
 func (c *chooser) Pick(q forward.Query, region string, excluded []string) (forward.Upstream, bool) {
 	pool, ok := c.steerer.Pool(q.Service, region)
 	if !ok {
@@ -44,6 +50,15 @@
 		}
 	}
 	target, ok := pool.Pick(&exclusion)
+	for range maxFullPasses {
+		if !ok || c.hasFreeSlot(target.Upstream().ID) {
+			break
+		}
+		exclusion.Add(target)
+		if other, found := pool.Pick(&exclusion); found {
+			target = other
+		}
+	}
 	if !ok {
 		return forward.Upstream{}, false
 	}
@@ -53,6 +68,18 @@
 	return forward.Upstream{Name: u.ID, Address: u.Address, Region: u.Region}, true
 }
 
+func (c *chooser) hasFreeSlot(id string) bool {
+	used, granted := c.grants.slot(id).InUse()
+	return used < granted
+}
+
+// countRequest feeds the retry budget.
+func (c *chooser) countRequest(service string) {
+	if budget, ok := c.steerer.Budget(service); ok {
+		budget.Request()
+	}
+}
+
 func (c *chooser) remember(id string, target *steering.Target) {
 	if known, ok := c.targets.Load(id); !ok || known != target {
 		c.targets.Store(id, target)
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -54,6 +54,8 @@
 	mu        sync.Mutex // guards the lists below and their hand-over to steering
 	upstreams []platform.Upstream
 	inFlight  atomic.Int64
+	probing   sync.Map // upstream id -> *steering.Target whose next report decides on its return
+	renewals  int      // accepted while starting; used by the renewer only
 }
 
 // New assembles a daemon that Run starts.
@@ -73,14 +75,14 @@
 		Environment: cfg.Environment, VM: cfg.VM, Incarnation: d.incarnation,
 	}, cfg.Clock)
 	d.grants = &grants{holder: d.holder}
-	d.chooser = &chooser{steerer: d.steerer}
-	d.queue = newTurnQueue(cfg.Clock, d.grants, d.customerWeight)
+	d.chooser = &chooser{steerer: d.steerer, grants: d.grants}
+	d.queue = newTurnQueue(cfg.Clock, d.grants, d.customerWeight, d.chooser.countRequest)
 	d.lookups = newLookups(cfg.Region)
 	d.keeper = &viewKeeper{
 		controls: d.controls, environment: cfg.Environment, deployment: cfg.Deployment, vm: cfg.VM,
 		incarnation: d.incarnation, clock: cfg.Clock, log: cfg.Log, onChange: d.applyView,
 	}
-	d.renewer = &renewer{controls: d.controls, holder: d.holder, log: cfg.Log, describe: d.describe, onFleet: d.lookups.setFleet}
+	d.renewer = &renewer{controls: d.controls, holder: d.holder, log: cfg.Log, describe: d.describe, onFleet: d.lookups.setFleet, onRenewed: d.serveWhenReady}
 	d.probe = platform.NewLoadProbe(platform.LoadProbeConfig{Clock: cfg.Clock, OnReport: d.takeLoad})
 	d.pool = pool.NewSet(pool.Options{Permits: connGrants{d.grants}})
 	observer, err := newObserver(cfg.Meter, d)
--- a/entry/renewer.go
+++ b/entry/renewer.go
@@ -21,6 +21,8 @@
 	describe func() *apipb.Vm
 	// onFleet is called with each changed fleet list.
 	onFleet func(version uint64, vms []*apipb.Vm)
+	// onRenewed is called after each accepted renewal.
+	onRenewed func()
 
 	fleetVersion uint64
 	failing      bool
@@ -76,6 +78,7 @@
 	if err := r.holder.Accept(reply); err != nil {
 		return errors.Trace(err)
 	}
+	r.onRenewed()
 	if reply.FleetVersion != r.fleetVersion {
 		r.fleetVersion = reply.FleetVersion
 		r.onFleet(reply.FleetVersion, reply.Fleet)
--- a/entry/timing.go
+++ b/entry/timing.go
@@ -29,6 +29,9 @@
 	// stopMargin is added to the TTL before a stopping daemon closes its listener,
 	// for callers whose request is on its way.
 	stopMargin = time.Second
+	// maxStartRenewals is after how many renewals a starting VM serves even if it
+	// holds no slot.
+	maxStartRenewals = 10
 	// jobInterval is how often spare capacity is looked for to run deferred jobs.
 	jobInterval = 250 * time.Millisecond
 )
--- a/entry/turn_queue.go
+++ b/entry/turn_queue.go
@@ -18,13 +18,15 @@
 	clock   clock.Clock
 	grants  *grants
 	weights func(customer string) float64
+	// onTurn is called once for each request that asks for a turn.
+	onTurn func(service string)
 
 	mu       sync.Mutex
 	services map[string]*serviceTurns
 }
 
-func newTurnQueue(c clock.Clock, g *grants, weights func(string) float64) *turnQueue {
-	return &turnQueue{clock: c, grants: g, weights: weights, services: map[string]*serviceTurns{}}
+func newTurnQueue(c clock.Clock, g *grants, weights func(string) float64, onTurn func(string)) *turnQueue {
+	return &turnQueue{clock: c, grants: g, weights: weights, onTurn: onTurn, services: map[string]*serviceTurns{}}
 }
 
 func (q *turnQueue) service(name string) *serviceTurns {
@@ -67,6 +69,7 @@
 
 // Acquire waits for the customer's turn.
 func (q *turnQueue) Acquire(ctx context.Context, service, customer string) error {
+	q.onTurn(service)
 	s := q.service(service)
 	request := fairqueue.Request{Customer: customer, Weight: q.weights(customer), Deadline: q.deadline(ctx)}
 	if _, ok := s.queue.TryAcquire(request); ok {
@@ -89,6 +92,18 @@
 	return q.service(service).spare()
 }
 
+// empty reports whether this daemon holds no slot at all.
+func (q *turnQueue) empty() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, s := range q.services {
+		if s.capacity.Load() > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // load returns the share of the turns that is in use, over all services.
 func (q *turnQueue) load() float64 {
 	q.mu.Lock()
--- a/scripts/ci.sh
+++ b/scripts/ci.sh
@@ -22,5 +22,8 @@
 echo "== generated code"
 scripts/check-generated.sh
 
+echo "== invariants table"
+scripts/check-invariants.sh
+
 echo "== tests"
 make test
