Apply the last plan to changed demand and document the grants

Cause: at 3,200 holders plans are 200 ms apart, and a holder that lost its load was answered from a plan that did not know it yet, so it kept its share for another renewal interval. The last division is now applied to the demand in the request at once.

Ruled out: a shorter time between plans alone.

The bounds are those of before: steady and skewed 0.1%, the others 1%. For 3,200 holders, measured on request only, no bound is stated and none is checked.

--- a/grant/doc.go
+++ b/grant/doc.go
@@ -7,5 +7,9 @@
 // counts at the owner only once the holder acknowledged it or its lease expired;
 // an increase counts at once; new depth starts empty.
 //
+// The lock of a Holder is taken before those of its Bucket and Units, and those of
+// package fairqueue before all of them. The Owner has one lock of its own. None is
+// held across I/O, and none while a caller's function runs.
+//
 // The package does no I/O and starts no goroutines. Time comes from clock.Clock.
 package grant
--- a/grant/load_test.go
+++ b/grant/load_test.go
@@ -33,10 +33,7 @@
 	bound    float64 // of the share refused within the rate
 }
 
-type loadResult struct {
-	arrived, renewals int
-	by                [8]int // requests of each customer refused within its rate
-}
+type loadResult struct{ arrived, wrong, renewals int }
 
 // loadRates are the rates of the customers at 8 and 12 holders.
 var loadRates = []float64{2000, 1000, 400, 200, 100, 60, 30, 20}
@@ -111,7 +108,7 @@
 				*central--
 			}
 			if counted && due && !admitted {
-				result.by[customer]++
+				result.wrong++
 			}
 		}
 	}
@@ -156,14 +153,10 @@
 	var arrived, renewals, wrong float64
 	for seed := range uint64(2) {
 		r := runLoad(c, seed)
-		arrived, renewals = arrived+float64(r.arrived), renewals+float64(r.renewals)
-		for _, n := range r.by {
-			wrong += float64(n)
-		}
-		t.Logf("%d holders, seed %d: %v of each customer", c.holders, seed, r.by)
+		arrived, wrong, renewals = arrived+float64(r.arrived), wrong+float64(r.wrong), renewals+float64(r.renewals)
 	}
 	wrong /= arrived
-	t.Logf("%d holders: %.0f arrived, %.4f%% refused within the rate, %.2f renewals per holder and second", c.holders,
+	t.Logf("%s, %d holders: %.0f arrived, %.4f%% refused within the rate, %.2f renewals per holder and second", t.Name(), c.holders,
 		arrived, 100*wrong, renewals/float64(2*c.holders)/(warmUp+c.duration).Seconds())
 	if c.holders <= 12 && wrong >= c.bound { // no bound is stated for larger fleets
 		t.Errorf("%d holders: %.4f%% refused within the rate", c.holders, 100*wrong)
--- a/grant/plan.go
+++ b/grant/plan.go
@@ -50,7 +50,8 @@
 // planRates sets the targets of a rate. Where the burst is too small for the
 // smallest useful depth at each holder, holders take turns.
 func (p *pool) planRates(elapsed time.Duration) {
-	part := p.divide(p.cap.Rate).part
+	d := p.divide(p.cap.Rate)
+	part := d.part
 	least := min(p.cap.minDepth(), p.cap.Burst)
 	fit := len(p.ranked)
 	if least > 0 {
@@ -69,12 +70,22 @@
 	if sum <= 0 {
 		return
 	}
+	p.division, p.scale = d, p.cap.Rate/sum
 	for _, h := range chosen {
-		h.target.rate = p.cap.Rate * part(h) / sum
+		h.target.rate = p.scale * part(h)
 	}
 	p.planDepth(chosen, least, elapsed)
 }
 
+// retarget applies the last plan to demand that changed since, where the next
+// plan is not due yet. Otherwise a holder that lost its load would keep its share
+// for another RenewInterval.
+func (p *pool) retarget(h *holding) {
+	if p.dirty && h.target.rate > 0 {
+		h.target.rate = p.scale * p.division.part(h)
+	}
+}
+
 // planDepth sets the targets of depth: the smallest useful one, an equal part,
 // and a part that follows the rate slowly. Depth that moves starts empty and what
 // was in it is lost, so following short changes would only destroy tokens.
--- a/grant/pool.go
+++ b/grant/pool.go
@@ -55,6 +55,8 @@
 	largest            uint32
 	predecessorSettled bool
 
+	division  division // of the last plan of a rate
+	scale     float64  // brings its parts to the whole rate
 	dirty     bool
 	plannedAt clock.Instant
 	rotatedAt clock.Instant
@@ -108,6 +110,7 @@
 }
 
 func (p *pool) nextRate(h *holding, now clock.Instant) (next portion) {
+	p.retarget(h)
 	committed := h.committed()
 	freeRate := max(0, p.cap.Rate-p.sum.rate+committed.rate)
 	freeDepth := max(0, p.cap.Burst-p.sum.depth+committed.depth)
--- a/grant/safety_test.go
+++ b/grant/safety_test.go
@@ -13,12 +13,11 @@
 )
 
 const (
-	simRate   = ResourceID("customer/a")
-	simUnits  = ResourceID("slots/u")
-	simLife   = 2 * time.Second // longest route deadline
-	simSlack  = 1e-6
-	simTick   = 20 * time.Millisecond
-	maxFaults = 24
+	simRate  = ResourceID("customer/a")
+	simUnits = ResourceID("slots/u")
+	simLife  = 2 * time.Second // longest route deadline
+	simSlack = 1e-6
+	simTick  = 20 * time.Millisecond
 )
 
 func simCaps() []Cap {
@@ -115,7 +114,7 @@
 			who: rapid.IntRange(0, 3).Draw(t, "who"), length: rapid.IntRange(1, 300).Draw(t, "length"),
 		}
 	})
-	return rapid.SliceOfN(fault, 0, maxFaults).Draw(t, "faults")
+	return rapid.SliceOfN(fault, 0, 24).Draw(t, "faults")
 }
 
 func (w *simWorld) apply(f simFault, incarnations map[string]uint64) {
