--- a/forward/accept.go
+++ b/forward/accept.go
@@ -110,7 +110,7 @@
 }
 
 // receive reads the body and removes the key from everything that is sent on.
-func (x *exchange) receive(io *caller, r *http.Request, key string) *reject.Rejection {
+func (x *exchange) receive(c *caller, r *http.Request, key string) *reject.Rejection {
 	var clean bool
 	if x.target, clean = x.target.WithoutKey(key); !clean {
 		return reject.New(reject.BadRequest, "keys are accepted in headers only")
@@ -120,14 +120,14 @@
 	if r.ContentLength == 0 {
 		return nil
 	}
-	io.allowRead(x.deadline)
+	c.allowRead(x.deadline)
 	var err error
-	x.body, x.bodyTook, err = x.h.memory.readBody(io.w, r, x.route.MaxBodyBytes)
+	x.body, x.bodyTook, err = x.h.memory.readBody(c.w, r, x.route.MaxBodyBytes)
 	if err != nil {
 		return rejectBody(err)
 	}
 	x.bodyRead = true
-	io.allowRead(time.Time{}) // a deadline left behind would end the watch for a hang-up
+	c.allowRead(time.Time{}) // a deadline left behind would end the watch for a hang-up
 	if len(key) >= minBodyKey && bytes.Contains(x.body, []byte(key)) {
 		return reject.New(reject.BadRequest, "keys are accepted in headers only")
 	}
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -58,31 +57,32 @@
 	stop := c.unblockOn(x.ctx)
 	c.allowWrite()
 	c.w.WriteHeader(a.resp.StatusCode)
-	err := a.copyTo(c)
-	if !stop() {
-		err = context.Cause(x.ctx)
+	a.err = a.copyTo(c)
+	if !stop() && a.err == nil {
+		a.err = errNotWanted
 	}
-	if err != nil {
-		a.err = err
+	if a.err != nil {
 		panic(http.ErrAbortHandler)
 	}
 	addTrailer(c.w.Header(), a.resp.Trailer)
 }
 
+// copyTo returns errNotWanted if the caller does not take the answer: the time
+// that a slow caller costs is not held against the upstream.
 func (a *attempt) copyTo(c *caller) error {
-	for {
-		if err := c.write(a.buf.bytes()); err != nil {
+	for done := false; ; {
+		if c.write(a.buf.bytes()) != nil {
 			a.cancel(errNotWanted)
-			return err
+			return errNotWanted
+		}
+		if done {
+			return nil
 		}
 		a.buf.clear()
 		n, err := a.read(a.buf.room(readChunk))
 		a.buf.advance(n)
-		if err == io.EOF {
-			return c.write(a.buf.bytes())
-		}
-		if err != nil {
-			return err
+		if done = err == io.EOF; err != nil && !done {
+			return a.ending(err)
 		}
 	}
 }
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -75,13 +75,19 @@
 			}
 		}()
 	}
-	a.err = a.exchange()
-	if a.err != nil && a.ctx.Err() != nil && !errors.Is(a.err, errNoLink) {
-		a.err = context.Cause(a.ctx)
+	a.err = a.ending(a.exchange())
+}
+
+// ending returns why the attempt ended early and condemns the connections of
+// its age if the upstream was silent.
+func (a *attempt) ending(err error) error {
+	if err != nil && a.ctx.Err() != nil && !errors.Is(err, errNoLink) {
+		err = context.Cause(a.ctx)
 	}
-	if isTimedOut(a.err) && a.hadTime() {
+	if isTimedOut(err) && a.hadTime() {
 		a.use.Condemn()
 	}
+	return err
 }
 
 // hadTime reports whether a timeout says something about the upstream. After a
@@ -179,7 +185,7 @@
 // read reads a part of the answer once the link allows it.
 func (a *attempt) read(p []byte) (int, error) {
 	if err := a.meter.before(a.ctx, len(p)); err != nil {
-		return 0, err
+		return 0, errNoLink
 	}
 	n, err := a.resp.Body.Read(p)
 	a.meter.passed(n)
@@ -241,11 +247,11 @@
 		return ResultRefused
 	case a.err == nil:
 		return ResultAnswered
-	case errors.Is(a.err, pool.ErrNoPermit), errors.Is(a.err, errNoLink):
+	case errors.Is(a.err, pool.ErrNoPermit), errors.Is(a.err, errNoLink) && !a.sent:
 		return ResultUnused
 	case isTimedOut(a.err) && a.hadTime():
 		return ResultTimeout
-	case a.ctx.Err() != nil:
+	case a.ctx.Err() != nil, errors.Is(a.err, errNotWanted), errors.Is(a.err, errNoLink):
 		return ResultCancelled
 	}
 	return ResultFailed
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -42,15 +42,15 @@
 	ctx, span := h.cfg.Tracer.Start(r.Context(), "forward", trace.WithSpanKind(trace.SpanKindServer))
 	x.ended.Aborted = true // until the answer is complete
 	defer x.end(span, started)
-	io := newCaller(w, h.cfg.Limits.WriteStall)
+	c := newCaller(w, h.cfg.Limits.WriteStall)
 	w.Header()["X-Request-Id"] = []string{x.id}
-	if rejection := x.serve(ctx, io, r); rejection != nil {
+	if rejection := x.serve(ctx, c, r); rejection != nil {
 		x.ended.Reason, x.ended.Run = rejection.Reason, rejection.Run
 		x.ended.Status = rejection.Reason.Status()
-		io.reject(rejection, r.ContentLength != 0 && !x.bodyRead)
+		c.reject(rejection, r.ContentLength != 0 && !x.bodyRead)
 	}
 	if x.after != nil {
-		_ = io.rc.Flush() // the answer must not wait for the record; not supported by recorders in tests
+		_ = c.rc.Flush() // the answer must not wait for the record; not supported by recorders in tests
 	}
 	x.ended.Aborted = false
 }
@@ -82,18 +82,18 @@
 	x.h.cfg.Observer.Ended(x.ended)
 }
 
-func (x *exchange) serve(ctx context.Context, io *caller, r *http.Request) *reject.Rejection {
+func (x *exchange) serve(ctx context.Context, c *caller, r *http.Request) *reject.Rejection {
 	key, rejection := x.accept(r)
 	if rejection != nil {
 		return rejection
 	}
 	if strings.HasPrefix(x.target.Path, jobsPrefix) {
-		return x.serveJob(ctx, io, key)
+		return x.serveJob(ctx, c, key)
 	}
 	if rejection = x.admit(r, key); rejection != nil {
 		return rejection
 	}
-	if rejection = x.receive(io, r, key); rejection != nil {
+	if rejection = x.receive(c, r, key); rejection != nil {
 		return rejection
 	}
 	if x.claimKey != "" {
@@ -101,24 +101,24 @@
 		ctx = context.WithoutCancel(ctx)
 	}
 	defer x.start(ctx)()
-	return x.dispatch(io)
+	return x.dispatch(c)
 }
 
 // dispatch starts each way with a check of the view: it may have changed after
 // the key was checked and before Revalidate could see the request.
-func (x *exchange) dispatch(io *caller) *reject.Rejection {
+func (x *exchange) dispatch(c *caller) *reject.Rejection {
 	switch {
 	case deferred(x.route):
-		return x.enqueue(io)
+		return x.enqueue(c)
 	case x.claimKey != "":
-		return x.serveClaimed(io)
+		return x.serveClaimed(c)
 	}
 	a, rejection := x.forward()
 	if rejection != nil {
 		return rejection
 	}
 	defer a.close()
-	x.answer(io, a)
+	x.answer(c, a)
 	return nil
 }
 
--- a/forward/once.go
+++ b/forward/once.go
@@ -30,12 +30,12 @@
 	switch {
 	case x.ctx.Err() != nil:
 		return x.refusal(context.Cause(x.ctx))
+	case x.sent && !x.route.Idempotent:
+		return reject.NewUnknown(reject.OutcomeUnknown, "the upstream gave no whole answer")
 	case errors.Is(err, pool.ErrNoPermit):
 		r = reject.New(reject.OverCapacity, "no connection to the upstream is left").After(retrySoon)
 	case errors.Is(err, errNoLink):
 		r = reject.New(reject.OverCapacity, "the link to the upstream has no capacity left").After(retrySoon)
-	case x.sent && !x.route.Idempotent:
-		return reject.NewUnknown(reject.OutcomeUnknown, "the upstream gave no whole answer")
 	default:
 		r = reject.New(reject.UpstreamFailed, "no upstream gave a whole answer").After(retrySoon)
 	}
--- a/forward/queue.go
+++ b/forward/queue.go
@@ -15,7 +15,8 @@
 
 // Queue is the weighted fair queue of each service in front of its slots.
 type Queue interface {
-	// Acquire waits for the customer's turn. It returns ErrQueueFull,
+	// Acquire waits for the customer's turn, at most until the deadline of the
+	// context, which is that of the request. It returns ErrQueueFull,
 	// ErrQueueTooLong or the context's error; then there is no turn to release.
 	Acquire(ctx context.Context, service, customer string) error
 	// Release ends a turn.
