Check durability before each message; retry a faulty member slowly

What changed: a rejection that contradicts an acknowledgement is ignored, so the append is repeated once a heartbeat. The simulation checks for each message that the term, vote or entry it promises is on disk. Conclusion: sync before reply is checked in every run.

--- a/consensus/checks_test.go
+++ b/consensus/checks_test.go
@@ -54,6 +54,25 @@
 	}
 }
 
+// durable checks that a message promises nothing that is not on disk yet.
+func (c *simChecks) durable(t failer, disk *Persisted, m *apipb.ConsensusMessage) {
+	last := disk.Snapshot.GetMeta().GetIndex() + uint64(len(disk.Entries))
+	hs, ok := disk.HardState, true
+	switch m.GetType() {
+	case apipb.MessageType_MESSAGE_TYPE_APPEND_REPLY:
+		ok = m.GetReject() || m.GetIndex() <= last
+	case apipb.MessageType_MESSAGE_TYPE_VOTE_REPLY:
+		ok = m.GetReject() || hs.GetVotedFor() == m.GetTo()
+	case apipb.MessageType_MESSAGE_TYPE_VOTE:
+		ok = hs.GetVotedFor() == m.GetFrom()
+	case apipb.MessageType_MESSAGE_TYPE_PRE_VOTE, apipb.MessageType_MESSAGE_TYPE_PRE_VOTE_REPLY:
+		return
+	}
+	if !ok || m.GetTerm() > hs.GetTerm() {
+		t.Fatalf("%v before its cause is on disk: last entry %d, %v", m, last, hs)
+	}
+}
+
 // observe checks what must hold after every event.
 func (c *simChecks) observe(s *sim, m *simMember) {
 	st := m.node.Status()
--- a/consensus/late_message_test.go
+++ b/consensus/late_message_test.go
@@ -170,3 +170,23 @@
 	is.NoErr(n.Step(reply))
 	is.Equal(n.log.committed, uint64(4))
 }
+
+// Guards against an endless exchange, at the speed of the network, with a member
+// that lost data it had acknowledged.
+func TestMemberThatLostSyncedDataIsRetriedSlowly(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, testSeed, 3)
+	l := s.mustLead()
+	for range 10 {
+		is.NoErr(s.propose(l))
+		s.run(1)
+	}
+	f := follower(s, l)
+	f.disk.Entries = nil
+	f.disk.HardState = &apipb.HardState{Term: l.node.term, Commit: bootstrapIndex}
+	s.start(f)
+	is.NoErr(s.propose(l))
+	appends := s.sent[apipb.MessageType_MESSAGE_TYPE_APPEND]
+	s.run(50)
+	is.True(s.sent[apipb.MessageType_MESSAGE_TYPE_APPEND]-appends <= 60) // one a heartbeat
+}
--- a/consensus/progress.go
+++ b/consensus/progress.go
@@ -66,24 +66,16 @@
 	}
 }
 
-// rejected takes in that an append after index was refused. It returns false for
-// an answer to an append that is no longer of interest.
-func (p *progress) rejected(index, next uint64) bool {
-	switch p.state {
-	case progressProbe:
-		if index != p.next-1 {
-			return false
-		}
-	case progressReplicate:
-		if index <= p.match {
-			return false
-		}
-	case progressSnapshot:
-		return false
+// rejected takes in that an append after index was refused. It ignores answers to
+// appends that are no longer of interest, and those that contradict what the
+// member acknowledged: answering these at once would send without end to a member
+// that lost synced data.
+func (p *progress) rejected(index, next uint64) {
+	if index <= p.match || p.state == progressSnapshot || (p.state == progressProbe && index != p.next-1) {
+		return
 	}
 	p.becomeProbe()
 	p.next = max(next, p.match+1)
-	return true
 }
 
 // detectLoss sends again what was sent before a heartbeat that is answered
--- a/consensus/safety_test.go
+++ b/consensus/safety_test.go
@@ -14,7 +14,7 @@
 const (
 	// simulatedRuns is per shard; it keeps the package's tests within 20 s under
 	// the race detector.
-	simulatedRuns = "30"
+	simulatedRuns = "60"
 	// safetyShards run at the same time.
 	safetyShards = 4
 )
--- a/consensus/sim_test.go
+++ b/consensus/sim_test.go
@@ -204,6 +204,7 @@
 			return
 		}
 		for _, msg := range rd.Messages {
+			s.checks.durable(s.t, &m.disk, msg)
 			s.send(msg)
 		}
 		s.apply(m, rd)
