--- a/wal/log_test.go
+++ b/wal/log_test.go
@@ -225,3 +225,37 @@
 		})
 	}
 }
+
+// Guards against a difference between what a node hands out to be persisted and
+// what the log gives back after a restart.
+func TestMemberRestartsFromLog(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	l, p := mustOpen(t, dir, Options{})
+	is.Equal(p, consensus.Persisted{})
+	first, err := consensus.Bootstrap([]*apipb.Member{{Id: l.Identity().MemberID}})
+	is.NoErr(err)
+	is.NoErr(l.SaveSnapshot(first.Snapshot))
+	is.NoErr(l.Save(first.HardState, nil))
+	for start := range 3 {
+		is.NoErr(l.Close())
+		l, p = mustOpen(t, dir, Options{SegmentBytes: 200})
+		n, err := consensus.New(consensus.Config{ID: l.Identity().MemberID, Seed: uint64(start)}, p)
+		is.NoErr(err)
+		n.CampaignNow()
+		for range 10 {
+			is.NoErr(n.Propose([]byte("command")))
+			for rd, ok := n.Ready(); ok; rd, ok = n.Ready() {
+				is.NoErr(l.Save(rd.HardState, rd.Entries))
+				n.Advance(rd)
+			}
+		}
+		st := n.Status()
+		is.Equal(st.Applied, uint64(1+11*(start+1)))
+		s, err := n.MakeSnapshot(st.Applied-3, nil)
+		is.NoErr(err)
+		is.NoErr(l.SaveSnapshot(s))
+		n.Compact(s)
+	}
+	is.NoErr(l.Close())
+}
