e2e: forwarders between processes and records of upstreams

Tests of partitions need a place where bytes can be dropped.

Ruled out: forwarders only among the settings of an entry daemon, since it learns the real addresses of the group with its first poll.

TestWholePath passes through the forwarders.

--- a/cmd/pm-control/options.go
+++ b/cmd/pm-control/options.go
@@ -23,13 +23,15 @@
 
 // options are the settings of the program.
 type options struct {
-	VM             settings.Name      `name:"vm" required:"" help:"Name of this VM."`
-	Region         settings.Name      `required:"" help:"Region of this VM."`
-	FailureDomain  settings.Name      `required:"" help:"Failure domain of this VM."`
-	Deployment     settings.Name      `required:"" help:"Installation whose documents are accepted."`
-	DataDir        settings.DataDir   `required:"" help:"Folder for all durable state."`
-	RPCAddress     settings.Address   `name:"rpc-address" default:"127.0.0.1:0" help:"Address for other daemons."`
-	HTTPAddress    settings.Address   `name:"http-address" default:"127.0.0.1:0" help:"Address for operators, metrics and readiness."`
+	VM            settings.Name    `name:"vm" required:"" help:"Name of this VM."`
+	Region        settings.Name    `required:"" help:"Region of this VM."`
+	FailureDomain settings.Name    `required:"" help:"Failure domain of this VM."`
+	Deployment    settings.Name    `required:"" help:"Installation whose documents are accepted."`
+	DataDir       settings.DataDir `required:"" help:"Folder for all durable state."`
+	RPCAddress    settings.Address `name:"rpc-address" default:"127.0.0.1:0" help:"Address for other daemons."`
+	HTTPAddress   settings.Address `name:"http-address" default:"127.0.0.1:0" help:"Address for operators, metrics and readiness."`
+	// RPCAdvertise is for VMs that other daemons reach by another address than the bound one.
+	RPCAdvertise   settings.Address   `name:"rpc-advertise" help:"RPC address that other daemons are told; the bound address by default."`
 	Peers          []settings.Address `help:"RPC addresses of other control daemons."`
 	OperatorTokens []string           `help:"Operators as name:digest, with the SHA-256 digest of the token in hexadecimal."`
 
@@ -82,11 +84,15 @@
 	ready := settings.NewReady()
 	ready.AddListener("rpc", rpc.Addr())
 	ready.AddListener("http", operators.Addr())
+	advertise := ""
+	if o.RPCAdvertise.IsValid() {
+		advertise = o.RPCAdvertise.String()
+	}
 	clk := clock.NewSystem()
 	return &control.Config{
 		Name: string(o.VM), Region: string(o.Region), FailureDomain: string(o.FailureDomain),
 		Deployment: string(o.Deployment), DataDir: string(o.DataDir), Peers: addressStrings(o.Peers),
-		OperatorTokens: tokens, RPCListener: rpc, HTTPListener: operators, Security: security,
+		OperatorTokens: tokens, AdvertiseRPC: advertise, RPCListener: rpc, HTTPListener: operators, Security: security,
 		Clock: clk, Log: observed.Logger, Meter: observed.MeterProvider.Meter("control"),
 		Handlers:  map[string]http.Handler{"/metrics": observed.MetricsHandler(), "/ready": ready},
 		Platforms: o.platforms(ctx, clk, observed),
--- a/control/config.go
+++ b/control/config.go
@@ -33,6 +33,9 @@
 	// shared out.
 	Platforms map[apipb.Environment]PlatformLists
 
+	// AdvertiseRPC is where other daemons reach this one; the address of
+	// RPCListener by default.
+	AdvertiseRPC string
 	RPCListener  net.Listener
 	HTTPListener net.Listener
 	Security     *transport.Security
--- a/control/daemon.go
+++ b/control/daemon.go
@@ -61,7 +61,7 @@
 	}
 	d.self = &apipb.Member{
 		Id: d.memberID, Name: cfg.Name, Region: cfg.Region, FailureDomain: cfg.FailureDomain,
-		RpcAddress: cfg.RPCListener.Addr().String(), HttpAddress: cfg.HTTPListener.Addr().String(),
+		RpcAddress: rpcAddress(cfg), HttpAddress: cfg.HTTPListener.Addr().String(),
 	}
 	if cfg.Quarantine == 0 {
 		d.cfg.Quarantine = document.MaxDeadlineMS * time.Millisecond
@@ -70,6 +70,13 @@
 	return d, nil
 }
 
+func rpcAddress(cfg Config) string {
+	if cfg.AdvertiseRPC != "" {
+		return cfg.AdvertiseRPC
+	}
+	return cfg.RPCListener.Addr().String()
+}
+
 // Run serves until the context ends, then hands over leadership and stops.
 func (d *Daemon) Run(ctx context.Context) error {
 	defer func() { _ = d.log.Close() }()
--- a/e2e/installation_test.go
+++ b/e2e/installation_test.go
@@ -1,13 +1,10 @@
 package e2e_test
 
 import (
-	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -23,6 +20,9 @@
 
 var regionNames = []string{"bogota", "medellin", "cali"}
 
+// seats bounds the installations that run at once, each of 10 to 16 processes.
+var seats = make(chan struct{}, 4)
+
 // installation is the whole system: a platform, upstreams, control and entry VMs.
 type installation struct {
 	t         *testing.T
@@ -30,21 +30,23 @@
 	platform  *process
 	upstreams []*process
 	controls  []*process
-	entries   []*process
-	operator  *operator.Client
+	// links are the forwarders in front of the control VMs.
+	links    []*forwarder
+	entries  []*process
+	operator *operator.Client
 }
 
 // newInstallation starts the given number of control and entry VMs, spread over
-// the regions, and two upstreams of the service records in each region.
-func newInstallation(t *testing.T, controls, entries int) *installation {
+// the regions, and two upstreams of the service records in each region. More
+// upstream processes can be described by the flags of standin-upstream.
+func newInstallation(t *testing.T, controls, entries int, upstreamFlags ...string) *installation {
 	t.Helper()
+	seats <- struct{}{}
+	t.Cleanup(func() { <-seats })
 	in := &installation{t: t, dir: t.TempDir(), operator: &operator.Client{Token: operatorToken}}
 	in.platform = start(t, "platform", "standin-platform")
 	for _, region := range regionNames {
-		in.upstreams = append(in.upstreams, start(t, "upstreams-"+region, "standin-upstream",
-			"--platform", in.platform.address("http"), "--count", "2", "--service", "records",
-			"--region", region, "--failure-domain", region+"-1", "--slots", "6", "--service-time", "2ms",
-			"--secrets", "demo-key-belen,demo-key-veracruz"))
+		in.addUpstreams(region, "records", upstreamFlags...)
 	}
 	for i := range controls {
 		in.addControl(i)
@@ -59,13 +61,28 @@
 	return in
 }
 
+// addUpstreams starts two upstreams. They take more requests at once than the
+// document allows, so that their records show whether the limit was kept.
+func (in *installation) addUpstreams(region, service string, flags ...string) *process {
+	in.t.Helper()
+	args := append([]string{
+		"--platform", in.platform.address("http"), "--count", "2", "--service", service,
+		"--region", region, "--failure-domain", region + "-1", "--slots", "50", "--service-time", "2ms",
+		"--secrets", "demo-key-belen,demo-key-veracruz",
+	}, flags...)
+	p := start(in.t, "upstreams-"+service+"-"+region, "standin-upstream", args...)
+	in.upstreams = append(in.upstreams, p)
+	return p
+}
+
 func (in *installation) addControl(i int) *process {
 	in.t.Helper()
 	digest := sha256.Sum256([]byte(operatorToken))
 	platform := in.platform.address("http")
+	f := newForwarder(in.t, "")
 	args := []string{
 		"--vm", fmt.Sprintf("control-%d", i), "--region", regionNames[i%3], "--failure-domain", regionNames[i%3] + "-1",
-		"--deployment", "bancas", "--data-dir", filepath.Join(in.dir, fmt.Sprintf("control-%d", i)),
+		"--deployment", "bancas", "--data-dir", in.dataDir(i), "--rpc-advertise", f.address(),
 		"--operator-tokens", "tester:" + hex.EncodeToString(digest[:]),
 		"--platform-trial", platform, "--platform-production", platform,
 	}
@@ -73,15 +90,29 @@
 		args = append(args, "--peers", peers)
 	}
 	p := start(in.t, fmt.Sprintf("control-%d", i), "pm-control", args...)
+	f.setTarget(p.address("rpc"))
 	in.operator.Addresses = append(in.operator.Addresses, p.address("http"))
 	in.controls = append(in.controls, p)
+	in.links = append(in.links, f)
 	return p
 }
 
+func (in *installation) dataDir(control int) string {
+	return filepath.Join(in.dir, fmt.Sprintf("control-%d", control))
+}
+
+// restartControl starts an ended control VM again with the same settings.
+func (in *installation) restartControl(i int) {
+	in.t.Helper()
+	in.controls[i].launch()
+	in.links[i].setTarget(in.controls[i].address("rpc"))
+	in.operator.Addresses[i] = in.controls[i].address("http")
+}
+
 func (in *installation) rpcAddresses() string {
 	addresses := []string{}
-	for _, c := range in.controls {
-		addresses = append(addresses, c.address("rpc"))
+	for _, f := range in.links {
+		addresses = append(addresses, f.address())
 	}
 	return strings.Join(addresses, ",")
 }
@@ -176,49 +207,3 @@
 	}
 	return 0
 }
-
-// response is what a caller got.
-type response struct {
-	status int
-	header http.Header
-	body   []byte
-	err    error
-}
-
-// reason returns the machine-readable reason of a refusal.
-func (r response) reason() (reason, run string) {
-	var refusal struct {
-		Error struct{ Reason, Run string }
-	}
-	_ = json.Unmarshal(r.body, &refusal)
-	return refusal.Error.Reason, refusal.Error.Run
-}
-
-// request sends one request on a connection of its own.
-func request(t *testing.T, address, method, path, key string, header map[string]string) response {
-	t.Helper()
-	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
-	defer cancel()
-	var body io.Reader
-	if method == http.MethodPost {
-		body = bytes.NewReader([]byte(`{"truck":1}`))
-	}
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, body)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if key != "" {
-		r.Header.Set("X-Api-Key", key)
-	}
-	for name, value := range header {
-		r.Header.Set(name, value)
-	}
-	transport := &http.Transport{DisableKeepAlives: true}
-	resp, err := transport.RoundTrip(r)
-	if err != nil {
-		return response{err: err}
-	}
-	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(resp.Body)
-	return response{status: resp.StatusCode, header: resp.Header, body: data, err: err}
-}
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -48,6 +48,7 @@
 	cmd  *exec.Cmd
 
 	mu        sync.Mutex
+	id        int // of the operating system
 	listeners map[string]string
 	lines     []string
 	exited    chan struct{}
@@ -58,9 +59,10 @@
 	t.Helper()
 	p := &process{t: t, name: name, args: append([]string{program}, args...)}
 	p.launch()
+	running.Store(p, true)
 	t.Cleanup(func() {
-		p.signal(syscall.SIGKILL)
-		<-p.exited
+		running.Delete(p)
+		p.kill()
 		if t.Failed() {
 			p.dump()
 		}
@@ -80,6 +82,7 @@
 		p.t.Fatal(err)
 	}
 	p.mu.Lock()
+	p.id = p.cmd.Process.Pid
 	p.listeners = map[string]string{}
 	p.mu.Unlock()
 	exited := make(chan struct{})
@@ -118,6 +121,12 @@
 	return address
 }
 
+func (p *process) pid() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.id
+}
+
 func (p *process) signal(s syscall.Signal) {
 	_ = p.cmd.Process.Signal(s)
 }
@@ -161,3 +170,13 @@
 	}
 	t.Fatalf("not reached: %s", what)
 }
+
+// ended reports whether the process has ended.
+func (p *process) ended() bool {
+	select {
+	case <-p.exited:
+		return true
+	default:
+		return false
+	}
+}
