--- a/entry/applying.go
+++ b/entry/applying.go
@@ -42,19 +42,33 @@
 	}
 	d.lookups.setRegions(doc, d.cfg.Region)
 	d.forwarder.Revalidate(d.View())
-	if d.lifecycle.State() == apipb.VmState_VM_STATE_STARTING && d.lifecycle.Serve() == nil {
+}
+
+// serveWhenReady ends the start once there is a confirmed view and a renewal
+// that could ask for the grants of its document. Before that, look-ups must not
+// name this VM: it would refuse requests for lack of grants.
+func (d *Daemon) serveWhenReady() {
+	d.queue.refresh()
+	if d.lifecycle.State() != apipb.VmState_VM_STATE_STARTING || !d.View().Fresh {
+		return
+	}
+	// Without upstreams there are no slots to wait for.
+	if d.renewals++; d.queue.empty() && d.renewals < maxStartRenewals {
+		return
+	}
+	if d.lifecycle.Serve() == nil {
 		d.cfg.Ready.SetState("serving", true)
+		d.cfg.Log.Info("serving")
 	}
 }
 
 // forgetCustomers hands back the rates of customers that left the document.
 func (d *Daemon) forgetCustomers(index *document.Index) {
-	d.grants.customers.Range(func(key, _ any) bool {
-		if name := key.(string); index.Customer(name) == nil {
+	for _, name := range d.grants.customers.keys() {
+		if index.Customer(name) == nil {
 			d.grants.forgetCustomer(name)
 		}
-		return true
-	})
+	}
 }
 
 // applyUpstreams hands the platform's list to steering. The lock is held.
@@ -71,13 +85,13 @@
 		listed[u.ID] = true
 	}
 	d.queue.setUpstreams(byService)
-	d.grants.slots.Range(func(key, _ any) bool {
-		if id := key.(string); !listed[id] {
+	for _, id := range d.grants.slots.keys() {
+		if !listed[id] {
 			d.grants.forgetUpstream(id)
+			d.chooser.targets.remove(id)
 			d.pool.Forget(id)
 		}
-		return true
-	})
+	}
 }
 
 // runPlatform follows the platform's list of upstreams.
@@ -106,6 +120,7 @@
 }
 
 func (d *Daemon) takeLoad(report platform.LoadReport) {
+	d.takeProbe(report)
 	if report.HasLoad {
 		d.steerer.ReportLoad(steering.LoadReport{
 			UpstreamID: report.UpstreamID, InFlight: report.Load.InFlight, Age: report.Age(d.cfg.Clock.Now()),
@@ -113,6 +128,14 @@
 	}
 }
 
+// takeProbe lets an upstream return that had announced that it leaves and now
+// answers as a healthy one.
+func (d *Daemon) takeProbe(report platform.LoadReport) {
+	if target, ok := d.probing.remove(report.UpstreamID); ok {
+		target.Probed(report.Healthy && !report.Leaving)
+	}
+}
+
 // runTicks moves ramps and estimates, takes in grants, and ends what a stale
 // view no longer allows.
 func (d *Daemon) runTicks(ctx context.Context) {
@@ -125,6 +148,12 @@
 		case <-ticker.C:
 		}
 		d.steerer.Tick()
+		for _, load := range d.steerer.MeasuredLoads() {
+			d.steerer.ReportRegion(load)
+		}
+		for _, target := range d.steerer.ProbesDue() {
+			d.probing.store(target.Upstream().ID, target)
+		}
 		d.queue.refresh()
 		if view := d.View(); !view.Fresh {
 			d.forwarder.Revalidate(view)
--- a/entry/chooser.go
+++ b/entry/chooser.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"sync"
 	"time"
 
 	"pistachiomount.example/pistachiomount/forward"
@@ -11,7 +10,8 @@
 // chooser adapts steering to the request path.
 type chooser struct {
 	steerer *steering.Steerer
-	targets sync.Map // upstream id -> *steering.Target
+	grants  *grants
+	targets cowMap[string, *steering.Target] // by upstream id
 }
 
 // Regions appends the regions to try to dst, the preferred one first.
@@ -31,7 +31,12 @@
 	}
 }
 
-// Pick returns an upstream of the region that is not excluded.
+// maxFullPasses is how many upstreams without a free slot are passed over.
+const maxFullPasses = 3
+
+// Pick returns an upstream of the region that is not excluded. It passes over
+// upstreams of which this VM holds no free slot, since slots are held for each
+// upstream and another may have one.
 func (c *chooser) Pick(q forward.Query, region string, excluded []string) (forward.Upstream, bool) {
 	pool, ok := c.steerer.Pool(q.Service, region)
 	if !ok {
@@ -39,11 +44,20 @@
 	}
 	var exclusion steering.Exclusion
 	for _, id := range excluded {
-		if target, ok := c.targets.Load(id); ok {
-			exclusion.Add(target.(*steering.Target))
+		if target, ok := c.targets.load(id); ok {
+			exclusion.Add(target)
 		}
 	}
 	target, ok := pool.Pick(&exclusion)
+	for range maxFullPasses {
+		if !ok || c.hasFreeSlot(target.Upstream().ID) {
+			break
+		}
+		exclusion.Add(target)
+		if other, found := pool.Pick(&exclusion); found {
+			target = other
+		}
+	}
 	if !ok {
 		return forward.Upstream{}, false
 	}
@@ -53,16 +67,28 @@
 	return forward.Upstream{Name: u.ID, Address: u.Address, Region: u.Region}, true
 }
 
+func (c *chooser) hasFreeSlot(id string) bool {
+	used, granted := c.grants.slot(id).InUse()
+	return used < granted
+}
+
+// countRequest feeds the retry budget.
+func (c *chooser) countRequest(service string) {
+	if budget, ok := c.steerer.Budget(service); ok {
+		budget.Request()
+	}
+}
+
 func (c *chooser) remember(id string, target *steering.Target) {
-	if known, ok := c.targets.Load(id); !ok || known != target {
-		c.targets.Store(id, target)
+	if known, ok := c.targets.load(id); !ok || known != target {
+		c.targets.store(id, target)
 	}
 }
 
 // Report tells steering how an attempt ended.
 func (c *chooser) Report(_ forward.Query, u forward.Upstream, r forward.Report) {
-	if target, ok := c.targets.Load(u.Name); ok {
-		target.(*steering.Target).Finish(steering.Outcome{Result: resultOf(r), Latency: r.Elapsed})
+	if target, ok := c.targets.load(u.Name); ok {
+		target.Finish(steering.Outcome{Result: resultOf(r), Latency: r.Elapsed})
 	}
 }
 
