--- /dev/null
+++ b/e2e/keys_test.go
@@ -0,0 +1,157 @@
+package e2e_test
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"pistachiomount.example/pistachiomount/standin"
+)
+
+const belenDigest = "6975be431f6a41b3c02de26c539c4e05da4e5bebf862bec4a7e68f4339d67791"
+
+// revokedBelen are replacements that take the demonstration key of belen out.
+func revokedBelen() []string {
+	other := sha256.Sum256([]byte("another key"))
+	return []string{belenDigest, hex.EncodeToString(other[:])}
+}
+
+// Guards against keys that reach an upstream, against requests that run for a
+// customer other than the one of the key, and against refused requests that ran.
+func TestKeysStayInsideAndNameTheCustomer(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	in := newInstallation(t, 3, 3)
+	in.awaitServing(in.accept(documentWith(t, 1)).Revision)
+	const belen = "demo-key-belen"
+	cases := []struct {
+		name, path, key string
+		header          map[string]string
+		status          int
+	}{
+		{name: "header", path: "/records/belen-1", key: belen, status: http.StatusOK},
+		{name: "bearer", path: "/records/belen-2", header: map[string]string{"Authorization": "Bearer " + belen}, status: http.StatusOK},
+		{name: "named customer", path: "/records/belen-3", key: belen, header: map[string]string{"X-Customer": "veracruz"}, status: http.StatusOK},
+		{name: "other headers", path: "/records/belen-4", key: belen, header: map[string]string{"X-Forwarded-For": belen, "Forwarded": belen, "Cookie": "a=" + belen, "X-Other": belen}},
+		{name: "path", path: "/records/belen-5/" + belen, key: belen},
+		{name: "query", path: "/records/none-1?api_key=" + belen, status: http.StatusBadRequest},
+		{name: "two keys", path: "/records/none-2", key: belen, header: map[string]string{"Authorization": "Bearer demo-key-veracruz"}, status: http.StatusBadRequest},
+		{name: "no key", path: "/records/none-3", status: http.StatusUnauthorized},
+		{name: "wrong key", path: "/records/none-4", key: "demo-key-belem", status: http.StatusUnauthorized},
+		{name: "service of others", path: "/invoices/none-5", key: "demo-key-santa-rita", status: http.StatusForbidden},
+	}
+	for _, c := range cases {
+		for _, e := range in.entries {
+			got := insist(t, e.address("callers"), http.MethodGet, c.path, c.key, c.header)
+			is.NoErr(got.err)
+			if c.status != 0 && got.status != c.status {
+				t.Errorf("%s at %s: status %d, expected %d: %s", c.name, e.name, got.status, c.status, got.body)
+			}
+		}
+	}
+	for upstream, r := range in.records() {
+		if r.SecretSeen {
+			t.Errorf("%s saw a key in %v", upstream, r.SecretPlaces)
+		}
+	}
+	for path := range in.started(byPath("/records/none")) {
+		t.Errorf("%s ran although it was refused", path)
+	}
+	wrong := in.started(func(k standin.RequestKey) string {
+		if strings.HasPrefix(k.Path, "/records/belen") && k.Customer != "belen" {
+			return k.Path + " for " + k.Customer
+		}
+		return ""
+	})
+	is.Equal(len(wrong), 0) // run for another customer
+	is.True(len(in.started(byPath("/records/belen-1"))) > 0)
+}
+
+// stream is an answer that a caller reads slowly.
+type stream struct {
+	got chan error
+	n   int64
+}
+
+// openStream starts an answer of the given size and reads it to its end once it
+// may proceed.
+func openStream(t *testing.T, address, key, size string, proceed <-chan struct{}) *stream {
+	t.Helper()
+	var resp *http.Response
+	eventually(t, "stream begins", func() bool {
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+address+"/records/stream?size="+size, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Header.Set("X-Api-Key", key)
+		resp, err = (&http.Transport{DisableKeepAlives: true}).RoundTrip(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if resp.StatusCode != http.StatusOK {
+			_ = resp.Body.Close()
+		}
+		return resp.StatusCode == http.StatusOK
+	})
+	s := &stream{got: make(chan error, 1)}
+	go func() {
+		defer func() { _ = resp.Body.Close() }()
+		n, _ := io.CopyN(io.Discard, resp.Body, 1<<20)
+		<-proceed // the rest waits in the connection and at the upstream
+		rest, err := io.Copy(io.Discard, resp.Body)
+		s.n = n + rest
+		s.got <- err
+	}()
+	return s
+}
+
+// Guards against a revoked key that goes on working on an entry VM, on a
+// connection that is open already or for an answer under way, and against a
+// revocation that cuts the answers of other customers.
+func TestRevokedKeyStopsEverywhere(t *testing.T) {
+	t.Parallel()
+	in := newInstallation(t, 3, 3)
+	long := []string{"deadline_ms: 2000", "deadline_ms: 100000"}
+	in.awaitServing(in.accept(documentWith(t, 1, long...)).Revision)
+	const size = 60 << 20 // beyond what the buffers of the connections hold
+	clients := make([]*http.Client, len(in.entries))
+	proceed := make(chan struct{})
+	var revoked, kept []*stream
+	for i, e := range in.entries {
+		clients[i] = &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}}
+		eventually(t, "served at "+e.name, func() bool {
+			status, _ := keptRequest(t, clients[i], e.address("callers"), "demo-key-belen")
+			return status == http.StatusOK
+		})
+		revoked = append(revoked, openStream(t, e.address("callers"), "demo-key-belen", "62914560", proceed))
+		kept = append(kept, openStream(t, e.address("callers"), "demo-key-veracruz", "62914560", proceed))
+	}
+	in.accept(documentWith(t, 2, append(long, revokedBelen()...)...))
+	for i, e := range in.entries {
+		eventually(t, "refused at "+e.name, func() bool {
+			status, reused := keptRequest(t, clients[i], e.address("callers"), "demo-key-belen")
+			return status == http.StatusUnauthorized && reused
+		})
+	}
+	before := sum(in.started(byPath("/records/kept")))
+	close(proceed)
+	for i, e := range in.entries {
+		if err := <-revoked[i].got; err == nil {
+			t.Errorf("%s: the answer for a revoked key went on to its end", e.name)
+		}
+		if err := <-kept[i].got; err != nil || kept[i].n != size {
+			t.Errorf("%s: the answer of another customer ended after %d bytes: %v", e.name, kept[i].n, err)
+		}
+		if status, _ := keptRequest(t, clients[i], e.address("callers"), "demo-key-belen"); status != http.StatusUnauthorized {
+			t.Errorf("%s: status %d after the revocation", e.name, status)
+		}
+	}
+	if after := sum(in.started(byPath("/records/kept"))); after != before {
+		t.Errorf("%d requests ran after the revocation", after-before)
+	}
+}
--- /dev/null
+++ b/e2e/partition_test.go
@@ -0,0 +1,72 @@
+package e2e_test
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against an entry VM that goes on serving keys while it is cut off
+// silently from all control VMs, against refusals that are not true, and
+// against a VM that does not recover.
+func TestEntryCutOffFromControl(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	in := newInstallation(t, 3, 3)
+	in.awaitServing(in.accept(documentWith(t, 1)).Revision)
+	cut := in.entries[0]
+	address := cut.address("callers")
+	for _, f := range in.links {
+		f.set(cut, silence)
+	}
+	in.accept(documentWith(t, 2, revokedBelen()...))
+	awaitReason(t, address, "view_stale")
+	for _, key := range []string{"demo-key-belen", "demo-key-veracruz"} {
+		for range 10 {
+			got := request(t, address, http.MethodGet, "/records/stale", key, nil)
+			reason, run := got.reason()
+			is.Equal(reason, "view_stale")
+			is.Equal(run, "not_run")
+		}
+	}
+	is.Equal(len(in.started(byPath("/records/stale"))), 0)
+	for _, f := range in.links {
+		f.cut() // what a partition left behind
+		f.set(cut, rule{})
+	}
+	eventually(t, "other keys work again", func() bool {
+		return request(t, address, http.MethodGet, "/records/again", "demo-key-veracruz", nil).status == http.StatusOK
+	})
+	got := request(t, address, http.MethodGet, "/records/revoked", "demo-key-belen", nil)
+	is.Equal(got.status, http.StatusUnauthorized)
+	is.Equal(len(in.started(byPath("/records/revoked"))), 0)
+}
+
+// Guards against public routes that close while an entry VM is cut off from all
+// control VMs.
+func TestPublicRoutesStayOpenWhenCutOff(t *testing.T) {
+	t.Parallel()
+	in := newInstallation(t, 3, 2)
+	in.awaitServing(in.accept(documentWith(t, 1)).Revision)
+	cut := in.entries[0]
+	for _, f := range in.links {
+		f.set(cut, silence)
+	}
+	awaitReason(t, cut.address("callers"), "view_stale")
+	for range 5 {
+		got := request(t, cut.address("callers"), http.MethodGet, "/catalogue/open", "", nil)
+		if got.status != http.StatusOK {
+			t.Errorf("public route: status %d: %s", got.status, got.body)
+		}
+	}
+}
+
+// awaitReason waits until a request with a key is refused for the reason.
+func awaitReason(t *testing.T, address, reason string) {
+	t.Helper()
+	eventually(t, "refused: "+reason, func() bool {
+		got, _ := request(t, address, http.MethodGet, "/records/waiting", "demo-key-veracruz", nil).reason()
+		return got == reason
+	})
+}
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -180,3 +180,10 @@
 		return false
 	}
 }
+
+func removeAll(t *testing.T, dir string) {
+	t.Helper()
+	if err := os.RemoveAll(dir); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/e2e/request_test.go
+++ b/e2e/request_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"testing"
 	"time"
 )
@@ -55,3 +56,51 @@
 	data, err := io.ReadAll(resp.Body)
 	return response{status: resp.StatusCode, header: resp.Header, body: data, err: err}
 }
+
+// keptRequest sends a request on a client that keeps its connection and tells
+// whether the connection had been in use before.
+func keptRequest(t *testing.T, client *http.Client, address, key string) (status int, reused bool) {
+	t.Helper()
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { reused = info.Reused }}
+	ctx := httptrace.WithClientTrace(t.Context(), trace)
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/records/kept", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("X-Api-Key", key)
+	resp, err := client.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, _ = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, reused
+}
+
+// lookedUp returns the addresses that a look-up names.
+func lookedUp(t *testing.T, address string) []string {
+	t.Helper()
+	got := request(t, address, http.MethodGet, "/v1/lookup?service=records", "", nil)
+	var answer struct {
+		EntryVMs []struct{ Address string } `json:"entry_vms"`
+	}
+	_ = json.Unmarshal(got.body, &answer)
+	var addresses []string
+	for _, vm := range answer.EntryVMs {
+		addresses = append(addresses, vm.Address)
+	}
+	return addresses
+}
+
+// insist sends a request again while it is refused for lack of rate or capacity,
+// which new entry VMs have little of.
+func insist(t *testing.T, address, method, path, key string, header map[string]string) response {
+	t.Helper()
+	var got response
+	eventually(t, path+" not refused for lack of rate or capacity", func() bool {
+		got = request(t, address, method, path, key, header)
+		reason, run := got.reason()
+		return run != "not_run" || reason != "over_rate" && reason != "over_capacity"
+	})
+	return got
+}
--- a/entry/applying.go
+++ b/entry/applying.go
@@ -37,11 +37,27 @@
 	d.applyUpstreams(v)
 	d.mu.Unlock()
 	d.forgetCustomers(v.index)
+	d.prepareGrants(doc)
+	d.lookups.setRegions(doc, d.cfg.Region)
+	d.forwarder.Revalidate(d.View())
+}
+
+// prepareGrants names every rate that a request may need, so that the next
+// renewal asks for them: a rate named by its first request would refuse it.
+func (d *Daemon) prepareGrants(doc *document.Document) {
 	for i := range doc.Customers {
 		d.grants.customer(doc.Customers[i].Name)
 	}
-	d.lookups.setRegions(doc, d.cfg.Region)
-	d.forwarder.Revalidate(d.View())
+	for i := range doc.Services {
+		for region := range doc.Services[i].RegionCapacity {
+			d.grants.region(region, doc.Services[i].Name)
+		}
+	}
+	for _, l := range doc.Links {
+		if l.From == d.cfg.Region || l.To == d.cfg.Region {
+			d.grants.link(l.From, l.To)
+		}
+	}
 }
 
 // serveWhenReady ends the start once there is a confirmed view and a renewal
@@ -83,6 +99,7 @@
 	for _, u := range list {
 		byService[u.Service] = append(byService[u.Service], u.ID)
 		listed[u.ID] = true
+		d.grants.conn(u.ID) // asked for before the first request needs one
 	}
 	d.queue.setUpstreams(byService)
 	for _, id := range d.grants.slots.keys() {
