control: test bench in virtual time

Cause: package control had no tests of its own.

Sockets and real time were ruled out, because results would depend on the speed of the machine. Forwarding of commands to the leader is reached through a function so that it can use the same network.

--- /dev/null
+++ b/control/bench_storage_test.go
@@ -0,0 +1,96 @@
+package control
+
+import (
+	"sync"
+	"testing"
+
+	"github.com/juju/errors"
+
+	"pistachiomount.example/pistachiomount/apipb"
+	"pistachiomount.example/pistachiomount/consensus"
+)
+
+var errDisk = errors.New("input/output error")
+
+// memStorage keeps what was synced in memory. It outlives the engines that use it.
+type memStorage struct {
+	mu    sync.Mutex
+	state consensus.Persisted
+	// broken makes every write fail, and what it wrote is lost.
+	broken bool
+	saves  int
+}
+
+func (s *memStorage) Save(hard *apipb.HardState, entries []*apipb.LogEntry) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.broken {
+		return errDisk
+	}
+	s.saves++
+	if hard != nil {
+		s.state.HardState = hard
+	}
+	if len(entries) > 0 {
+		s.state.Entries = append(before(s.state.Entries, entries[0].Index), entries...)
+	}
+	return nil
+}
+
+func (s *memStorage) SaveSnapshot(snapshot *apipb.Snapshot) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.broken {
+		return errDisk
+	}
+	var rest []*apipb.LogEntry
+	for i, e := range s.state.Entries {
+		if e.Index == snapshot.Meta.Index && e.Term == snapshot.Meta.Term {
+			rest = append(rest, s.state.Entries[i+1:]...)
+		}
+	}
+	s.state.Snapshot, s.state.Entries = snapshot, rest
+	return nil
+}
+
+// load returns a copy that later writes do not change.
+func (s *memStorage) load() consensus.Persisted {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.state
+	p.Entries = before(p.Entries, ^uint64(0))
+	return p
+}
+
+func (s *memStorage) setBroken(broken bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.broken = broken
+}
+
+// before returns a copy of the entries below the index.
+func before(entries []*apipb.LogEntry, index uint64) []*apipb.LogEntry {
+	var kept []*apipb.LogEntry
+	for _, e := range entries {
+		if e.Index < index {
+			kept = append(kept, e)
+		}
+	}
+	return kept
+}
+
+// Guards against a stand-in that keeps what a real disk would have replaced.
+func TestMemStorageReplacesConflictingEntries(t *testing.T) {
+	s := &memStorage{}
+	for _, entries := range [][]*apipb.LogEntry{{{Index: 2, Term: 1}, {Index: 3, Term: 1}}, {{Index: 3, Term: 2}}} {
+		if err := s.Save(nil, entries); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := s.SaveSnapshot(&apipb.Snapshot{Meta: &apipb.SnapshotMeta{Index: 2, Term: 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if got := s.load().Entries; len(got) != 1 || got[0].Term != 2 {
+		t.Fatalf("entries %v, expected the one of term 2", got)
+	}
+}
--- /dev/null
+++ b/control/bench_test.go
@@ -0,0 +1,181 @@
+package control
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"pistachiomount.example/pistachiomount/apipb"
+	"pistachiomount.example/pistachiomount/consensus"
+)
+
+const (
+	benchCluster  = 77
+	operatorToken = "token-of-ana"
+	trial         = apipb.Environment_ENVIRONMENT_TRIAL
+)
+
+var tokenDigest = func() string {
+	sum := sha256.Sum256([]byte(operatorToken))
+	return hex.EncodeToString(sum[:])
+}()
+
+// bench runs several control daemons in one synctest bubble: time is virtual, so
+// no test depends on the speed of the machine.
+type bench struct {
+	t      testing.TB
+	ctx    context.Context
+	seed   uint64
+	starts uint64
+	log    *logrus.Logger
+	net    *benchNetwork
+	nodes  []*benchNode
+}
+
+// simulate runs the function on a bench whose group of voters is formed.
+func simulate(t *testing.T, voters int, f func(b *bench)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) { simulateWith(t, 1, voters, f) })
+}
+
+// simulateWith must be called in a bubble.
+func simulateWith(t testing.TB, seed uint64, voters int, f func(b *bench)) {
+	ctx, cancel := context.WithCancel(context.Background())
+	b := &bench{t: t, ctx: ctx, seed: seed, log: quietLog()}
+	b.net = newBenchNetwork(ctx, b, seed)
+	defer b.stop(cancel)
+	for range voters {
+		b.add()
+	}
+	members := make([]*apipb.Member, voters)
+	for i, n := range b.nodes {
+		members[i] = n.member
+	}
+	state, err := consensus.Bootstrap(members)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, n := range b.nodes {
+		n.storage.state = state
+		n.start()
+	}
+	b.leader()
+	f(b)
+}
+
+// add makes a node with an empty disk; start runs it.
+func (b *bench) add() *benchNode {
+	id := uint64(len(b.nodes) + 1)
+	name := fmt.Sprintf("control-%d", id)
+	n := &benchNode{b: b, name: name, storage: &memStorage{}, member: &apipb.Member{
+		Id: id, Name: name, RpcAddress: name, HttpAddress: name,
+	}}
+	b.nodes = append(b.nodes, n)
+	return n
+}
+
+func (b *bench) stop(cancel func()) {
+	cancel()
+	for _, n := range b.nodes {
+		if n.engine != nil {
+			<-n.engine.done
+		}
+	}
+}
+
+func (b *bench) node(address string) *benchNode {
+	for _, n := range b.nodes {
+		if n.name == address {
+			return n
+		}
+	}
+	panic("unknown address " + address)
+}
+
+// eventually waits in virtual time until the condition holds.
+func (b *bench) eventually(what string, condition func() bool) {
+	b.t.Helper()
+	for range 3000 {
+		if condition() {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	b.t.Fatalf("not reached within a minute of virtual time: %s", what)
+}
+
+// leader waits for a daemon that leads with a valid lease. Nodes given are not asked.
+func (b *bench) leader(except ...*benchNode) *benchNode {
+	b.t.Helper()
+	var found *benchNode
+	b.eventually("a leader", func() bool {
+		for _, n := range b.nodes {
+			if n.engine == nil || contains(except, n) {
+				continue
+			}
+			if s := n.status(); s.Role == consensus.RoleLeader && s.LeaseValid && s.TermCommitted {
+				found = n
+				return true
+			}
+		}
+		return false
+	})
+	return found
+}
+
+// others returns the nodes besides the given ones.
+func (b *bench) others(except ...*benchNode) []*benchNode {
+	var rest []*benchNode
+	for _, n := range b.nodes {
+		if !contains(except, n) {
+			rest = append(rest, n)
+		}
+	}
+	return rest
+}
+
+func contains(nodes []*benchNode, n *benchNode) bool {
+	for _, other := range nodes {
+		if other == n {
+			return true
+		}
+	}
+	return false
+}
+
+// exampleDocument is a document of the current size.
+var exampleDocument = func() []byte {
+	raw, err := os.ReadFile("../examples/bancas.yaml")
+	if err != nil {
+		panic(err)
+	}
+	return raw
+}()
+
+// documentOf returns the example with the number; the variant changes a cap.
+func documentOf(number uint64, variant int) []byte {
+	raw := bytes.Replace(exampleDocument, []byte("\nnumber: 1\n"), fmt.Appendf(nil, "\nnumber: %d\n", number), 1)
+	return bytes.Replace(raw, []byte("points_per_second: 5\n"), fmt.Appendf(nil, "points_per_second: %d\n", 1+variant%50), 1)
+}
+
+// Guards against a bench that only seems to work: a document travels the whole path.
+func TestDocumentReachesEveryDaemon(t *testing.T) {
+	simulate(t, 3, func(b *bench) {
+		report := b.nodes[0].mustSubmit("trial", documentOf(1, 0))
+		for _, n := range b.nodes {
+			w := &watcher{at: n}
+			b.eventually("the document at "+n.name, func() bool { return w.poll() == nil && w.revision == report.Revision })
+			if !bytes.Equal(w.raw, documentOf(1, 0)) {
+				t.Errorf("%s: another document", n.name)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/control/bench_watcher_test.go
@@ -0,0 +1,94 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+	"google.golang.org/protobuf/proto"
+
+	"pistachiomount.example/pistachiomount/apipb"
+	"pistachiomount.example/pistachiomount/document"
+)
+
+// watcherDelay is the delay between a watcher and its control daemon. It is no
+// whole number of milliseconds, so that rounding of ages shows.
+const watcherDelay = 1500 * time.Microsecond
+
+// watcher polls a control daemon as an entry daemon does.
+type watcher struct {
+	at          *benchNode
+	raw         []byte
+	revision    uint64
+	digest      string
+	confirmed   bool
+	confirmedAt time.Time // whatever was accepted before is in the view
+	age         time.Duration
+	replies     int
+	bytes       int // received
+	kinds       map[apipb.WatchKind]int
+}
+
+// poll asks once and takes in the answer.
+func (w *watcher) poll() error {
+	ctx, cancel := context.WithTimeout(w.at.b.ctx, 1500*time.Millisecond)
+	defer cancel()
+	sent := time.Now()
+	pauseFor(ctx, watcherDelay)
+	reply, err := w.at.service().Watch(ctx, &apipb.WatchRequest{
+		Environment: trial, HaveRevision: w.revision, HaveDigest: w.digest, WaitMs: 1000,
+	})
+	if err != nil {
+		return err
+	}
+	pauseFor(ctx, watcherDelay)
+	w.count(reply)
+	if reply.Revision < w.revision {
+		return errors.Errorf("revision %d after %d", reply.Revision, w.revision)
+	}
+	if err := w.take(ctx, reply); err != nil {
+		return err
+	}
+	w.age = time.Duration(reply.ConfirmedAgeMs) * time.Millisecond
+	w.confirmed = reply.Confirmed
+	if at := sent.Add(-w.age); reply.Confirmed && at.After(w.confirmedAt) {
+		w.confirmedAt = at
+	}
+	return nil
+}
+
+func (w *watcher) count(reply *apipb.WatchReply) {
+	if w.kinds == nil {
+		w.kinds = map[apipb.WatchKind]int{}
+	}
+	w.kinds[reply.Kind]++
+	w.replies++
+	w.bytes += proto.Size(reply)
+}
+
+func (w *watcher) take(ctx context.Context, reply *apipb.WatchReply) error {
+	var raw []byte
+	switch reply.Kind {
+	case apipb.WatchKind_WATCH_KIND_UNCHANGED:
+		return nil
+	case apipb.WatchKind_WATCH_KIND_DELTA:
+		var err error
+		if raw, err = document.ApplyDelta(w.raw, reply.Sections, reply.Digest); err != nil {
+			return err
+		}
+	default:
+		for chunk := range reply.SnapshotChunks {
+			got, err := w.at.service().FetchChunk(ctx, &apipb.ChunkRequest{Environment: trial, Revision: reply.Revision, Chunk: chunk})
+			if err != nil || got.Gone {
+				return errors.Errorf("chunk %d: %v %v", chunk, got, err)
+			}
+			w.bytes += proto.Size(got)
+			raw = append(raw, got.Data...)
+		}
+	}
+	if document.Digest(raw) != reply.Digest {
+		return errors.Errorf("revision %d: digest differs", reply.Revision)
+	}
+	w.raw, w.revision, w.digest = raw, reply.Revision, reply.Digest
+	return nil
+}
--- a/control/commander.go
+++ b/control/commander.go
@@ -11,10 +11,23 @@
 	"pistachiomount.example/pistachiomount/transport"
 )
 
+// forwarder returns the client for commands of the control daemon at an address.
+type forwarder func(address string) (apipb.DRPCForwardingClient, error)
+
+func forwardOver(peers *transport.Peers) forwarder {
+	return func(address string) (apipb.DRPCForwardingClient, error) {
+		client, err := peers.Get(address)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		return apipb.NewDRPCForwardingClient(client), nil
+	}
+}
+
 // commander commits commands through whichever daemon leads.
 type commander struct {
-	engine *Engine
-	peers  *transport.Peers
+	engine  *Engine
+	forward forwarder
 }
 
 // run commits the command here or, if another daemon leads, there.
@@ -28,10 +41,11 @@
 	if !notLeader(err) {
 		return nil, errors.Trace(err)
 	}
-	return c.forward(ctx, command)
+	return c.passOn(ctx, command)
 }
 
-func (c *commander) forward(ctx context.Context, command *apipb.Command) (*apipb.ProposeReply, error) {
+// passOn commits the command through the leader.
+func (c *commander) passOn(ctx context.Context, command *apipb.Command) (*apipb.ProposeReply, error) {
 	leader := ""
 	if err := c.engine.do(ctx, func() { leader = c.engine.leaderAddress() }); err != nil {
 		return nil, errors.Annotate(ErrNoLeader, err.Error())
@@ -39,7 +53,7 @@
 	if leader == "" || leader == c.engine.cfg.Self.RpcAddress {
 		return nil, errors.Trace(ErrNoLeader)
 	}
-	client, err := c.peers.Get(leader)
+	client, err := c.forward(leader)
 	if err != nil {
 		return nil, errors.Annotate(ErrNoLeader, err.Error())
 	}
@@ -47,7 +61,7 @@
 	if err != nil {
 		return nil, errors.Annotate(err, "encode command")
 	}
-	reply, err := apipb.NewDRPCForwardingClient(client).Propose(ctx, &apipb.ProposeRequest{Command: data})
+	reply, err := client.Propose(ctx, &apipb.ProposeRequest{Command: data})
 	if err != nil {
 		return nil, errors.Annotate(ErrOutcomeUnknown, err.Error())
 	}
--- a/control/consensus_service.go
+++ b/control/consensus_service.go
@@ -59,5 +59,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return (&commander{engine: engine, peers: s.daemon.peers}).runForwarded(ctx, request)
+	return (&commander{engine: engine, forward: s.daemon.forward}).runForwarded(ctx, request)
 }
--- a/control/control_service.go
+++ b/control/control_service.go
@@ -18,7 +18,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return (&commander{engine: engine, peers: s.daemon.peers}).run(ctx, command)
+	return (&commander{engine: engine, forward: s.daemon.forward}).run(ctx, command)
 }
 
 // Watch answers a poll for the document in force.
--- a/control/daemon.go
+++ b/control/daemon.go
@@ -35,6 +35,7 @@
 	memberID  uint64
 	self      *apipb.Member
 	peers     *transport.Peers
+	forward   forwarder
 	ownership *ownership
 
 	mu      sync.Mutex
@@ -66,6 +67,7 @@
 	if cfg.Quarantine == 0 {
 		d.cfg.Quarantine = document.MaxDeadlineMS * time.Millisecond
 	}
+	d.forward = forwardOver(d.peers)
 	d.ownership = newOwnership(&d.cfg)
 	return d, nil
 }
@@ -249,15 +251,20 @@
 	return errors.Annotate(server.Serve(ctx, d.cfg.RPCListener), "serve rpc")
 }
 
-func (d *Daemon) serveHTTP(ctx context.Context) error {
+// handler returns the operators' HTTP interface.
+func (d *Daemon) handler() http.Handler {
 	mux := flow.New()
 	api := &operatorAPI{daemon: d, auth: operatorAuth{tokens: d.cfg.OperatorTokens}}
 	api.routes(mux)
 	for pattern, handler := range d.cfg.Handlers {
 		mux.Handle(pattern, handler, http.MethodGet)
 	}
+	return mux
+}
+
+func (d *Daemon) serveHTTP(ctx context.Context) error {
 	server := &http.Server{
-		Handler: mux, ReadTimeout: httpReadTimeout, WriteTimeout: httpWriteTimeout,
+		Handler: d.handler(), ReadTimeout: httpReadTimeout, WriteTimeout: httpWriteTimeout,
 		IdleTimeout: httpIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 	stopped := make(chan struct{})
--- a/control/operator_api.go
+++ b/control/operator_api.go
@@ -80,7 +80,7 @@
 		writeFailure(w, err)
 		return
 	}
-	reply, err := (&commander{engine: engine, peers: a.daemon.peers}).run(ctx,
+	reply, err := (&commander{engine: engine, forward: a.daemon.forward}).run(ctx,
 		&apipb.Command{Body: &apipb.Command_SubmitDocument{SubmitDocument: submit}})
 	if err != nil {
 		writeFailure(w, err)
