control: failure tests of documents and views; no abandoned work on the loop

A proposal abandoned before it ran also left its waiter behind for good. Events are now taken either by the loop or by the caller that gives up. await no longer waits for a loop held up by a slow disk.

The age of a confirmation was rounded down to milliseconds, so a view counted as complete up to 1 ms later than any majority had confirmed; it is rounded up. TestConfirmedAgeIsNotRoundedDown failed before (999 us was reported as 0).

Ruled out: locking each caller's variables, which every new caller would need to remember.

--- a/control/bench_network_test.go
+++ b/control/bench_network_test.go
@@ -93,14 +93,14 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.batches[from.Name]++
-	n.bytes[from.Name] += len(data)
-	if n.cut[[2]string{from.Name, to}] || n.rng.Float64() < n.drop {
+	n.batches[from.RpcAddress]++
+	n.bytes[from.RpcAddress] += len(data)
+	if n.cut[[2]string{from.RpcAddress, to}] || n.rng.Float64() < n.drop {
 		return
 	}
 	p := parcel{time.Now().Add(oneWay), data}
 	select {
-	case n.line(from.Name, to) <- p:
+	case n.line(from.RpcAddress, to) <- p:
 	default:
 	}
 	if n.rng.Float64() < n.duplicate {
@@ -140,7 +140,7 @@
 	}
 	ctx, cancel := context.WithTimeout(n.ctx, peerTimeout)
 	defer cancel()
-	_, _ = (&consensusService{daemon: n.b.node(to).daemon}).Deliver(ctx, batch)
+	_, _ = (&consensusService{daemon: n.b.node(to).live.Load()}).Deliver(ctx, batch)
 }
 
 // call makes one call between two daemons; a cut leaves it without an answer.
@@ -173,7 +173,7 @@
 func (f *benchForwarding) Propose(ctx context.Context, request *apipb.ProposeRequest) (*apipb.ProposeReply, error) {
 	var reply *apipb.ProposeReply
 	err := f.net.call(ctx, f.from, f.to, func(ctx context.Context) (err error) {
-		reply, err = (&consensusService{daemon: f.net.b.node(f.to).daemon}).Propose(ctx, request)
+		reply, err = (&consensusService{daemon: f.net.b.node(f.to).live.Load()}).Propose(ctx, request)
 		return err
 	})
 	return reply, err
--- a/control/bench_node_test.go
+++ b/control/bench_node_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -31,8 +32,7 @@
 	name    string
 	member  *apipb.Member
 	storage *memStorage
-	daemon  *Daemon
-	engine  *Engine
+	live    atomic.Pointer[Daemon] // nil before the first start
 	cancel  context.CancelFunc
 	ended   chan error
 }
@@ -48,6 +48,14 @@
 	n.b.net.send(n.member, to.RpcAddress, messages)
 }
 
+// engine returns the last one started, or nil.
+func (n *benchNode) engine() *Engine {
+	if d := n.live.Load(); d != nil {
+		return d.engine
+	}
+	return nil
+}
+
 // start runs an engine on what the storage holds.
 func (n *benchNode) start() {
 	n.b.starts++
@@ -69,7 +77,8 @@
 		},
 	}
 	d.ownership = newOwnership(&d.cfg)
-	n.daemon, n.engine, n.ended = d, engine, make(chan error, 1)
+	n.ended = make(chan error, 1)
+	n.live.Store(d)
 	ctx, cancel := context.WithCancel(n.b.ctx)
 	n.cancel = cancel
 	go engine.keepMembers(ctx)
@@ -79,7 +88,7 @@
 // crash stops the engine without a hand-over.
 func (n *benchNode) crash() {
 	n.cancel()
-	<-n.engine.done
+	<-n.engine().done
 }
 
 func (n *benchNode) restart() {
@@ -89,14 +98,15 @@
 
 // freeze stops the engine's loop for the duration, as a paused process would.
 func (n *benchNode) freeze(d time.Duration) {
-	go func() { _ = n.engine.do(n.b.ctx, func() { time.Sleep(d) }) }()
+	go func() { _ = n.engine().do(n.b.ctx, func() { time.Sleep(d) }) }()
 }
 
-func (n *benchNode) service() *controlService { return &controlService{daemon: n.daemon} }
+func (n *benchNode) service() *controlService { return &controlService{daemon: n.live.Load()} }
 
 // status returns the node's view, or the zero value when it is stopped.
 func (n *benchNode) status() (s consensus.Status) {
-	_ = n.engine.do(n.b.ctx, func() { s = n.engine.node.Status() })
+	e := n.engine()
+	_ = e.do(n.b.ctx, func() { s = e.node.Status() })
 	return s
 }
 
@@ -105,7 +115,7 @@
 	r := httptest.NewRequestWithContext(n.b.ctx, method, path, bytes.NewReader(body))
 	r.Header.Set("Authorization", "Bearer "+token)
 	w := httptest.NewRecorder()
-	n.daemon.handler().ServeHTTP(w, r)
+	n.live.Load().handler().ServeHTTP(w, r)
 	if out != nil {
 		if err := json.Unmarshal(w.Body.Bytes(), out); err != nil {
 			n.b.t.Errorf("%s %s: %v in %q", method, path, err, w.Body)
@@ -121,6 +131,18 @@
 	return code, report
 }
 
+// propose submits a document without decoding it, for tests of many changes. The
+// answer is nil if none came.
+func (n *benchNode) propose(number uint64, variant int) *apipb.SubmitResult {
+	reply, err := n.service().run(n.b.ctx, &apipb.Command{Body: &apipb.Command_SubmitDocument{
+		SubmitDocument: &apipb.SubmitDocument{Environment: trial, Document: documentOf(number, variant), Number: number},
+	}})
+	if err != nil {
+		return nil
+	}
+	return reply.Submit
+}
+
 // mustSubmit resends a document until it gets a final answer, which must be acceptance.
 func (n *benchNode) mustSubmit(env string, raw []byte) SubmitReport {
 	n.b.t.Helper()
--- a/control/bench_test.go
+++ b/control/bench_test.go
@@ -82,11 +82,38 @@
 	return n
 }
 
+// replace makes a node for the VM of another one whose disk was lost.
+func (b *bench) replace(old *benchNode) *benchNode {
+	n := b.add()
+	n.member.Name = old.member.Name
+	return n
+}
+
+// askToJoin asks every running daemon once to take the node in.
+func (b *bench) askToJoin(n *benchNode) bool {
+	for _, other := range b.others(n) {
+		if other.engine() == nil {
+			continue
+		}
+		if reply, err := other.engine().Join(b.ctx, n.member); err == nil && reply.Accepted {
+			return true
+		}
+	}
+	return false
+}
+
+// join starts the node once the group has taken it in.
+func (b *bench) join(n *benchNode) {
+	b.t.Helper()
+	b.eventually(n.name+" taken in", func() bool { return b.askToJoin(n) })
+	n.start()
+}
+
 func (b *bench) stop(cancel func()) {
 	cancel()
 	for _, n := range b.nodes {
-		if n.engine != nil {
-			<-n.engine.done
+		if n.engine() != nil {
+			<-n.engine().done
 		}
 	}
 }
@@ -118,7 +145,7 @@
 	var found *benchNode
 	b.eventually("a leader", func() bool {
 		for _, n := range b.nodes {
-			if n.engine == nil || contains(except, n) {
+			if n.engine() == nil || contains(except, n) {
 				continue
 			}
 			if s := n.status(); s.Role == consensus.RoleLeader && s.LeaseValid && s.TermCommitted {
--- a/control/bench_watcher_test.go
+++ b/control/bench_watcher_test.go
@@ -27,6 +27,8 @@
 	replies     int
 	bytes       int // received
 	kinds       map[apipb.WatchKind]int
+	// onReply sees every answer and the instant up to which it claims to be complete.
+	onReply func(reply *apipb.WatchReply, upTo time.Time)
 }
 
 // poll asks once and takes in the answer.
@@ -43,13 +45,16 @@
 	}
 	pauseFor(ctx, watcherDelay)
 	w.count(reply)
+	w.age = time.Duration(reply.ConfirmedAgeMs) * time.Millisecond
+	if w.onReply != nil && reply.Confirmed {
+		w.onReply(reply, sent.Add(-w.age))
+	}
 	if reply.Revision < w.revision {
 		return errors.Errorf("revision %d after %d", reply.Revision, w.revision)
 	}
 	if err := w.take(ctx, reply); err != nil {
 		return err
 	}
-	w.age = time.Duration(reply.ConfirmedAgeMs) * time.Millisecond
 	w.confirmed = reply.Confirmed
 	if at := sent.Add(-w.age); reply.Confirmed && at.After(w.confirmedAt) {
 		w.confirmedAt = at
--- a/control/engine.go
+++ b/control/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -131,12 +132,16 @@
 	}
 }
 
-// do runs the function on the loop and waits for it.
+// do runs the function on the loop and waits for it. After an error the function
+// has not run and never will, so it may write variables of the caller.
 func (e *Engine) do(ctx context.Context, f func()) error {
+	var taken atomic.Bool // by the loop, or by the caller that gives up
 	finished := make(chan struct{})
 	event := func() {
-		defer close(finished)
-		f()
+		if taken.CompareAndSwap(false, true) {
+			defer close(finished)
+			f()
+		}
 	}
 	select {
 	case e.inbox <- event:
@@ -145,14 +150,19 @@
 	case <-e.done:
 		return errors.Trace(ErrStopped)
 	}
+	err := errors.Trace(ErrStopped)
 	select {
 	case <-finished:
 		return nil
 	case <-ctx.Done():
-		return errors.Trace(ctx.Err())
+		err = errors.Trace(ctx.Err())
 	case <-e.done:
-		return errors.Trace(ErrStopped)
 	}
+	if taken.CompareAndSwap(false, true) {
+		return err
+	}
+	<-finished
+	return nil
 }
 
 // Step hands over messages of another member.
--- a/control/propose.go
+++ b/control/propose.go
@@ -48,11 +48,20 @@
 		return result, nil
 	case <-e.done:
 	case <-ctx.Done():
-		_ = e.do(context.WithoutCancel(ctx), func() { delete(e.pending, requestID) })
+		e.forget(requestID)
 	}
 	return store.Result{}, errors.Trace(ErrOutcomeUnknown)
 }
 
+// forget drops a waiter. It does not wait for the loop, which may be held up by
+// the same slow disk that let the command run out of time.
+func (e *Engine) forget(requestID uint64) {
+	select {
+	case e.inbox <- func() { delete(e.pending, requestID) }:
+	case <-e.done:
+	}
+}
+
 // leaderAddress returns where the leader takes calls, or "" if none is known.
 func (e *Engine) leaderAddress() string {
 	if member := e.member(e.node.Status().Leader); member != nil {
--- /dev/null
+++ b/control/views_test.go
@@ -0,0 +1,217 @@
+package control
+
+import (
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"pistachiomount.example/pistachiomount/apipb"
+)
+
+// Guards against a daemon that is cut off and goes on confirming what it has: an
+// entry daemon would serve a revoked key for as long as the cut lasts.
+func TestCutOffDaemonStopsConfirming(t *testing.T) {
+	simulate(t, 3, func(b *bench) {
+		is := is.New(b.t)
+		b.nodes[0].mustSubmit("trial", documentOf(1, 0))
+		leader := b.leader()
+		for _, cut := range []*benchNode{b.others(leader)[0], leader} {
+			w := &watcher{at: cut}
+			b.eventually("a confirmed view", func() bool { return w.poll() == nil && w.confirmed && w.revision > 0 })
+			b.net.isolate(cut.name, true)
+			since := time.Now()
+			for time.Since(since) < 10*time.Second {
+				is.NoErr(w.poll())
+				is.True(w.age >= time.Since(since)-time.Second-confirmInterval)
+			}
+			is.True(w.age > 9*time.Second)
+			b.net.isolate(cut.name, false)
+			b.eventually("confirmed again", func() bool { return w.poll() == nil && w.age < time.Second })
+		}
+	})
+}
+
+// Guards against an age that is rounded down: the view would count as complete
+// up to an instant that no majority has confirmed.
+func TestConfirmedAgeIsNotRoundedDown(t *testing.T) {
+	for _, age := range []time.Duration{0, 1, time.Millisecond - 1, time.Millisecond, 1500 * time.Microsecond} {
+		reply := (&watchState{age: age, confirmed: true}).reply(&apipb.WatchRequest{})
+		if told := time.Duration(reply.ConfirmedAgeMs) * time.Millisecond; told < age || told >= age+time.Millisecond {
+			t.Errorf("age %v is reported as %v", age, told)
+		}
+	}
+}
+
+// acknowledged records the answers that operators got.
+type acknowledged struct {
+	mu   sync.Mutex
+	when []time.Time
+	revs []uint64
+}
+
+func (a *acknowledged) add(revision uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.when, a.revs = append(a.when, time.Now()), append(a.revs, revision)
+}
+
+// missing returns a revision that was acknowledged before the instant and is
+// above the one seen, or 0.
+func (a *acknowledged) missing(upTo time.Time, seen uint64) uint64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for i, at := range a.when {
+		if at.Before(upTo) && a.revs[i] > seen {
+			return a.revs[i]
+		}
+	}
+	return 0
+}
+
+// faultStep is one step of a random schedule.
+type faultStep struct {
+	kind, node int
+	pause      time.Duration
+}
+
+const faultKinds = 8
+
+func (s faultStep) apply(b *bench) {
+	n := b.nodes[s.node]
+	switch s.kind {
+	case 0:
+		b.net.isolate(n.name, true)
+	case 1:
+		b.net.sever(n.name, b.nodes[(s.node+1)%len(b.nodes)].name, true)
+	case 2, 3:
+		for _, other := range b.nodes {
+			b.net.isolate(other.name, false)
+		}
+	case 4:
+		n.restart()
+	case 5:
+		n.freeze(2 * s.pause)
+	case 6:
+		b.net.lose(0.2, 0.3)
+	case 7:
+		b.net.lose(0, 0)
+	}
+	time.Sleep(s.pause)
+}
+
+// Guards against configurations that go back or that a confirmed view lacks,
+// under random cuts, pauses, restarts, losses and duplicates.
+func TestWatchersSeeEveryAcknowledgedRevision(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64Range(1, 1<<40).Draw(rt, "seed")
+		steps := rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) faultStep {
+			return faultStep{
+				kind: rapid.IntRange(0, faultKinds-1).Draw(rt, "kind"), node: rapid.IntRange(0, 2).Draw(rt, "node"),
+				pause: time.Duration(rapid.IntRange(50, 2500).Draw(rt, "ms")) * time.Millisecond,
+			}
+		}), 4, 16).Draw(rt, "steps")
+		var err error
+		synctest.Test(t, func(t *testing.T) { err = watchUnderFaults(t, seed, steps) })
+		if err != nil {
+			rt.Fatal(err)
+		}
+	})
+}
+
+func watchUnderFaults(t *testing.T, seed uint64, steps []faultStep) (first error) {
+	simulateWith(t, seed, 3, func(b *bench) {
+		acked, failed := &acknowledged{}, make(chan error, 64)
+		var wg sync.WaitGroup
+		stop := make(chan struct{})
+		for i := range 3 {
+			wg.Go(func() { wander(b, acked, failed, stop, rand.New(rand.NewPCG(seed, uint64(i)))) })
+		}
+		wg.Go(func() { operate(b, acked, stop, rand.New(rand.NewPCG(seed, 99))) })
+		for _, step := range steps {
+			step.apply(b)
+		}
+		close(stop)
+		wg.Wait()
+		select {
+		case first = <-failed:
+		default:
+		}
+	})
+	return first
+}
+
+// wander polls random daemons, sometimes as a watcher that just started.
+func wander(b *bench, acked *acknowledged, failed chan<- error, stop <-chan struct{}, rng *rand.Rand) {
+	var w *watcher
+	for !closed(stop) {
+		if w == nil || rng.IntN(10) == 0 {
+			w = &watcher{onReply: func(reply *apipb.WatchReply, upTo time.Time) {
+				if lost := acked.missing(upTo, reply.Revision); lost != 0 {
+					select {
+					case failed <- errors.Errorf("revision %d, confirmed up to %v, lacks %d", reply.Revision, upTo, lost):
+					default:
+					}
+				}
+			}}
+		}
+		w.at = b.nodes[rng.IntN(len(b.nodes))]
+		if w.poll() != nil {
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+}
+
+// operate submits the next document at random daemons.
+func operate(b *bench, acked *acknowledged, stop <-chan struct{}, rng *rand.Rand) {
+	for number := uint64(1); !closed(stop); {
+		result := b.nodes[rng.IntN(len(b.nodes))].propose(number, 0)
+		if result.GetStatus() == apipb.SubmitStatus_SUBMIT_STATUS_ACCEPTED {
+			acked.add(result.Revision)
+			number++
+		}
+		time.Sleep(time.Duration(rng.IntN(200)) * time.Millisecond)
+	}
+}
+
+func closed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+// Guards against a restart after a long time that costs one document for each
+// change that was missed.
+func TestRestartAfterManyChangesCostsOneDocument(t *testing.T) {
+	simulate(t, 1, func(b *bench) {
+		is := is.New(b.t)
+		n := b.nodes[0]
+		n.mustSubmit("trial", documentOf(1, 0))
+		behind := &watcher{at: n}
+		b.eventually("the first document", func() bool { return behind.poll() == nil && behind.revision > 0 })
+		for number := uint64(2); number <= 200; number++ {
+			n.propose(number, int(number))
+		}
+		behind.bytes = 0
+		is.NoErr(behind.poll())
+		is.True(behind.bytes < 512) // a delta over 200 changes, as large as one change
+		for number := uint64(201); number <= 501; number++ {
+			n.propose(number, int(number))
+		}
+		for _, w := range []*watcher{{at: n}, behind} {
+			w.bytes, w.replies = 0, 0
+			is.NoErr(w.poll())
+			is.Equal(string(w.raw), string(documentOf(501, 501)))
+			is.Equal(w.replies, 1)
+			is.True(w.bytes < len(exampleDocument)+512) // one snapshot
+		}
+	})
+}
--- a/control/watch.go
+++ b/control/watch.go
@@ -84,7 +84,7 @@
 	reply := &apipb.WatchReply{
 		Kind:             apipb.WatchKind_WATCH_KIND_UNCHANGED,
 		Confirmed:        s.confirmed,
-		ConfirmedAgeMs:   uint32(min(s.age.Milliseconds(), math.MaxUint32)),
+		ConfirmedAgeMs:   ageMS(s.age),
 		LeaderAddress:    s.leader,
 		ControlAddresses: s.controls,
 	}
@@ -104,6 +104,12 @@
 	return reply
 }
 
+// ageMS rounds up: a view must not count as complete up to an instant that no
+// majority has confirmed.
+func ageMS(age time.Duration) uint32 {
+	return uint32(min((age + time.Millisecond - 1).Milliseconds(), math.MaxUint32))
+}
+
 func chunkCount(raw []byte) uint32 {
 	return uint32((len(raw) + chunkBytes - 1) / chunkBytes)
 }
