control: failure tests of leaders, members, claims and init; fix what they found

Found by the tests, each red before its fix: - A planned stop hung: Run waited for its services before it cancelled them. - A leader whose process was paused while events waited ran them with its old lease: 5 of 5 renewals were granted after a pause of 10 s. Ticks are now counted before each event. - A daemon that formed the cluster skipped the wait for predecessors' grants in whatever term it first answered a renewal, not only in the first term. - Join was confirmed before it was committed, and a learner whose predecessor was removed was told that it was taken in although it was not; both would never have become members. - Two daemons initialised at the same time formed two clusters (3 of 3 runs). Each now tells its peers the cluster that it is about to form. - The rest of an init cut short would have been taken as the state of another cluster that the daemon joined later.

Ruled out for init: a tie-break between two simultaneous attempts, since an operator can simply repeat a refused one.

--- a/control/bench_network_test.go
+++ b/control/bench_network_test.go
@@ -140,7 +140,9 @@
 	}
 	ctx, cancel := context.WithTimeout(n.ctx, peerTimeout)
 	defer cancel()
-	_, _ = (&consensusService{daemon: n.b.node(to).live.Load()}).Deliver(ctx, batch)
+	if d, err := n.b.daemon(to); err == nil {
+		_, _ = (&consensusService{daemon: d}).Deliver(ctx, batch)
+	}
 }
 
 // call makes one call between two daemons; a cut leaves it without an answer.
@@ -173,7 +175,11 @@
 func (f *benchForwarding) Propose(ctx context.Context, request *apipb.ProposeRequest) (*apipb.ProposeReply, error) {
 	var reply *apipb.ProposeReply
 	err := f.net.call(ctx, f.from, f.to, func(ctx context.Context) (err error) {
-		reply, err = (&consensusService{daemon: f.net.b.node(f.to).live.Load()}).Propose(ctx, request)
+		d, err := f.net.b.daemon(f.to)
+		if err != nil {
+			return err
+		}
+		reply, err = (&consensusService{daemon: d}).Propose(ctx, request)
 		return err
 	})
 	return reply, err
--- a/control/bench_test.go
+++ b/control/bench_test.go
@@ -7,10 +7,12 @@
 	"encoding/hex"
 	"fmt"
 	"os"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
 	"pistachiomount.example/pistachiomount/apipb"
@@ -38,6 +40,7 @@
 	log    *logrus.Logger
 	net    *benchNetwork
 	nodes  []*benchNode
+	byName sync.Map // the nodes again, for the network's goroutines
 }
 
 // simulate runs the function on a bench whose group of voters is formed.
@@ -79,6 +82,7 @@
 		Id: id, Name: name, RpcAddress: name, HttpAddress: name,
 	}}
 	b.nodes = append(b.nodes, n)
+	b.byName.Store(name, n)
 	return n
 }
 
@@ -118,13 +122,14 @@
 	}
 }
 
-func (b *bench) node(address string) *benchNode {
-	for _, n := range b.nodes {
-		if n.name == address {
-			return n
+// daemon returns what runs at the address, or an error as a refused connection.
+func (b *bench) daemon(address string) (*Daemon, error) {
+	if n, ok := b.byName.Load(address); ok {
+		if d := n.(*benchNode).live.Load(); d != nil {
+			return d, nil
 		}
 	}
-	panic("unknown address " + address)
+	return nil, errors.Errorf("nothing listens at %s", address)
 }
 
 // eventually waits in virtual time until the condition holds.
--- a/control/consensus_service.go
+++ b/control/consensus_service.go
@@ -28,14 +28,13 @@
 
 // PeerStatus tells which cluster this daemon belongs to.
 func (s *consensusService) PeerStatus(ctx context.Context, _ *apipb.PeerStatusRequest) (*apipb.PeerStatusReply, error) {
-	reply := &apipb.PeerStatusReply{MemberId: s.daemon.memberID}
+	reply := &apipb.PeerStatusReply{MemberId: s.daemon.memberID, ClusterId: s.daemon.clusterID()}
 	engine, err := s.daemon.running()
 	if err != nil {
 		return reply, nil
 	}
 	return reply, engine.do(ctx, func() {
 		status := engine.node.Status()
-		reply.ClusterId = engine.cfg.ClusterID
 		reply.LeaderId, reply.Term, reply.Commit = status.Leader, status.Term, status.Commit
 		reply.Members = status.Members.GetMembers()
 	})
--- a/control/daemon.go
+++ b/control/daemon.go
@@ -42,6 +42,11 @@
 	engine  *Engine
 	joined  chan uint64 // cluster id from an operator's init
 	initing bool
+	// forming is the id of the cluster that an init is about to form, or 0. Peers
+	// see it, so that two daemons initialised at once do not form two clusters.
+	forming uint64
+	// loaded is what the log held when it was opened.
+	loaded consensus.Persisted
 	// bootstrap is the state of a cluster that this process formed; the log
 	// hands out only what it found when it was opened.
 	bootstrap *consensus.Persisted
@@ -60,6 +65,10 @@
 		peers:    transport.NewPeers(cfg.Security),
 		joined:   make(chan uint64, 1),
 	}
+	if d.loaded, err = log.Load(); err != nil {
+		_ = log.Close()
+		return nil, errors.Annotatef(err, "data folder %s", cfg.DataDir)
+	}
 	d.self = &apipb.Member{
 		Id: d.memberID, Name: cfg.Name, Region: cfg.Region, FailureDomain: cfg.FailureDomain,
 		RpcAddress: cfg.RPCListener.Addr().String(), HttpAddress: cfg.HTTPListener.Addr().String(),
@@ -77,16 +86,15 @@
 	defer func() { _ = d.log.Close() }()
 	defer d.peers.Close()
 	serveCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
 	var wg sync.WaitGroup
 	defer wg.Wait()
+	defer stop() // before the wait, which would not end otherwise
 	failed := make(chan error, 3)
 	wg.Go(func() { failed <- d.serveRPC(serveCtx) })
 	wg.Go(func() { failed <- d.serveHTTP(serveCtx) })
 	wg.Go(func() { failed <- d.runMember(serveCtx) })
 	select {
 	case err := <-failed:
-		stop()
 		return errors.Trace(err)
 	case <-ctx.Done():
 	}
@@ -111,8 +119,11 @@
 	clusterID := d.log.Identity().ClusterID
 	if clusterID == 0 {
 		id, err := d.awaitCluster(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
 		if err != nil {
-			return nil // the context ended
+			return errors.Trace(err)
 		}
 		clusterID = id
 	} else {
@@ -156,69 +167,14 @@
 	case id := <-d.joined:
 		return id, nil
 	case id := <-found:
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		if d.initing {
-			return <-d.joined, nil
-		}
-		return id, errors.Trace(d.log.SetCluster(id))
+		return d.belongTo(id)
 	}
 }
 
-// initialise forms a new cluster with this daemon as its only voter. Others join
-// it by themselves.
-func (d *Daemon) initialise(ctx context.Context) (uint64, error) {
-	if err := d.newJoiner().checkUninitialised(ctx); err != nil {
-		return 0, errors.Trace(err)
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.engine != nil || d.initing || d.log.Identity().ClusterID != 0 {
-		return 0, errors.Trace(ErrAlreadyInitialised)
-	}
-	persisted, err := consensus.Bootstrap([]*apipb.Member{d.self})
-	if err != nil {
-		return 0, errors.Trace(err)
-	}
-	if err := d.log.SaveSnapshot(persisted.Snapshot); err != nil {
-		return 0, errors.Trace(err)
-	}
-	if err := d.log.Save(persisted.HardState, nil); err != nil {
-		return 0, errors.Trace(err)
-	}
-	id := rand.Uint64() | 1
-	if err := d.log.SetCluster(id); err != nil {
-		return 0, errors.Trace(err)
-	}
-	d.initing = true
-	d.bootstrap = &persisted
-	d.ownership.firstTerm = true
-	d.joined <- id
-	return id, nil
-}
-
-// persisted returns the state that the engine continues from.
-func (d *Daemon) persisted() (consensus.Persisted, error) {
-	loaded, err := d.log.Load()
-	if err != nil {
-		return consensus.Persisted{}, errors.Annotate(err, "load log")
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.bootstrap != nil {
-		return *d.bootstrap, nil
-	}
-	return loaded, nil
-}
-
 func (d *Daemon) startEngine(clusterID uint64) (*Engine, *Outboxes, error) {
-	persisted, err := d.persisted()
-	if err != nil {
-		return nil, nil, errors.Trace(err)
-	}
 	outboxes := NewOutboxes(clusterID, d.self, d.peers, d.cfg.Log)
 	engine, err := NewEngine(EngineConfig{
-		ClusterID: clusterID, Self: d.self, Persisted: persisted, Storage: d.log,
+		ClusterID: clusterID, Self: d.self, Persisted: d.persisted(), Storage: d.log,
 		Sender: outboxes, Clock: d.cfg.Clock, Log: d.cfg.Log, Seed: rand.Uint64(),
 	})
 	if err != nil {
--- /dev/null
+++ b/control/daemon_test.go
@@ -0,0 +1,140 @@
+package control
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"pistachiomount.example/pistachiomount/apipb"
+	"pistachiomount.example/pistachiomount/clock"
+	"pistachiomount.example/pistachiomount/consensus"
+	"pistachiomount.example/pistachiomount/transport"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// patience bounds waits on real sockets; no result depends on it.
+const patience = 20 * time.Second
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	return l
+}
+
+// newDaemon returns a daemon on loopback sockets that does not run yet.
+func newDaemon(t *testing.T, name string, rpc net.Listener, peers ...string) *Daemon {
+	t.Helper()
+	d, err := New(Config{
+		Name: name, Deployment: "bancas", DataDir: t.TempDir(), Peers: peers,
+		OperatorTokens: map[string]string{tokenDigest: "ana"}, RPCListener: rpc, HTTPListener: listen(t),
+		Security: &transport.Security{Insecure: true}, Clock: clock.NewSystem(), Log: quietLog(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+// run starts the daemon and returns a function that stops it as planned.
+func run(t *testing.T, d *Daemon) (stop func()) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- d.Run(ctx) }()
+	return func() {
+		t.Helper()
+		cancel()
+		select {
+		case err := <-ended:
+			if err != nil {
+				t.Errorf("planned stop: %v", err)
+			}
+		case <-time.After(patience):
+			t.Error("the daemon did not stop")
+		}
+	}
+}
+
+// Guards against a daemon that joins a cluster with the membership of an init
+// that a crash cut short: it would vote for itself alone.
+func TestUnfinishedInitIsNotTakenIntoAnotherCluster(t *testing.T) {
+	is := is.New(t)
+	d := newDaemon(t, "a", listen(t))
+	state, err := consensus.Bootstrap([]*apipb.Member{d.self})
+	is.NoErr(err)
+	is.NoErr(d.log.SaveSnapshot(state.Snapshot))
+	is.NoErr(d.log.Close())
+	again, err := New(d.cfg)
+	is.NoErr(err)
+	defer func() { is.NoErr(again.log.Close()) }()
+	_, err = again.belongTo(5)
+	is.True(errors.Is(err, ErrUnfinishedInit))
+	is.Equal(again.log.Identity().ClusterID, uint64(0)) // also after a restart
+	_, err = again.initialise(t.Context())
+	is.NoErr(err) // an operator can repeat it
+}
+
+func addressOf(l net.Listener) string { return l.Addr().String() }
+
+// Guards against a second cluster beside one that cannot be seen, and against a
+// daemon that does not end after a planned stop.
+func TestInitRefusesWhatMayBeACluster(t *testing.T) {
+	is := is.New(t)
+	rpcA, rpcB, gone := listen(t), listen(t), listen(t)
+	is.NoErr(gone.Close())
+	alone := newDaemon(t, "c", listen(t), addressOf(gone))
+	_, err := alone.initialise(t.Context())
+	is.True(errors.Is(err, ErrPeerUnreachable))
+	is.NoErr(alone.log.Close())
+
+	a := newDaemon(t, "a", rpcA, addressOf(rpcA))
+	stop := run(t, a)
+	defer stop()
+	_, err = a.initialise(t.Context())
+	is.NoErr(err)
+	_, err = a.initialise(t.Context())
+	is.True(errors.Is(err, ErrAlreadyInitialised))
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if _, err := a.running(); err == nil {
+			break
+		}
+	}
+	b := newDaemon(t, "b", rpcB, addressOf(rpcA), addressOf(rpcB))
+	_, err = b.initialise(t.Context())
+	is.True(errors.Is(err, ErrAlreadyInitialised))
+	is.NoErr(b.log.Close())
+	b.peers.Close()
+}
+
+// Guards against two operators who initialise two daemons at the same time and
+// so form two clusters.
+func TestSimultaneousInitFormsOneClusterAtMost(t *testing.T) {
+	rpcA, rpcB := listen(t), listen(t)
+	both := []*Daemon{
+		newDaemon(t, "a", rpcA, addressOf(rpcA), addressOf(rpcB)),
+		newDaemon(t, "b", rpcB, addressOf(rpcA), addressOf(rpcB)),
+	}
+	for _, d := range both {
+		defer run(t, d)()
+	}
+	formed := make(chan bool, len(both))
+	for _, d := range both {
+		go func() {
+			_, err := d.initialise(t.Context())
+			formed <- err == nil
+		}()
+	}
+	if first, second := <-formed, <-formed; first && second {
+		t.Error("two clusters were formed")
+	}
+}
--- a/control/engine.go
+++ b/control/engine.go
@@ -45,7 +45,9 @@
 	// contacts are the senders of messages. A new member answers the leader by
 	// them until it has received the membership.
 	contacts map[uint64]*apipb.Member
-	changed  chan struct{} // closed and replaced when the state changes
+	// memberChange and memberChangeTerm tell the last member change proposed here.
+	memberChange, memberChangeTerm uint64
+	changed                        chan struct{} // closed and replaced when the state changes
 }
 
 // inboxSize bounds what waits for the loop. Senders beyond it block, and their
@@ -103,10 +105,12 @@
 }
 
 // drain runs the events that wait already, so that their entries share one sync.
+// The process may be paused between two of them, so the ticks are counted before each.
 func (e *Engine) drain() {
 	for range inboxSize {
 		select {
 		case event := <-e.inbox:
+			e.advance()
 			event()
 		default:
 			return
--- a/control/errors.go
+++ b/control/errors.go
@@ -14,6 +14,9 @@
 	ErrNotInitialised = errors.ConstError("the daemon belongs to no cluster yet")
 	// ErrAlreadyInitialised: a cluster exists.
 	ErrAlreadyInitialised = errors.ConstError("a cluster exists already")
+	// ErrUnfinishedInit: the data folder holds the rest of an init that was cut
+	// short. It belongs to no cluster and may be removed.
+	ErrUnfinishedInit = errors.ConstError("the data folder holds an unfinished init: remove it and start again")
 	// ErrPeerUnreachable: initialising needs every configured peer, so that no
 	// second cluster is formed beside one that cannot be seen.
 	ErrPeerUnreachable = errors.ConstError("a configured peer cannot be reached")
@@ -21,6 +24,8 @@
 	ErrOtherCluster = errors.ConstError("the message belongs to another cluster")
 	// ErrNameInUse: a member with this name is running.
 	ErrNameInUse = errors.ConstError("a running member has this name")
+	// ErrJoining: the change that takes the daemon in is not committed yet; ask again.
+	ErrJoining = errors.ConstError("the member is being taken in")
 	// ErrStorage: the log cannot be written; the daemon must stop.
 	ErrStorage = errors.ConstError("the log cannot be written")
 )
--- a/control/joiner.go
+++ b/control/joiner.go
@@ -91,7 +91,7 @@
 		if err != nil {
 			return errors.Annotatef(ErrPeerUnreachable, "peer %s: %v", address, err)
 		}
-		if reply.ClusterId != 0 {
+		if reply.ClusterId != 0 && reply.MemberId != j.self.Id {
 			return errors.Annotatef(ErrAlreadyInitialised, "peer %s belongs to cluster %x", address, reply.ClusterId)
 		}
 	}
--- /dev/null
+++ b/control/leader_test.go
@@ -0,0 +1,78 @@
+package control
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pistachiomount.example/pistachiomount/apipb"
+	"pistachiomount.example/pistachiomount/clock"
+	"pistachiomount.example/pistachiomount/store"
+)
+
+// customer is one of the example document.
+const customer = "customer/catedral-primada"
+
+func renewal(sequence uint64) *apipb.RenewRequest {
+	return &apipb.RenewRequest{
+		Environment: trial, Sequence: sequence,
+		Vm:    &apipb.Vm{Name: "entry-1", Incarnation: 1, State: apipb.VmState_VM_STATE_SERVING},
+		Needs: []*apipb.Need{{Resource: customer, Demand: 100, Weight: 1}},
+	}
+}
+
+// Guards against a leader whose process was paused beyond its lease and that
+// grants shares, which its successor grants too, before it noticed the pause.
+// Renewals that came in during the pause are waiting when it wakes.
+func TestFrozenLeaderRenewsNothingWhenItWakes(t *testing.T) {
+	simulate(t, 3, func(b *bench) {
+		is := is.New(b.t)
+		old := b.leader()
+		old.mustSubmit("trial", documentOf(1, 0))
+		reply, err := old.service().Renew(b.ctx, renewal(1))
+		is.NoErr(err)
+		is.True(!reply.NotLeader)
+		old.freeze(10 * time.Second)
+		next := b.leader(old)
+		var wg sync.WaitGroup
+		for i := range uint64(5) {
+			wg.Go(func() {
+				reply, err := old.service().Renew(b.ctx, renewal(2+i))
+				is.NoErr(err)
+				is.True(reply.NotLeader)
+				is.Equal(len(reply.Shares), 0)
+			})
+		}
+		wg.Wait()
+		reply, err = next.service().Renew(b.ctx, renewal(10))
+		is.NoErr(err)
+		is.True(!reply.NotLeader)
+	})
+}
+
+// Guards against a daemon that formed the cluster and, leading again in a later
+// term, grants at once what holders of the terms between still hold.
+func TestOnlyTheFirstTermHasNoPredecessor(t *testing.T) {
+	version := &store.Version{Revision: 5, Number: 1, Raw: documentOf(1, 0)}
+	for _, c := range []struct {
+		name        string
+		first, term uint64
+		waits       bool
+	}{
+		{"first term", 2, 2, false},
+		{"later term", 2, 4, true},
+		{"formed elsewhere", 0, 2, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			o := newOwnership(&Config{Clock: &clock.Manual{}, Log: quietLog()})
+			o.setFirstTerm(c.first)
+			for _, env := range []apipb.Environment{trial, apipb.Environment_ENVIRONMENT_PRODUCTION} {
+				reply := o.tenure(c.term, env, version).owner.Renew(renewal(1), true)
+				is.Equal(reply.Shares[0].Rate == 0, c.waits)
+			}
+		})
+	}
+}
--- a/control/member_keeper.go
+++ b/control/member_keeper.go
@@ -73,6 +73,8 @@
 }
 
 // Join adds a daemon as a learner, or updates the address of a member that moved.
+// It is accepted once the change is committed: a change of leader drops an
+// uncommitted one, and an accepted daemon does not ask again.
 func (e *Engine) Join(ctx context.Context, member *apipb.Member) (*apipb.JoinReply, error) {
 	reply := &apipb.JoinReply{ClusterId: e.cfg.ClusterID}
 	err := e.do(ctx, func() {
@@ -91,7 +93,10 @@
 
 func (e *Engine) joinOnLoop(member *apipb.Member) error {
 	if known := e.member(member.Id); known != nil {
-		return e.updateAddress(known, member)
+		if err := e.updateAddress(known, member); err != nil {
+			return err
+		}
+		return e.memberChangeCommitted()
 	}
 	now := e.cfg.Clock.Now()
 	for _, m := range e.node.Status().Members.GetMembers() {
@@ -102,23 +107,37 @@
 			return errors.Annotatef(ErrNameInUse, "name %q", member.Name)
 		}
 		if !m.Voter { // a learner whose disk was lost before it was promoted
-			return e.node.ProposeMember(&apipb.MemberChange{
-				Type: apipb.MemberChangeType_MEMBER_CHANGE_TYPE_REMOVE, Member: m,
-			})
+			return e.changeMember(apipb.MemberChangeType_MEMBER_CHANGE_TYPE_REMOVE, m)
 		}
 	}
-	return e.node.ProposeMember(&apipb.MemberChange{
-		Type: apipb.MemberChangeType_MEMBER_CHANGE_TYPE_ADD_LEARNER, Member: member,
-	})
+	return e.changeMember(apipb.MemberChangeType_MEMBER_CHANGE_TYPE_ADD_LEARNER, member)
+}
+
+// changeMember proposes a change and returns ErrJoining, since it is not committed yet.
+func (e *Engine) changeMember(kind apipb.MemberChangeType, member *apipb.Member) error {
+	if err := e.node.ProposeMember(&apipb.MemberChange{Type: kind, Member: member}); err != nil {
+		return errors.Trace(err)
+	}
+	status := e.node.Status()
+	e.memberChange, e.memberChangeTerm = status.LastIndex, status.Term
+	return errors.Trace(ErrJoining)
+}
+
+// memberChangeCommitted returns ErrJoining while a change by this leader or one
+// before it is not committed.
+func (e *Engine) memberChangeCommitted() error {
+	status := e.node.Status()
+	if !status.TermCommitted || status.Term == e.memberChangeTerm && status.Commit < e.memberChange {
+		return errors.Trace(ErrJoining)
+	}
+	return nil
 }
 
 func (e *Engine) updateAddress(known, member *apipb.Member) error {
 	if known.RpcAddress == member.RpcAddress && known.HttpAddress == member.HttpAddress {
 		return nil
 	}
-	return e.node.ProposeMember(&apipb.MemberChange{
-		Type: apipb.MemberChangeType_MEMBER_CHANGE_TYPE_UPDATE_ADDRESS, Member: member,
-	})
+	return e.changeMember(apipb.MemberChangeType_MEMBER_CHANGE_TYPE_UPDATE_ADDRESS, member)
 }
 
 // handOver passes leadership to the member that is most up to date, so that a
--- /dev/null
+++ b/control/members_test.go
@@ -0,0 +1,102 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pistachiomount.example/pistachiomount/consensus"
+	"pistachiomount.example/pistachiomount/document"
+)
+
+// replaced reports whether the leader counts the new member as a voter and has
+// forgotten the old one.
+func replaced(leader, old, fresh *benchNode) bool {
+	status := leader.status()
+	voter, known := false, false
+	for _, m := range status.Members.GetMembers() {
+		voter = voter || m.Id == fresh.member.Id && m.Voter
+		known = known || m.Id == old.member.Id
+	}
+	return status.Role == consensus.RoleLeader && voter && !known && len(status.Members.OutgoingVoters) == 0
+}
+
+// Guards against a repair that leaves the group one loss away from stopping, or
+// that counts a daemon whose disk was lost as if it still had its log.
+func TestSecondLossAfterRepairLosesNothing(t *testing.T) {
+	for _, loseLeader := range []bool{false, true} {
+		simulate(t, 3, func(b *bench) {
+			is := is.New(b.t)
+			leader := b.leader()
+			lost := b.others(leader)[0]
+			leader.mustSubmit("trial", documentOf(1, 0))
+			lost.crash()
+			leader.mustSubmit("trial", documentOf(2, 0))
+			fresh := b.replace(lost)
+			b.join(fresh)
+			b.eventually("the replacement", func() bool { return replaced(leader, lost, fresh) })
+			leader.mustSubmit("trial", documentOf(3, 0))
+			second := leader
+			if !loseLeader {
+				second = b.others(leader, lost, fresh)[0]
+			}
+			second.crash()
+			next := b.leader(lost, second)
+			is.Equal(inForce(next), document.Digest(documentOf(3, 0)))
+			next.mustSubmit("trial", documentOf(4, 0))
+			for _, n := range b.others(lost, second) {
+				is.Equal(inForce(n), document.Digest(documentOf(4, 0)))
+			}
+		})
+	}
+}
+
+// Guards against two running daemons under one name, which would take each
+// other's place in the group.
+func TestJoinRefusesTheNameOfARunningMember(t *testing.T) {
+	simulate(t, 3, func(b *bench) {
+		for _, running := range []*benchNode{b.leader(), b.others(b.leader())[0]} {
+			second := b.replace(running)
+			for range 10 {
+				if b.askToJoin(second) {
+					t.Fatalf("a second %s was taken in", running.name)
+				}
+				time.Sleep(time.Second)
+			}
+		}
+	})
+}
+
+// Guards against a daemon that is told it was taken in while the group only
+// removed its predecessor: it would stop asking and never become a member.
+func TestLearnerLostBeforePromotionIsReplaced(t *testing.T) {
+	simulate(t, 3, func(b *bench) {
+		first := b.add()
+		b.eventually("taken in", func() bool { return b.askToJoin(first) }) // it never starts
+		fresh := b.replace(first)
+		b.join(fresh)
+		b.eventually("the second learner votes", func() bool { return replaced(b.leader(), first, fresh) })
+	})
+}
+
+// Guards against a join that is confirmed before it is committed: a change of
+// leader drops the entry, and the daemon would wait for ever.
+func TestJoinIsConfirmedOnlyWhenCommitted(t *testing.T) {
+	simulate(t, 3, func(b *bench) {
+		leader := b.leader()
+		b.net.isolate(leader.name, true)
+		fresh := b.add()
+		for range 20 {
+			reply, err := leader.engine().Join(b.ctx, fresh.member)
+			if err != nil || reply.Accepted {
+				t.Fatalf("a cut off leader answered a join: %v %v", reply, err)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		b.leader(leader)
+		b.net.isolate(leader.name, false)
+		b.join(fresh)
+		b.eventually("the new daemon votes", func() bool { return replaced(b.leader(), b.add(), fresh) })
+	})
+}
--- a/control/ownership.go
+++ b/control/ownership.go
@@ -26,13 +26,14 @@
 // daemon leads. It is rebuilt from the renewals of each new term.
 type ownership struct {
 	cfg *Config
-	// firstTerm is set when this process formed the cluster, so that no earlier
-	// term can have issued grants.
-	firstTerm bool
 
-	mu      sync.Mutex
-	term    uint64
-	tenures map[apipb.Environment]*tenure
+	mu sync.Mutex
+	// firstTerm is the first term of the cluster if this process formed it, or 0.
+	// No earlier term can have issued grants; before any later one, another
+	// daemon may have led.
+	firstTerm uint64
+	term      uint64
+	tenures   map[apipb.Environment]*tenure
 }
 
 // tenure is the ownership of one environment during one term.
@@ -45,6 +46,13 @@
 	checkedOK bool
 }
 
+// setFirstTerm notes the first term of a cluster that this process formed.
+func (o *ownership) setFirstTerm(term uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.firstTerm = term
+}
+
 func newOwnership(cfg *Config) *ownership {
 	return &ownership{cfg: cfg, tenures: map[apipb.Environment]*tenure{}}
 }
@@ -124,9 +132,8 @@
 
 func (o *ownership) begin(term uint64) *tenure {
 	owner := grant.NewOwner(grant.OwnerConfig{
-		Term: term, Quarantine: o.cfg.Quarantine, NoPredecessor: o.firstTerm,
+		Term: term, Quarantine: o.cfg.Quarantine, NoPredecessor: term == o.firstTerm,
 	}, o.cfg.Clock)
-	o.firstTerm = false
 	return &tenure{owner: owner, fleet: membership.NewFleet(term, o.cfg.Clock)}
 }
 
