--- a/control/engine.go
+++ b/control/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -44,7 +45,9 @@
 	// contacts are the senders of messages. A new member answers the leader by
 	// them until it has received the membership.
 	contacts map[uint64]*apipb.Member
-	changed  chan struct{} // closed and replaced when the state changes
+	// memberChange and memberChangeTerm tell the last member change proposed here.
+	memberChange, memberChangeTerm uint64
+	changed                        chan struct{} // closed and replaced when the state changes
 }
 
 // inboxSize bounds what waits for the loop. Senders beyond it block, and their
@@ -102,10 +105,12 @@
 }
 
 // drain runs the events that wait already, so that their entries share one sync.
+// The process may be paused between two of them, so the ticks are counted before each.
 func (e *Engine) drain() {
 	for range inboxSize {
 		select {
 		case event := <-e.inbox:
+			e.advance()
 			event()
 		default:
 			return
@@ -131,12 +136,16 @@
 	}
 }
 
-// do runs the function on the loop and waits for it.
+// do runs the function on the loop and waits for it. After an error the function
+// has not run and never will, so it may write variables of the caller.
 func (e *Engine) do(ctx context.Context, f func()) error {
+	var taken atomic.Bool // by the loop, or by the caller that gives up
 	finished := make(chan struct{})
 	event := func() {
-		defer close(finished)
-		f()
+		if taken.CompareAndSwap(false, true) {
+			defer close(finished)
+			f()
+		}
 	}
 	select {
 	case e.inbox <- event:
@@ -145,14 +154,19 @@
 	case <-e.done:
 		return errors.Trace(ErrStopped)
 	}
+	err := errors.Trace(ErrStopped)
 	select {
 	case <-finished:
 		return nil
 	case <-ctx.Done():
-		return errors.Trace(ctx.Err())
+		err = errors.Trace(ctx.Err())
 	case <-e.done:
-		return errors.Trace(ErrStopped)
 	}
+	if taken.CompareAndSwap(false, true) {
+		return err
+	}
+	<-finished
+	return nil
 }
 
 // Step hands over messages of another member.
--- a/control/ownership.go
+++ b/control/ownership.go
@@ -4,7 +4,6 @@
 	"context"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -27,13 +26,14 @@
 // daemon leads. It is rebuilt from the renewals of each new term.
 type ownership struct {
 	cfg *Config
-	// firstTerm is the first term of a cluster that this process formed, 0
-	// otherwise. No earlier term can have issued grants.
-	firstTerm atomic.Uint64
 
-	mu      sync.Mutex
-	term    uint64
-	tenures map[apipb.Environment]*tenure
+	mu sync.Mutex
+	// firstTerm is the first term of the cluster if this process formed it, or 0.
+	// No earlier term can have issued grants; before any later one, another
+	// daemon may have led.
+	firstTerm uint64
+	term      uint64
+	tenures   map[apipb.Environment]*tenure
 }
 
 // tenure is the ownership of one environment during one term.
@@ -47,6 +47,13 @@
 	decoder   document.Decoder
 }
 
+// setFirstTerm notes the first term of a cluster that this process formed.
+func (o *ownership) setFirstTerm(term uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.firstTerm = term
+}
+
 func newOwnership(cfg *Config) *ownership {
 	return &ownership{cfg: cfg, tenures: map[apipb.Environment]*tenure{}}
 }
@@ -126,7 +133,7 @@
 
 func (o *ownership) begin(term uint64) *tenure {
 	owner := grant.NewOwner(grant.OwnerConfig{
-		Term: term, Quarantine: o.cfg.Quarantine, NoPredecessor: term == o.firstTerm.Load(),
+		Term: term, Quarantine: o.cfg.Quarantine, NoPredecessor: term == o.firstTerm,
 	}, o.cfg.Clock)
 	return &tenure{owner: owner, fleet: membership.NewFleet(term, o.cfg.Clock)}
 }
