--- a/control/daemon.go
+++ b/control/daemon.go
@@ -82,9 +82,9 @@
 	defer func() { _ = d.log.Close() }()
 	defer d.peers.Close()
 	serveCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
 	var wg sync.WaitGroup
 	defer wg.Wait()
+	defer stop() // before the wait, which would not end otherwise
 	failed := make(chan error, 3)
 	wg.Go(func() { failed <- d.serveRPC(serveCtx) })
 	wg.Go(func() { failed <- d.serveHTTP(serveCtx) })
--- a/e2e/partition_test.go
+++ b/e2e/partition_test.go
@@ -54,6 +54,7 @@
 		f.set(cut, silence)
 	}
 	awaitReason(t, cut.address("callers"), "view_stale")
+	eventually(t, "its grants have ended", func() bool { return in.leader() != nil && !in.listed(cut) })
 	for range 5 {
 		got := request(t, cut.address("callers"), http.MethodGet, "/catalogue/open", "", nil)
 		if got.status != http.StatusOK {
