--- a/entry/commands.go
+++ b/entry/commands.go
@@ -17,18 +17,17 @@
 // commandTries is how many control daemons are asked.
 const commandTries = 3
 
+// tryTimeout bounds one try, so that a silent daemon leaves time for the others.
+const tryTimeout = commandTimeout / commandTries
+
 // call runs the function with control daemons until it succeeds.
 func call[T any](ctx context.Context, c *controls, f func(context.Context, apipb.DRPCControlClient) (T, error)) (T, error) {
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
 	var zero T
-	last := errors.Trace(ErrNoControl)
+	var last error
 	for range commandTries {
-		client, address, err := c.current()
-		if err != nil {
-			return zero, err
-		}
-		reply, err := f(ctx, client)
+		reply, address, err := try(ctx, c, f)
 		if err == nil {
 			return reply, nil
 		}
@@ -42,6 +41,18 @@
 	return zero, errors.Trace(last)
 }
 
+func try[T any](ctx context.Context, c *controls, f func(context.Context, apipb.DRPCControlClient) (T, error)) (T, string, error) {
+	client, address, err := c.current()
+	if err != nil {
+		var zero T
+		return zero, address, errors.Trace(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
+	reply, err := f(ctx, client)
+	return reply, address, errors.Trace(err)
+}
+
 // Claim commits that a request is about to run.
 func (c *commands) Claim(ctx context.Context, request *apipb.ClaimRequest) (*apipb.ClaimReply, error) {
 	return call(ctx, c.controls, func(ctx context.Context, client apipb.DRPCControlClient) (*apipb.ClaimReply, error) {
--- a/entry/controls.go
+++ b/entry/controls.go
@@ -10,10 +10,26 @@
 	"pistachiomount.example/pistachiomount/transport"
 )
 
+// dialer makes clients of control daemons.
+type dialer interface {
+	dial(address string) (apipb.DRPCControlClient, error)
+}
+
+// peerDialer makes clients that call over the network.
+type peerDialer struct{ peers *transport.Peers }
+
+func (d peerDialer) dial(address string) (apipb.DRPCControlClient, error) {
+	client, err := d.peers.Get(address)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	return apipb.NewDRPCControlClient(client), nil
+}
+
 // controls knows the control daemons: those from the settings and those that
 // joined later. It is safe for concurrent use.
 type controls struct {
-	peers *transport.Peers
+	dialer dialer
 
 	mu        sync.Mutex
 	seeds     []string
@@ -24,8 +40,8 @@
 
 // newControls starts at an address that depends on the VM, so that the fleet
 // spreads over the control daemons.
-func newControls(seeds []string, start uint64, peers *transport.Peers) *controls {
-	c := &controls{peers: peers, seeds: seeds, addresses: slices.Clone(seeds)}
+func newControls(seeds []string, start uint64, d dialer) *controls {
+	c := &controls{dialer: d, seeds: seeds, addresses: slices.Clone(seeds)}
 	if len(seeds) > 0 {
 		c.next = int(start % uint64(len(seeds)))
 	}
@@ -41,8 +57,8 @@
 	}
 	address := c.addresses[c.next%len(c.addresses)]
 	c.mu.Unlock()
-	client, err := c.client(address)
-	return client, address, err
+	client, err := c.dialer.dial(address)
+	return client, address, errors.Trace(err)
 }
 
 // rotate moves on from a control daemon that failed, unless another goroutine
@@ -63,8 +79,14 @@
 	if leader == "" {
 		return c.current()
 	}
-	client, err := c.client(leader)
-	return client, leader, err
+	client, err := c.dialer.dial(leader)
+	return client, leader, errors.Trace(err)
+}
+
+// leaveLeader moves on from a daemon that failed as the leader.
+func (c *controls) leaveLeader(address string) {
+	c.setLeader("")
+	c.rotate(address)
 }
 
 // setLeader records who leads; "" means that it is not known.
@@ -103,11 +125,3 @@
 		c.next = at
 	}
 }
-
-func (c *controls) client(address string) (apipb.DRPCControlClient, error) {
-	client, err := c.peers.Get(address)
-	if err != nil {
-		return nil, errors.Trace(err)
-	}
-	return apipb.NewDRPCControlClient(client), nil
-}
--- a/entry/renewer.go
+++ b/entry/renewer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -24,6 +25,7 @@
 	// onRenewed is called after each accepted renewal.
 	onRenewed func()
 
+	mu           sync.Mutex // one renewal at a time: a later one makes the reply to an earlier one void
 	fleetVersion uint64
 	failing      bool
 }
@@ -57,8 +59,11 @@
 
 // renew asks the leader once. An error makes the next renewal ask another.
 func (r *renewer) renew(ctx context.Context) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	client, address, err := r.controls.leaderClient()
 	if err != nil {
+		r.controls.leaveLeader(address)
 		return errors.Trace(err)
 	}
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
@@ -68,14 +73,12 @@
 	request.HaveFleetVersion = r.fleetVersion
 	reply, err := client.Renew(ctx, request)
 	if err != nil {
-		r.controls.setLeader("")
-		r.controls.rotate(address)
+		r.controls.leaveLeader(address)
 		return errors.Trace(err)
 	}
-	if reply.NotLeader {
-		r.controls.setLeader(reply.LeaderAddress)
-	}
-	if err := r.holder.Accept(reply); err != nil {
+	err = r.holder.Accept(reply)
+	r.follow(address, reply, err)
+	if err != nil {
 		return errors.Trace(err)
 	}
 	r.onRenewed()
@@ -85,3 +88,14 @@
 	}
 	return nil
 }
+
+// follow turns to the leader that a reply names. A daemon that knows none, or
+// that leads an earlier term, is left for another.
+func (r *renewer) follow(address string, reply *apipb.RenewReply, err error) {
+	switch {
+	case errors.Is(err, grant.ErrLowerTerm), reply.NotLeader && reply.LeaderAddress == "":
+		r.controls.leaveLeader(address)
+	case reply.NotLeader:
+		r.controls.setLeader(reply.LeaderAddress)
+	}
+}
--- a/entry/view_keeper.go
+++ b/entry/view_keeper.go
@@ -28,6 +28,9 @@
 	current atomic.Pointer[view]
 	failing string
 	decoder document.Decoder
+	// wantWhole asks for the whole document because the last answer did not fit
+	// to what is in force here. Another delta would fail in the same way.
+	wantWhole bool
 }
 
 // load returns the current view; before the first document it is empty.
@@ -73,22 +76,43 @@
 	if err != nil {
 		return address, errors.Trace(err)
 	}
-	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
-	defer cancel()
 	have := k.load()
 	sent := k.clock.Now()
-	reply, err := client.Watch(ctx, &apipb.WatchRequest{
-		Environment: k.environment, HaveRevision: have.revision, HaveDigest: have.digest,
-		WaitMs: uint32(watchWait.Milliseconds()), Vm: k.vm, Incarnation: k.incarnation,
-	})
+	reply, err := k.watch(ctx, client, have)
 	if err != nil {
 		return address, errors.Trace(err)
 	}
-	k.controls.learn(reply.ControlAddresses)
-	k.controls.setLeader(reply.LeaderAddress)
+	if current(reply) {
+		// A daemon that is cut off would name a former leader and former members.
+		k.controls.learn(reply.ControlAddresses)
+		k.controls.setLeader(reply.LeaderAddress)
+	}
 	return address, k.take(ctx, client, have, reply, sent)
 }
 
+func (k *viewKeeper) watch(ctx context.Context, client apipb.DRPCControlClient, have *view) (*apipb.WatchReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+	request := &apipb.WatchRequest{
+		Environment: k.environment, HaveRevision: have.revision, HaveDigest: have.digest,
+		WaitMs: uint32(watchWait.Milliseconds()), Vm: k.vm, Incarnation: k.incarnation,
+	}
+	if k.wantWhole {
+		request.HaveRevision, request.HaveDigest = 0, ""
+	}
+	reply, err := client.Watch(ctx, request)
+	return reply, errors.Trace(err)
+}
+
+// current reports whether a reply comes from a daemon that reaches the majority.
+func current(reply *apipb.WatchReply) bool {
+	return reply.Confirmed && confirmedAge(reply) <= maxConfirmedAge
+}
+
+func confirmedAge(reply *apipb.WatchReply) time.Duration {
+	return time.Duration(reply.ConfirmedAgeMs) * time.Millisecond
+}
+
 // take puts a reply in force. A daemon whose own confirmation is old is cut off;
 // what it has is still newer than what is here, but another must be asked.
 func (k *viewKeeper) take(ctx context.Context, client apipb.DRPCControlClient, have *view, reply *apipb.WatchReply, sent clock.Instant) error {
@@ -96,29 +120,31 @@
 		return errors.Annotatef(ErrLowerRevision, "%d after %d", reply.Revision, have.revision)
 	}
 	next, err := k.next(ctx, client, have, reply)
+	k.wantWhole = errors.Is(err, document.ErrDeltaMismatch) || errors.Is(err, ErrOtherDocument)
 	if err != nil {
 		return errors.Trace(err)
 	}
-	changed := next.revision != have.revision
+	changed := next.revision != have.revision || next.digest != have.digest
 	if reply.Confirmed {
-		confirm(next, have, sent, time.Duration(reply.ConfirmedAgeMs)*time.Millisecond)
+		confirm(next, sent.Add(-confirmedAge(reply)), k.clock.Now())
 	}
 	k.current.Store(next)
 	if changed {
 		k.log.WithFields(logrus.Fields{"number": next.number, "revision": next.revision}).Info("document in force")
 		k.onChange(next)
 	}
-	if !reply.Confirmed || time.Duration(reply.ConfirmedAgeMs)*time.Millisecond > maxConfirmedAge {
+	if !current(reply) {
 		return errors.Trace(ErrUnconfirmed)
 	}
 	return nil
 }
 
 // confirm moves the confirmation to the send time less the age at the control
-// daemon: whatever was accepted before that instant is part of the view.
-func confirm(next, have *view, sent clock.Instant, age time.Duration) {
-	at := sent.Add(-age)
-	if have.confirmed && at.Mono <= have.confirmedAt.Mono {
+// daemon, unless the former one is younger: whatever was accepted before that
+// instant is part of the view. Ages are compared on all clocks, since the
+// monotonic one does not show that the VM was suspended in between.
+func confirm(next *view, at, now clock.Instant) {
+	if age, confirmed := next.age(now); confirmed && age <= now.ElapsedSince(at) {
 		return
 	}
 	next.confirmed, next.confirmedAt = true, at
@@ -128,6 +154,9 @@
 func (k *viewKeeper) next(ctx context.Context, client apipb.DRPCControlClient, have *view, reply *apipb.WatchReply) (*view, error) {
 	switch reply.Kind {
 	case apipb.WatchKind_WATCH_KIND_UNCHANGED:
+		if reply.Revision != have.revision || reply.Digest != have.digest {
+			return nil, errors.Annotatef(ErrOtherDocument, "revision %d", reply.Revision)
+		}
 		same := *have
 		return &same, nil
 	case apipb.WatchKind_WATCH_KIND_DELTA:
@@ -146,13 +175,25 @@
 	return nil, errors.Annotatef(ErrSnapshot, "unknown answer %v", reply.Kind)
 }
 
+// build decodes a document and derives the view. A document that is not put in
+// force must leave no blocks in the decoder: they would count as those of the
+// view when a later document has the same ones.
 func (k *viewKeeper) build(raw []byte, have *view, reply *apipb.WatchReply) (*view, error) {
+	next, err := k.decode(raw, have, reply)
+	if err != nil {
+		k.decoder = document.Decoder{}
+		return nil, errors.Trace(err)
+	}
+	return next, nil
+}
+
+func (k *viewKeeper) decode(raw []byte, have *view, reply *apipb.WatchReply) (*view, error) {
 	doc, sameBlocks, err := k.decoder.Decode(raw)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
 	if doc.Deployment != k.deployment {
-		return nil, errors.Annotatef(ErrSnapshot, "deployment %q, expected %q", doc.Deployment, k.deployment)
+		return nil, errors.Annotatef(ErrDeployment, "%q, expected %q", doc.Deployment, k.deployment)
 	}
 	blocks := have.blocks
 	if !sameBlocks || blocks == nil {
@@ -166,32 +207,3 @@
 		confirmed: have.confirmed, confirmedAt: have.confirmedAt,
 	}, nil
 }
-
-// fetchSnapshot fetches a document in chunks and checks its digest.
-func fetchSnapshot(ctx context.Context, client apipb.DRPCControlClient, env apipb.Environment, reply *apipb.WatchReply) ([]byte, error) {
-	var raw []byte
-	for chunk := range reply.SnapshotChunks {
-		got, err := client.FetchChunk(ctx, &apipb.ChunkRequest{Environment: env, Revision: reply.Revision, Chunk: chunk})
-		if err != nil {
-			return nil, errors.Trace(err)
-		}
-		if got.Gone || len(raw)+len(got.Data) > document.MaxBytes {
-			return nil, errors.Annotatef(ErrSnapshot, "revision %d", reply.Revision)
-		}
-		raw = append(raw, got.Data...)
-	}
-	if document.Digest(raw) != reply.Digest {
-		return nil, errors.Annotatef(ErrSnapshot, "revision %d: digest differs", reply.Revision)
-	}
-	return raw, nil
-}
-
-// pause waits, or returns earlier if the context ends.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
