--- a/settings/checker.go
+++ b/settings/checker.go
@@ -75,7 +75,7 @@
 	if c.first != nil {
 		return c.first
 	}
-	for _, flag := range c.flags {
+	for _, flag := range c.flagsInUse(err) {
 		if flag.Required && !flag.Set {
 			invalid := newInvalid(flag)
 			invalid.Missing = true
@@ -85,6 +85,16 @@
 	return errors.WithType(errors.New(err.Error()), ErrUsage)
 }
 
+// flagsInUse returns the flags of the program and of the command that was
+// selected, since those of other commands may be missing.
+func (c *checker) flagsInUse(err error) []*kong.Flag {
+	var failed *kong.ParseError
+	if errors.As(err, &failed) && failed.Context != nil {
+		return failed.Context.Flags()
+	}
+	return c.flags
+}
+
 func newInvalid(flag *kong.Flag) *InvalidError {
 	return &InvalidError{
 		Flag:     "--" + flag.Name,
