--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -85,26 +85,45 @@
 "$bin/pmctl" status
 
 step "callers"
-keys=catedral-primada=demo-key-catedral-primada,san-ignacio=demo-key-san-ignacio,belen=demo-key-belen
-"$bin/demo-caller" --entry "$entry" --service records --path /records/1 --keys "$keys" --rate 100 --duration 5s
+cat >"$dir/customers.json" <<'JSON'
+[{"name": "catedral-primada", "key": "demo-key-catedral-primada", "rate": 60},
+ {"name": "san-ignacio", "key": "demo-key-san-ignacio", "rate": 40},
+ {"name": "belen", "key": "demo-key-belen", "rate": 10}]
+JSON
+callers() { # callers DURATION: prints what callers saw
+  "$bin/demo-caller" --entry "$entry" --service records --path /records --customers "$dir/customers.json" \
+    --duration "$1" >"$dir/summary.json"
+  value() { sed -n "s/^  \"$1\": \([0-9]*\).*/\1/p" "$dir/summary.json" | head -1; }
+  object() { # object NAME: the fields of an object of the whole run, on one line
+    sed -n "/^  \"$1\": {\$/,/^  }/p" "$dir/summary.json" | sed -n 's/^    "\(.*\)": \([0-9]*\.\{0,1\}[0-9]\{0,1\}\).*/\1 \2/p' | paste -sd' '
+  }
+  refused=$(object rejections)
+  printf 'requests %s, answered %s, refused: %s; latency in ms: %s\n' \
+    "$(value requests)" "$(value ok)" "${refused:-none}" "$(object latency_ms)"
+}
+callers 6s
 
 step "a key is revoked"
-sed -e 's/^number: 1$/number: 2/' -e '/name: belen$/,$ s/sha256: .*/sha256: '"$(printf other | sha256sum | cut -d' ' -f1)"'/' \
-  examples/bancas.yaml >"$dir/2.yaml"
+other=$(printf other | sha256sum | cut -d' ' -f1)
+sed -e 's/^number: 1$/number: 2/' -e "/name: belen\$/,\$ s/sha256: .*/sha256: $other/" examples/bancas.yaml >"$dir/2.yaml"
+"$bin/pmctl" diff "$dir/2.yaml"
 "$bin/pmctl" apply "$dir/2.yaml"
 "$bin/pmctl" promote "$dir/2.yaml"
-for _ in $(seq 200); do
+code=
+for _ in $(seq 100); do
   code=$(curl -s -o "$dir/answer" -w '%{http_code}' -H 'X-Api-Key: demo-key-belen' "http://$entry/records/1")
   [ "$code" = 401 ] && break
   sleep 0.1
 done
-echo "revoked key: $code $(cat "$dir/answer")"
+echo "revoked key: status $code, $(cat "$dir/answer")"
+[ "$code" = 401 ]
 
-step "a region is drained"
+step "a region is drained while callers go on"
 "$bin/pmctl" drain --region cali --to "$dir/3.yaml"
 "$bin/pmctl" apply "$dir/3.yaml"
 "$bin/pmctl" promote "$dir/3.yaml"
-"$bin/demo-caller" --entry "$entry" --service records --path /records/1 --keys "$keys" --rate 100 --duration 5s
+sed -i '/belen/d; s/"rate": 40},/"rate": 40}]/' "$dir/customers.json"
+callers 10s
 
 step "status at the end"
 "$bin/pmctl" status
