control: metrics, audit log, errors of net/http as log lines

Cause: Config.Meter was not used, and nothing told who had submitted what.

Counters and a histogram are recorded where things happen; gauges are read from the loop when metrics are collected, within 0.5 s, so that a loop that hangs shows as absent values and does not hold up the collection (tested with a frozen loop). Ruled out: gauges written by the loop, which keep their last value when it hangs.

The audit line holds operator, environment, number, digest and result; the test checks that neither token nor key digests appear.

--- a/control/bench_node_test.go
+++ b/control/bench_node_test.go
@@ -77,6 +77,9 @@
 		},
 	}
 	d.ownership = newOwnership(&d.cfg)
+	if d.observer, err = newObserver(nil); err != nil {
+		n.b.t.Fatal(err)
+	}
 	n.ended = make(chan error, 1)
 	n.live.Store(d)
 	ctx, cancel := context.WithCancel(n.b.ctx)
--- a/control/bench_storage_test.go
+++ b/control/bench_storage_test.go
@@ -79,6 +79,10 @@
 	return kept
 }
 
+func snapshotAt(index uint64) *apipb.Snapshot {
+	return &apipb.Snapshot{Meta: &apipb.SnapshotMeta{Index: index, Term: 1}}
+}
+
 // Guards against a stand-in that keeps what a real disk would have replaced.
 func TestMemStorageReplacesConflictingEntries(t *testing.T) {
 	s := &memStorage{}
@@ -87,7 +91,7 @@
 			t.Fatal(err)
 		}
 	}
-	if err := s.SaveSnapshot(&apipb.Snapshot{Meta: &apipb.SnapshotMeta{Index: 2, Term: 1}}); err != nil {
+	if err := s.SaveSnapshot(snapshotAt(2)); err != nil {
 		t.Fatal(err)
 	}
 	if got := s.load().Entries; len(got) != 1 || got[0].Term != 2 {
--- a/control/control_service.go
+++ b/control/control_service.go
@@ -45,7 +45,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return s.daemon.ownership.renew(ctx, engine, request)
+	reply, err := s.daemon.ownership.renew(ctx, engine, request)
+	s.daemon.observer.renewal(request.Environment, reply, err)
+	return reply, err
 }
 
 // Claim records that a non-idempotent request is about to run.
--- a/control/daemon.go
+++ b/control/daemon.go
@@ -15,6 +15,7 @@
 	"pistachiomount.example/pistachiomount/apipb"
 	"pistachiomount.example/pistachiomount/consensus"
 	"pistachiomount.example/pistachiomount/document"
+	"pistachiomount.example/pistachiomount/telemetry"
 	"pistachiomount.example/pistachiomount/transport"
 	"pistachiomount.example/pistachiomount/wal"
 )
@@ -37,6 +38,7 @@
 	peers     *transport.Peers
 	forward   forwarder
 	ownership *ownership
+	observer  *observer
 
 	mu      sync.Mutex
 	engine  *Engine
@@ -76,6 +78,10 @@
 	if cfg.Quarantine == 0 {
 		d.cfg.Quarantine = document.MaxDeadlineMS * time.Millisecond
 	}
+	if d.observer, err = newObserver(cfg.Meter); err != nil {
+		_ = log.Close()
+		return nil, errors.Annotate(err, "metrics")
+	}
 	d.forward = forwardOver(d.peers)
 	d.ownership = newOwnership(&d.cfg)
 	return d, nil
@@ -85,6 +91,11 @@
 func (d *Daemon) Run(ctx context.Context) error {
 	defer func() { _ = d.log.Close() }()
 	defer d.peers.Close()
+	unregister, err := registerGauges(d.cfg.Meter, d)
+	if err != nil {
+		return errors.Annotate(err, "metrics")
+	}
+	defer func() { _ = unregister() }()
 	serveCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var wg sync.WaitGroup
 	defer wg.Wait()
@@ -174,7 +185,7 @@
 func (d *Daemon) startEngine(clusterID uint64) (*Engine, *Outboxes, error) {
 	outboxes := NewOutboxes(clusterID, d.self, d.peers, d.cfg.Log)
 	engine, err := NewEngine(EngineConfig{
-		ClusterID: clusterID, Self: d.self, Persisted: d.persisted(), Storage: d.log,
+		ClusterID: clusterID, Self: d.self, Persisted: d.persisted(), Storage: &observedStorage{d.log, d.observer, d.cfg.Clock},
 		Sender: outboxes, Clock: d.cfg.Clock, Log: d.cfg.Log, Seed: rand.Uint64(),
 	})
 	if err != nil {
@@ -222,6 +233,7 @@
 	server := &http.Server{
 		Handler: d.handler(), ReadTimeout: httpReadTimeout, WriteTimeout: httpWriteTimeout,
 		IdleTimeout: httpIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: telemetry.ServerLog(d.cfg.Log),
 	}
 	stopped := make(chan struct{})
 	go func() {
--- a/control/leader_test.go
+++ b/control/leader_test.go
@@ -76,3 +76,22 @@
 		})
 	}
 }
+
+// Guards against a leader that grants while it hands leadership over: its
+// successor may lead already.
+func TestLeaderHandingOverRenewsNothing(t *testing.T) {
+	simulate(t, 3, func(b *bench) {
+		is := is.New(b.t)
+		leader := b.leader()
+		leader.mustSubmit("trial", documentOf(1, 0))
+		e := leader.engine()
+		is.NoErr(e.do(b.ctx, e.startTransfer))
+		reply, err := leader.service().Renew(b.ctx, renewal(1))
+		is.NoErr(err)
+		is.True(reply.NotLeader)
+		next := b.leader(leader)
+		reply, err = next.service().Renew(b.ctx, renewal(2))
+		is.NoErr(err)
+		is.True(!reply.NotLeader)
+	})
+}
--- a/control/operator_api.go
+++ b/control/operator_api.go
@@ -55,33 +55,38 @@
 	}
 	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, document.MaxBytes))
 	if err != nil {
+		a.daemon.observer.document(env, resultInvalid)
 		writeError(w, http.StatusRequestEntityTooLarge, "invalid_document", "the document cannot be read or is larger than 8 MiB")
 		return
 	}
+	operator, _ := a.auth.operator(r)
+	submit := &apipb.SubmitDocument{Environment: env, Document: raw, Operator: operator}
 	doc, err := document.Decode(raw)
 	if err != nil {
-		writeError(w, http.StatusUnprocessableEntity, "invalid_document", err.Error())
+		a.refuse(w, submit, err.Error())
 		return
 	}
+	submit.Number = doc.Number
 	if doc.Deployment != a.daemon.cfg.Deployment {
-		writeError(w, http.StatusUnprocessableEntity, "invalid_document",
-			"deployment: "+strconv.Quote(doc.Deployment)+" is not this installation, "+strconv.Quote(a.daemon.cfg.Deployment))
+		a.refuse(w, submit, "deployment: "+strconv.Quote(doc.Deployment)+" is not this installation, "+strconv.Quote(a.daemon.cfg.Deployment))
 		return
 	}
-	operator, _ := a.auth.operator(r)
-	a.propose(w, r.Context(), &apipb.SubmitDocument{
-		Environment: env, Document: raw, Number: doc.Number, Operator: operator,
-	})
+	a.propose(w, r.Context(), submit)
 }
 
 func (a *operatorAPI) propose(w http.ResponseWriter, ctx context.Context, submit *apipb.SubmitDocument) {
-	engine, err := a.daemon.running()
-	if err != nil {
-		writeFailure(w, err)
-		return
-	}
-	reply, err := (&commander{engine: engine, forward: a.daemon.forward}).run(ctx,
+	reply, err := (&controlService{daemon: a.daemon}).run(ctx,
 		&apipb.Command{Body: &apipb.Command_SubmitDocument{SubmitDocument: submit}})
+	switch {
+	case errors.Is(err, ErrOutcomeUnknown):
+		a.daemon.audit(submit, resultUnknown)
+	case err != nil:
+		a.daemon.audit(submit, resultUnavailable)
+	case reply.Submit.Repeated:
+		a.daemon.audit(submit, resultRepeated)
+	default:
+		a.daemon.audit(submit, statusOf(reply.Submit))
+	}
 	if err != nil {
 		writeFailure(w, err)
 		return
@@ -89,25 +94,33 @@
 	writeSubmit(w, reply.Submit)
 }
 
+// statusOf returns the word for the decision in reports, metrics and logs.
+func statusOf(result *apipb.SubmitResult) string {
+	switch result.Status {
+	case apipb.SubmitStatus_SUBMIT_STATUS_ACCEPTED:
+		return "accepted"
+	case apipb.SubmitStatus_SUBMIT_STATUS_CONFLICT:
+		return "conflict"
+	case apipb.SubmitStatus_SUBMIT_STATUS_NOT_IN_TRIAL:
+		return "not_in_trial"
+	}
+	return resultInvalid
+}
+
 func writeSubmit(w http.ResponseWriter, result *apipb.SubmitResult) {
 	report := SubmitReport{
+		Status: statusOf(result),
 		Number: result.Number, Digest: result.Digest, Revision: result.Revision, Repeated: result.Repeated,
 		NumberInForce: result.NumberInForce, DigestInForce: result.DigestInForce, Message: result.Message,
 	}
+	code := http.StatusUnprocessableEntity
 	switch result.Status {
 	case apipb.SubmitStatus_SUBMIT_STATUS_ACCEPTED:
-		report.Status = "accepted"
-		writeJSON(w, http.StatusOK, report)
-	case apipb.SubmitStatus_SUBMIT_STATUS_CONFLICT:
-		report.Status = "conflict"
-		writeJSON(w, http.StatusConflict, report)
-	case apipb.SubmitStatus_SUBMIT_STATUS_NOT_IN_TRIAL:
-		report.Status = "not_in_trial"
-		writeJSON(w, http.StatusConflict, report)
-	default:
-		report.Status = "invalid"
-		writeJSON(w, http.StatusUnprocessableEntity, report)
+		code = http.StatusOK
+	case apipb.SubmitStatus_SUBMIT_STATUS_CONFLICT, apipb.SubmitStatus_SUBMIT_STATUS_NOT_IN_TRIAL:
+		code = http.StatusConflict
 	}
+	writeJSON(w, code, report)
 }
 
 func (a *operatorAPI) document(w http.ResponseWriter, r *http.Request) {
