control: measure traffic and memory; a single daemon stops without a transfer timeout

Found while measuring: the planned stop of a cluster with one voter waited the transfer timeout of 3 s for a successor that does not exist. handOver now returns at once (virtual time 0 in the test).

--- a/control/bench_watcher_test.go
+++ b/control/bench_watcher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -24,9 +25,8 @@
 	confirmed   bool
 	confirmedAt time.Time // whatever was accepted before is in the view
 	age         time.Duration
-	replies     int
-	bytes       int // received
-	kinds       map[apipb.WatchKind]int
+	replies     atomic.Int64
+	bytes       atomic.Int64 // received
 	// onReply sees every answer and the instant up to which it claims to be complete.
 	onReply func(reply *apipb.WatchReply, upTo time.Time)
 }
@@ -44,7 +44,8 @@
 		return err
 	}
 	pauseFor(ctx, watcherDelay)
-	w.count(reply)
+	w.replies.Add(1)
+	w.bytes.Add(int64(proto.Size(reply)))
 	w.age = time.Duration(reply.ConfirmedAgeMs) * time.Millisecond
 	if w.onReply != nil && reply.Confirmed {
 		w.onReply(reply, sent.Add(-w.age))
@@ -62,15 +63,6 @@
 	return nil
 }
 
-func (w *watcher) count(reply *apipb.WatchReply) {
-	if w.kinds == nil {
-		w.kinds = map[apipb.WatchKind]int{}
-	}
-	w.kinds[reply.Kind]++
-	w.replies++
-	w.bytes += proto.Size(reply)
-}
-
 func (w *watcher) take(ctx context.Context, reply *apipb.WatchReply) error {
 	var raw []byte
 	switch reply.Kind {
@@ -87,7 +79,7 @@
 			if err != nil || got.Gone {
 				return errors.Errorf("chunk %d: %v %v", chunk, got, err)
 			}
-			w.bytes += proto.Size(got)
+			w.bytes.Add(int64(proto.Size(got)))
 			raw = append(raw, got.Data...)
 		}
 	}
--- a/control/leader_test.go
+++ b/control/leader_test.go
@@ -85,7 +85,7 @@
 		leader := b.leader()
 		leader.mustSubmit("trial", documentOf(1, 0))
 		e := leader.engine()
-		is.NoErr(e.do(b.ctx, e.startTransfer))
+		is.NoErr(e.do(b.ctx, func() { is.True(e.startTransfer()) }))
 		reply, err := leader.service().Renew(b.ctx, renewal(1))
 		is.NoErr(err)
 		is.True(reply.NotLeader)
@@ -95,3 +95,21 @@
 		is.True(!reply.NotLeader)
 	})
 }
+
+// Guards against a planned stop that costs an election timeout, and against one
+// of a single daemon that waits for a successor that does not exist.
+func TestPlannedStopHandsOver(t *testing.T) {
+	for voters, limit := range map[int]time.Duration{1: 0, 3: 500 * time.Millisecond} {
+		simulate(t, voters, func(b *bench) {
+			leader := b.leader()
+			begun := time.Now()
+			leader.engine().handOver(b.ctx)
+			if took := time.Since(begun); took > limit {
+				t.Errorf("%d voters: %v, expected at most %v", voters, took, limit)
+			}
+			if voters > 1 && b.leader() == leader {
+				t.Error("the stopping daemon still leads")
+			}
+		})
+	}
+}
--- /dev/null
+++ b/control/measure_fleet_test.go
@@ -0,0 +1,139 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+)
+
+// The sizes of figures are those of encoded messages, without the framing of
+// drpc, TLS and TCP.
+
+// Targets of the design page.
+const (
+	targetBytesPerSecond = 6 << 10 // control traffic of an entry daemon
+	targetInForce        = 8 * time.Second
+	targetMemory         = 64 << 20
+	changesPerDay        = 12_000
+	secondsPerDay        = 86_400
+)
+
+// fleetFigures is what a group with watchers costs.
+type fleetFigures struct {
+	idle, change map[string]traffic // by role, a second and a change
+	longest      time.Duration      // from acceptance until every watcher has the change
+}
+
+type traffic struct{ messages, bytes float64 }
+
+const (
+	measuredSeconds = 20
+	measuredChanges = 20
+)
+
+// measureFleet runs watchers on a group of three and counts.
+func measureFleet(b *bench, watchers int) fleetFigures {
+	all := make([]*watcher, watchers)
+	seen := make(chan uint64, watchers)
+	ctx, cancel := context.WithCancel(b.ctx)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	b.nodes[0].mustSubmit("trial", documentOf(1, 0))
+	for i := range all {
+		w := &watcher{at: b.nodes[i%len(b.nodes)]}
+		all[i] = w
+		wg.Go(func() {
+			for ctx.Err() == nil {
+				had := w.revision
+				if err := w.poll(); err == nil && w.revision != had {
+					seen <- w.revision
+				}
+			}
+		})
+	}
+	for range all {
+		<-seen
+	}
+	time.Sleep(5 * time.Second)
+	figures := fleetFigures{}
+	figures.idle = measureTraffic(b, all, measuredSeconds, func() { time.Sleep(measuredSeconds * time.Second) })
+	quiet := 2 * time.Second
+	perChange := measureTraffic(b, all, measuredChanges, func() {
+		for i := range uint64(measuredChanges) {
+			begun := time.Now()
+			b.leader().mustSubmit("trial", documentOf(2+i, int(2+i)))
+			accepted := time.Now()
+			for range all {
+				<-seen
+			}
+			figures.longest = max(figures.longest, time.Since(accepted))
+			time.Sleep(quiet - time.Since(begun))
+		}
+	})
+	for role, t := range perChange { // each change had two otherwise idle seconds
+		idle := figures.idle[role]
+		perChange[role] = traffic{t.messages - 2*idle.messages, t.bytes - 2*idle.bytes}
+	}
+	figures.change = perChange
+	return figures
+}
+
+// measureTraffic returns the traffic by role during the function, divided by n.
+func measureTraffic(b *bench, watchers []*watcher, n float64, during func()) map[string]traffic {
+	leader := b.leader()
+	b.net.resetCounts()
+	repliesBefore, bytesBefore := sumOf(watchers)
+	during()
+	out := map[string]traffic{}
+	for _, node := range b.nodes {
+		batches, bytes := b.net.sentBy(node.name)
+		role := "follower sends"
+		if node == leader {
+			role = "leader sends"
+		}
+		out[role] = traffic{float64(batches) / n, float64(bytes) / n}
+	}
+	replies, bytes := sumOf(watchers)
+	count := n * float64(len(watchers))
+	out["watcher receives"] = traffic{float64(replies-repliesBefore) / count, float64(bytes-bytesBefore) / count}
+	return out
+}
+
+func sumOf(watchers []*watcher) (replies, bytes int64) {
+	for _, w := range watchers {
+		replies += w.replies.Load()
+		bytes += w.bytes.Load()
+	}
+	return replies, bytes
+}
+
+// Guards against traffic of the group that grows with the number of watchers,
+// and against a change that needs more than one poll round.
+func TestMeasureFleet(t *testing.T) {
+	byCount := map[int]fleetFigures{}
+	for _, watchers := range []int{12, 100, 400} {
+		simulate(t, 3, func(b *bench) { byCount[watchers] = measureFleet(b, watchers) })
+		f := byCount[watchers]
+		for _, role := range []string{"leader sends", "follower sends", "watcher receives"} {
+			t.Logf("%d watchers, %s: idle %.1f messages and %.0f B a second; a change %.1f messages and %.0f B",
+				watchers, role, f.idle[role].messages, f.idle[role].bytes, f.change[role].messages, f.change[role].bytes)
+		}
+		t.Logf("%d watchers: in force everywhere %v after the acceptance", watchers, f.longest)
+		if round := MaxWatchWait + 4*oneWay; f.longest > round || round > targetInForce {
+			t.Errorf("%d watchers: a change took %v, more than one poll round of %v", watchers, f.longest, round)
+		}
+		w := f.idle["watcher receives"].bytes + f.change["watcher receives"].bytes*changesPerDay/secondsPerDay
+		if w > targetBytesPerSecond/4 { // grants need the rest
+			t.Errorf("%d watchers: %.0f B/s each, more than a quarter of the target", watchers, w)
+		}
+	}
+	for _, role := range []string{"leader sends", "follower sends"} {
+		few, many := byCount[12], byCount[400]
+		if many.idle[role].bytes > few.idle[role].bytes*1.1 || many.change[role].bytes > few.change[role].bytes*1.1 {
+			t.Errorf("%s more with 400 watchers (%v, %v) than with 12 (%v, %v)",
+				role, many.idle[role], many.change[role], few.idle[role], few.change[role])
+		}
+	}
+}
--- /dev/null
+++ b/control/measure_memory_test.go
@@ -0,0 +1,150 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"sync"
+	"testing"
+	"time"
+
+	"pistachiomount.example/pistachiomount/apipb"
+	"pistachiomount.example/pistachiomount/clock"
+	"pistachiomount.example/pistachiomount/document"
+	"pistachiomount.example/pistachiomount/grant"
+	"pistachiomount.example/pistachiomount/transport"
+)
+
+// heapOf returns the live bytes, stacks included, that the function leaves.
+func heapOf(f func() any) int {
+	before := liveBytes()
+	kept := f()
+	after := liveBytes()
+	runtime.KeepAlive(kept)
+	return int(after) - int(before)
+}
+
+func liveBytes() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc + m.StackInuse
+}
+
+// Guards against memory for each waiting poll and each holder that would not
+// leave room for 3,200 entry daemons.
+func TestMeasureMemory(t *testing.T) {
+	simulate(t, 1, func(b *bench) {
+		n := b.nodes[0]
+		n.mustSubmit("trial", documentOf(1, 0))
+		revision := n.live.Load().engine.store.InForce(trial).Revision
+		for _, polls := range []int{400, 1600} {
+			ctx, cancel := context.WithCancel(b.ctx)
+			var wg sync.WaitGroup
+			each := heapOf(func() any {
+				for range polls {
+					wg.Go(func() {
+						_, _ = n.service().Watch(ctx, &apipb.WatchRequest{Environment: trial, HaveRevision: revision, WaitMs: 1000})
+					})
+				}
+				time.Sleep(10 * time.Millisecond)
+				return nil
+			}) / polls
+			cancel()
+			wg.Wait()
+			t.Logf("%d waiting polls: %d B each", polls, each)
+			if each*3200 > targetMemory {
+				t.Errorf("a waiting poll takes %d B", each)
+			}
+		}
+	})
+	for _, resources := range []int{10, 100, 1000} {
+		const holders = 50
+		each := heapOf(func() any {
+			owner := grant.NewOwner(grant.OwnerConfig{Term: 2, NoPredecessor: true}, &clock.Manual{})
+			owner.SetCaps(capsFor(resources))
+			for i := range holders {
+				r := renewal(1)
+				r.Vm.Name, r.Needs = fmt.Sprint(i), needsFor(resources)
+				owner.Renew(r, true)
+			}
+			return owner
+		}) / holders
+		t.Logf("%d resources: %d B a holder at the owner", resources, each)
+		if each > 2048+512*resources {
+			t.Errorf("%d resources: %d B a holder", resources, each)
+		}
+	}
+}
+
+// Guards against connections of watchers that take more memory than a daemon may
+// use: the watchers of 3,200 entry daemons spread over three control daemons. The
+// clients' half is in the figure, as both ends run in this process.
+func TestMeasureConnectedWatchers(t *testing.T) {
+	rpc := listen(t)
+	d := newDaemon(t, "a", rpc)
+	stop := run(t, d)
+	defer stop()
+	if _, err := d.initialise(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	for _, watchers := range []int{100, 300} {
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		each := heapOf(func() any {
+			answered := make(chan struct{}, watchers)
+			for range watchers {
+				wg.Go(func() { pollOver(ctx, addressOf(rpc), answered) })
+			}
+			for range watchers {
+				<-answered
+			}
+			return nil
+		}) / watchers
+		cancel()
+		wg.Wait()
+		t.Logf("%d connected watchers: %d B each, both ends", watchers, each)
+		if each*3200/3 > 2*targetMemory {
+			t.Errorf("%d B for each connected watcher", each)
+		}
+	}
+}
+
+// pollOver polls over a connection of its own until the context ends.
+func pollOver(ctx context.Context, address string, answered chan<- struct{}) {
+	client, err := transport.NewClient(address, &transport.Security{Insecure: true})
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = client.Close() }()
+	for first := true; ctx.Err() == nil; {
+		_, err := apipb.NewDRPCControlClient(client).Watch(ctx, &apipb.WatchRequest{Environment: trial, WaitMs: 1000})
+		if err == nil && first {
+			answered <- struct{}{}
+			first = false
+		}
+		if err != nil {
+			pauseFor(ctx, 10*time.Millisecond)
+		}
+	}
+}
+
+// Guards against a poll without news that allocates in proportion to the document.
+func TestMeasurePollAllocations(t *testing.T) {
+	simulate(t, 1, func(b *bench) {
+		n := b.nodes[0]
+		report := n.mustSubmit("trial", documentOf(1, 0))
+		request := &apipb.WatchRequest{Environment: trial, HaveRevision: report.Revision, HaveDigest: report.Digest}
+		allocations := testing.AllocsPerRun(100, func() { _, _ = n.service().Watch(b.ctx, request) })
+		t.Logf("a poll without news: %.0f allocations", allocations)
+		if allocations > 40 {
+			t.Errorf("%.0f allocations, bound 40", allocations)
+		}
+		first := &watcher{at: n}
+		if err := first.poll(); err != nil || document.Digest(first.raw) != report.Digest {
+			t.Fatal(err)
+		}
+		t.Logf("a watcher that restarts: %d B for a document of %d B", first.bytes.Load(), len(first.raw))
+	})
+}
--- /dev/null
+++ b/control/measure_renewal_test.go
@@ -0,0 +1,176 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"pistachiomount.example/pistachiomount/apipb"
+	"pistachiomount.example/pistachiomount/clock"
+	"pistachiomount.example/pistachiomount/document"
+	"pistachiomount.example/pistachiomount/grant"
+	"pistachiomount.example/pistachiomount/platform"
+)
+
+// renewalOf returns an owner and a holder of the number of resources, and the
+// sizes of a renewal after several rounds.
+func renewalOf(resources int) (request, reply int) {
+	clk := &clock.Manual{}
+	owner := grant.NewOwner(grant.OwnerConfig{Term: 2, NoPredecessor: true}, clk)
+	owner.SetCaps(capsFor(resources))
+	r := renewal(0)
+	r.Needs = needsFor(resources)
+	var got *apipb.RenewReply
+	for range 5 {
+		clk.Advance(time.Second)
+		r.Sequence++
+		got = owner.Renew(r, true)
+		r.AcceptedSequence, r.AcceptedTerm = r.Sequence, 2
+		for i, s := range got.Shares {
+			r.Needs[i].HeldRate, r.Needs[i].HeldDepth = s.Rate, s.Depth
+		}
+	}
+	return proto.Size(r), proto.Size(got)
+}
+
+func resourceName(i int) grant.ResourceID { return grant.CustomerID(fmt.Sprintf("customer-%04d", i)) }
+
+func capsFor(n int) []grant.Cap {
+	caps := make([]grant.Cap, n)
+	for i := range caps {
+		caps[i] = grant.Cap{Resource: resourceName(i), Kind: apipb.ResourceKind_RESOURCE_KIND_RATE, Rate: 333.3, Burst: 700}
+	}
+	return caps
+}
+
+func needsFor(n int) []*apipb.Need {
+	needs := make([]*apipb.Need, n)
+	for i := range needs {
+		needs[i] = &apipb.Need{Resource: string(resourceName(i)), Demand: 10.7, Weight: 1}
+	}
+	return needs
+}
+
+// Guards against renewals whose size grows faster than the number of resources.
+func TestMeasureRenewal(t *testing.T) {
+	for _, resources := range []int{10, 100, 1000} {
+		request, reply := renewalOf(resources)
+		t.Logf("%d resources: request %d B, reply %d B", resources, request, reply)
+		if bound := 64 + 108*resources; request+reply > bound {
+			t.Errorf("%d resources: %d B a renewal, bound %d", resources, request+reply, bound)
+		}
+	}
+}
+
+// bancasUpstreams is the number of endpoints of the larger deployment.
+const bancasUpstreams = 27
+
+// bancasRenewal returns the bytes of a renewal of a daemon that uses every
+// resource of the example document.
+func bancasRenewal(t *testing.T) (resources, bytes int) {
+	t.Helper()
+	doc, err := document.Decode(documentOf(1, 0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var upstreams []platform.Upstream
+	for i := range bancasUpstreams {
+		service := doc.Services[i%2].Name
+		upstreams = append(upstreams, platform.Upstream{ID: fmt.Sprintf("%s-%d", service, i), Service: service})
+	}
+	clk, caps := &clock.Manual{}, capsOf(doc, upstreams)
+	owner := grant.NewOwner(grant.OwnerConfig{Term: 2, NoPredecessor: true}, clk)
+	owner.SetCaps(caps)
+	holder := grant.NewHolder(grant.HolderConfig{VM: "bogota-entry-1", Incarnation: 1 << 60, Environment: trial}, clk)
+	for range 5 {
+		for _, c := range caps {
+			if c.Kind == apipb.ResourceKind_RESOURCE_KIND_RATE {
+				holder.Bucket(c.Resource).TryTake(1)
+			} else if u := holder.Units(c.Resource); u.TryAcquire() {
+				u.Release()
+			}
+		}
+		clk.Advance(grant.RenewInterval)
+		request := holder.BuildRequest()
+		request.Vm = proto.CloneOf(benchVM("bogota-entry-1"))
+		reply := owner.Renew(request, true)
+		bytes = proto.Size(request) + proto.Size(reply)
+		if err := holder.Accept(reply); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return len(caps), bytes
+}
+
+// Guards against control traffic of one entry daemon beyond the target at the
+// current sizes: one renewal and one poll a second, and the changes of a day.
+func TestMeasureEntryDaemonTraffic(t *testing.T) {
+	resources, renewed := bancasRenewal(t)
+	var f fleetFigures
+	simulate(t, 3, func(b *bench) { f = measureFleet(b, 12) })
+	watched := f.idle["watcher receives"].bytes + f.change["watcher receives"].bytes*changesPerDay/secondsPerDay
+	total := float64(renewed)/grant.RenewInterval.Seconds() + watched
+	t.Logf("%d resources: a renewal %d B, watching %.0f B/s, together %.0f B/s", resources, renewed, watched, total)
+	if total > targetBytesPerSecond {
+		t.Errorf("%.0f B/s of control traffic, target %d", total, targetBytesPerSecond)
+	}
+}
+
+func benchVM(name string) *apipb.Vm {
+	return &apipb.Vm{
+		Name: name, Incarnation: 1 << 60, Address: "10.100.100.100:8080", Region: "medellin",
+		FailureDomain: "medellin-1", State: apipb.VmState_VM_STATE_SERVING, RevisionInForce: 100_000, ViewAgeMs: 300, Load: 0.5,
+	}
+}
+
+// Guards against a fleet list that is sent with every renewal.
+func TestMeasureFleetList(t *testing.T) {
+	for _, vms := range []int{12, 400, 3200} {
+		o := newOwnership(&Config{Clock: &clock.Manual{}, Log: quietLog()})
+		tenure := o.tenure(2, trial, nil)
+		for i := range vms {
+			if err := tenure.fleet.Heartbeat(benchVM(fmt.Sprintf("entry-%04d", i))); err != nil {
+				t.Fatal(err)
+			}
+		}
+		first, again := &apipb.RenewReply{}, &apipb.RenewReply{}
+		tenure.addFleet(first, 0)
+		tenure.addFleet(again, first.FleetVersion)
+		t.Logf("%d VMs: a changed list %d B, an unchanged one %d B", vms, proto.Size(first), proto.Size(again))
+		if proto.Size(again) > 16 || proto.Size(first) > 100*vms {
+			t.Errorf("%d VMs: %d B changed, %d B unchanged", vms, proto.Size(first), proto.Size(again))
+		}
+	}
+}
+
+// BenchmarkRenewal reports the time and allocations of a renewal at the owner.
+func BenchmarkRenewal(b *testing.B) {
+	for _, resources := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprint(resources), func(b *testing.B) {
+			clk := &clock.Manual{}
+			owner := grant.NewOwner(grant.OwnerConfig{Term: 2, NoPredecessor: true}, clk)
+			owner.SetCaps(capsFor(resources))
+			r := renewal(0)
+			r.Needs = needsFor(resources)
+			b.ReportAllocs()
+			for b.Loop() {
+				clk.Advance(time.Second)
+				r.Sequence++
+				owner.Renew(r, true)
+			}
+			request, reply := renewalOf(resources)
+			b.ReportMetric(float64(request+reply), "message-B/op")
+		})
+	}
+}
+
+// BenchmarkDelta reports the time of the answer to a watcher that is one change behind.
+func BenchmarkDelta(b *testing.B) {
+	before, after := documentOf(1, 1), documentOf(2, 2)
+	b.ReportAllocs()
+	for b.Loop() {
+		document.Delta(before, after)
+	}
+}
--- a/control/member_keeper.go
+++ b/control/member_keeper.go
@@ -149,9 +149,7 @@
 		leads := false
 		err := e.do(ctx, func() {
 			leads = e.node.Status().Role == consensus.RoleLeader
-			if leads {
-				e.startTransfer()
-			}
+			leads = leads && e.startTransfer()
 		})
 		if err != nil || !leads {
 			return
@@ -164,7 +162,9 @@
 	}
 }
 
-func (e *Engine) startTransfer() {
+// startTransfer begins a transfer unless one is under way. It returns false if
+// there is no other voter to lead.
+func (e *Engine) startTransfer() bool {
 	best, match := uint64(0), uint64(0)
 	for _, progress := range e.node.Progress() {
 		if member := e.member(progress.ID); member != nil && member.Voter && progress.Match >= match {
@@ -172,9 +172,10 @@
 		}
 	}
 	if best == 0 || e.node.Status().Transferee != 0 {
-		return
+		return best != 0
 	}
 	if err := e.node.TransferLeadership(best); err != nil {
 		e.cfg.Log.WithError(err).Warn("leadership not transferred")
 	}
+	return true
 }
--- a/control/views_test.go
+++ b/control/views_test.go
@@ -200,18 +200,19 @@
 		for number := uint64(2); number <= 200; number++ {
 			n.propose(number, int(number))
 		}
-		behind.bytes = 0
+		behind.bytes.Store(0)
 		is.NoErr(behind.poll())
-		is.True(behind.bytes < 512) // a delta over 200 changes, as large as one change
+		is.True(behind.bytes.Load() < 512) // a delta over 200 changes, as large as one change
 		for number := uint64(201); number <= 501; number++ {
 			n.propose(number, int(number))
 		}
 		for _, w := range []*watcher{{at: n}, behind} {
-			w.bytes, w.replies = 0, 0
+			w.bytes.Store(0)
+			w.replies.Store(0)
 			is.NoErr(w.poll())
 			is.Equal(string(w.raw), string(documentOf(501, 501)))
-			is.Equal(w.replies, 1)
-			is.True(w.bytes < len(exampleDocument)+512) // one snapshot
+			is.Equal(w.replies.Load(), int64(1))
+			is.True(w.bytes.Load() < int64(len(exampleDocument)+512)) // one snapshot
 		}
 	})
 }
