Fix renewals, commands, jobs and hand-backs of the entry daemon, with tests

A leaving VM now tells the leader at once and is left out of its own look-ups; it waits 3 s beyond the look-up TTL, waits for its job, and hands back its grants with up to four tries.

Not changed: a customer's job that cannot run for lack of rate is still the first that each VM is given.

--- a/entry/applying.go
+++ b/entry/applying.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"pistachiomount.example/pistachiomount/apipb"
-	"pistachiomount.example/pistachiomount/document"
 	"pistachiomount.example/pistachiomount/forward"
 	"pistachiomount.example/pistachiomount/platform"
 	"pistachiomount.example/pistachiomount/steering"
@@ -36,7 +35,7 @@
 	}
 	d.applyUpstreams(v)
 	d.mu.Unlock()
-	d.forgetCustomers(v.index)
+	d.handBack()
 	for i := range doc.Customers {
 		d.grants.customer(doc.Customers[i].Name)
 	}
@@ -49,6 +48,7 @@
 // name this VM: it would refuse requests for lack of grants.
 func (d *Daemon) serveWhenReady() {
 	d.queue.refresh()
+	d.handBack()
 	if d.lifecycle.State() != apipb.VmState_VM_STATE_STARTING || !d.View().Fresh {
 		return
 	}
@@ -62,13 +62,35 @@
 	}
 }
 
-// forgetCustomers hands back the rates of customers that left the document.
-func (d *Daemon) forgetCustomers(index *document.Index) {
+// handBack gives up the grants of customers, services and upstreams that are
+// gone. It also runs after each renewal, because a request that began before the
+// change may ask for such a grant once more.
+func (d *Daemon) handBack() {
+	index := d.keeper.load().index
 	for _, name := range d.grants.customers.keys() {
 		if index.Customer(name) == nil {
 			d.grants.forgetCustomer(name)
 		}
 	}
+	for _, key := range d.grants.regions.keys() {
+		if index.Service(key.service) == nil {
+			d.grants.forgetService(key)
+		}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.handBackUpstreams()
+}
+
+// handBackUpstreams gives up what is held of unlisted upstreams. The lock is held.
+func (d *Daemon) handBackUpstreams() {
+	for _, id := range append(d.grants.slots.live.keys(), d.grants.conns.live.keys()...) {
+		if !d.listed[id] {
+			d.grants.forgetUpstream(id)
+			d.chooser.targets.remove(id)
+			d.pool.Forget(id)
+		}
+	}
 }
 
 // applyUpstreams hands the platform's list to steering. The lock is held.
@@ -79,19 +101,13 @@
 		return
 	}
 	byService := map[string][]string{}
-	listed := map[string]bool{}
+	d.listed = map[string]bool{}
 	for _, u := range list {
 		byService[u.Service] = append(byService[u.Service], u.ID)
-		listed[u.ID] = true
+		d.listed[u.ID] = true
 	}
 	d.queue.setUpstreams(byService)
-	for _, id := range d.grants.slots.keys() {
-		if !listed[id] {
-			d.grants.forgetUpstream(id)
-			d.chooser.targets.remove(id)
-			d.pool.Forget(id)
-		}
-	}
+	d.handBackUpstreams()
 }
 
 // runPlatform follows the platform's list of upstreams.
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"hash/fnv"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -52,9 +53,11 @@
 	lookups     *lookups
 	lifecycle   *membership.Lifecycle
 	probe       *platform.LoadProbe
+	jobs        *jobRunner
 
 	mu        sync.Mutex // guards the lists below and their hand-over to steering
 	upstreams []platform.Upstream
+	listed    map[string]bool // ids of the upstreams handed to steering
 	inFlight  atomic.Int64
 	probing   cowMap[string, *steering.Target] // whose next report decides on their return
 	renewals  int                              // accepted while starting; used by the renewer only
@@ -76,7 +79,7 @@
 	d.holder = grant.NewHolder(grant.HolderConfig{
 		Environment: cfg.Environment, VM: cfg.VM, Incarnation: d.incarnation,
 	}, cfg.Clock)
-	d.grants = &grants{holder: d.holder}
+	d.grants = newGrants(d.holder)
 	d.chooser = &chooser{steerer: d.steerer, grants: d.grants}
 	d.queue = newTurnQueue(cfg.Clock, d.grants, d.customerWeight, d.chooser.countRequest)
 	d.lookups = newLookups(cfg.Region)
@@ -84,7 +87,7 @@
 		controls: d.controls, environment: cfg.Environment, deployment: cfg.Deployment, vm: cfg.VM,
 		incarnation: d.incarnation, clock: cfg.Clock, log: cfg.Log, onChange: d.applyView,
 	}
-	d.renewer = &renewer{controls: d.controls, holder: d.holder, log: cfg.Log, describe: d.describe, onFleet: d.lookups.setFleet, onRenewed: d.serveWhenReady}
+	d.renewer = &renewer{controls: d.controls, holder: d.holder, log: cfg.Log, describe: d.describe, onFleet: d.lookups.setFleet, onRenewed: d.serveWhenReady, turn: make(chan struct{}, 1)}
 	d.probe = platform.NewLoadProbe(platform.LoadProbeConfig{Clock: cfg.Clock, OnReport: d.takeLoad})
 	d.pool = pool.NewSet(pool.Options{Permits: connGrants{d.grants}})
 	observer, err := newObserver(cfg.Meter, d)
@@ -97,6 +100,11 @@
 		Observer: observer, Pool: d.pool, Tracer: cfg.Tracer, Holder: cfg.VM, Incarnation: d.incarnation,
 		Environment: cfg.Environment,
 	})
+	d.jobs = &jobRunner{
+		environment: cfg.Environment, holder: cfg.VM, commands: d.commands, log: cfg.Log,
+		services: d.servicesForJobs, run: d.forwarder.RunJob, random: rand.Uint64,
+		active: make(chan struct{}, 1),
+	}
 	return d, nil
 }
 
@@ -114,7 +122,7 @@
 	defer wg.Wait()
 	defer stop()
 	for _, work := range []func(context.Context){
-		d.keeper.run, d.renewer.run, d.runPlatform, d.runProbe, d.runTicks, d.runJobs,
+		d.keeper.run, d.renewer.run, d.runPlatform, d.runProbe, d.runTicks, d.jobs.loop,
 	} {
 		wg.Go(func() { work(background) })
 	}
@@ -142,23 +150,34 @@
 		return errors.Trace(err)
 	}
 	d.cfg.Ready.SetState("leaving", false)
+	d.lookups.leaveOut(d.cfg.VM)
+	if err := d.renewer.insist(context.Background()); err != nil {
+		d.cfg.Log.WithError(err).Warn("fleet not told that this VM leaves")
+	}
 	d.cfg.Log.Info("leaving: waiting for look-up answers to expire")
 	time.Sleep(LookupTTL + stopMargin)
-	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
-	defer cancel()
-	err := callers.Shutdown(ctx)
+	err := d.finishWork(callers)
 	d.holder.Stop()
 	if stopErr := d.lifecycle.Stop(); err == nil {
 		err = stopErr
 	}
-	renewCtx, cancelRenew := context.WithTimeout(context.Background(), renewTimeout)
-	defer cancelRenew()
-	if renewErr := d.renewer.renew(renewCtx); renewErr != nil {
+	if renewErr := d.renewer.insist(context.Background()); renewErr != nil {
 		d.cfg.Log.WithError(renewErr).Info("grants not handed back; they end with their lease")
 	}
 	d.pool.CloseIdle()
 	d.cfg.Log.Info("stopped")
-	return err
+	return errors.Trace(err)
+}
+
+// finishWork waits for the requests and the job under way.
+func (d *Daemon) finishWork(callers *http.Server) error {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	err := callers.Shutdown(ctx)
+	if jobErr := d.jobs.close(ctx); err == nil {
+		err = jobErr
+	}
+	return errors.Trace(err)
 }
 
 func (d *Daemon) callerServer() *http.Server {
--- a/entry/decide_test.go
+++ b/entry/decide_test.go
@@ -34,7 +34,7 @@
 		t.Fatal(err)
 	}
 	clk := clock.NewSystem()
-	d := &decision{grants: &grants{holder: grant.NewHolder(grant.HolderConfig{VM: "vm", Incarnation: 1}, clk)}}
+	d := &decision{grants: newGrants(grant.NewHolder(grant.HolderConfig{VM: "vm", Incarnation: 1}, clk))}
 	d.chooser = &chooser{steerer: steering.New(clk, nil), grants: d.grants}
 	d.queue = newTurnQueue(clk, d.grants, func(string) float64 { return 1 }, d.chooser.countRequest)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Hour)
--- a/entry/grants.go
+++ b/entry/grants.go
@@ -16,8 +16,16 @@
 	customers cowMap[string, *grant.Bucket]
 	regions   cowMap[regionKey, *grant.Bucket]
 	links     cowMap[linkKey, *grant.Bucket]
-	slots     cowMap[string, *grant.Units]
-	conns     cowMap[string, *grant.Units]
+	slots     upstreamUnits
+	conns     upstreamUnits
+}
+
+func newGrants(holder *grant.Holder) *grants {
+	return &grants{
+		holder: holder,
+		slots:  upstreamUnits{holder: holder, id: grant.SlotsID},
+		conns:  upstreamUnits{holder: holder, id: grant.ConnsID},
+	}
 }
 
 func (g *grants) customer(name string) *grant.Bucket {
@@ -38,17 +46,9 @@
 	})
 }
 
-func (g *grants) slot(upstream string) *grant.Units {
-	return g.slots.loadOrMake(upstream, func(id string) *grant.Units {
-		return g.holder.Units(grant.SlotsID(id))
-	})
-}
+func (g *grants) slot(upstream string) *grant.Units { return g.slots.get(upstream) }
 
-func (g *grants) conn(upstream string) *grant.Units {
-	return g.conns.loadOrMake(upstream, func(id string) *grant.Units {
-		return g.holder.Units(grant.ConnsID(id))
-	})
-}
+func (g *grants) conn(upstream string) *grant.Units { return g.conns.get(upstream) }
 
 // forgetCustomer hands back the rate of a customer that left the document.
 func (g *grants) forgetCustomer(name string) {
@@ -58,8 +58,12 @@
 
 // forgetUpstream hands back the slots and connections of an upstream that is gone.
 func (g *grants) forgetUpstream(id string) {
-	g.slots.remove(id)
-	g.conns.remove(id)
-	g.holder.Forget(grant.SlotsID(id))
-	g.holder.Forget(grant.ConnsID(id))
+	g.slots.forget(id)
+	g.conns.forget(id)
+}
+
+// forgetService hands back the rates of a service that left the document.
+func (g *grants) forgetService(k regionKey) {
+	g.regions.remove(k)
+	g.holder.Forget(grant.RegionID(k.region, k.service))
 }
--- a/entry/grants_adapters.go
+++ b/entry/grants_adapters.go
@@ -101,7 +101,7 @@
 func (g slotGrants) TryAcquire(upstream string) bool { return g.slot(upstream).TryAcquire() }
 
 // Release gives it back.
-func (g slotGrants) Release(upstream string) { g.slot(upstream).Release() }
+func (g slotGrants) Release(upstream string) { g.slots.release(upstream) }
 
 // connGrants holds the connections to upstreams.
 type connGrants struct{ *grants }
@@ -110,4 +110,4 @@
 func (g connGrants) AcquireConn(upstream string) bool { return g.conn(upstream).TryAcquire() }
 
 // ReleaseConn gives one back.
-func (g connGrants) ReleaseConn(upstream string) { g.conn(upstream).Release() }
+func (g connGrants) ReleaseConn(upstream string) { g.conns.release(upstream) }
--- /dev/null
+++ b/entry/grants_test.go
@@ -0,0 +1,102 @@
+package entry
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"pistachiomount.example/pistachiomount/apipb"
+	"pistachiomount.example/pistachiomount/clock"
+	"pistachiomount.example/pistachiomount/grant"
+	"pistachiomount.example/pistachiomount/platform"
+)
+
+// needsOf returns the resources that the next renewal asks for, and how many
+// units it reports in use.
+func needsOf(h *grant.Holder, part string) (names []string, used uint32) {
+	for _, n := range h.BuildRequest().Needs {
+		if strings.Contains(n.Resource, part) {
+			names = append(names, n.Resource)
+			used += n.UsedUnits
+		}
+	}
+	return names, used
+}
+
+// Guards against units of an upstream that left being asked for again: the end
+// of a request that was under way would open them anew.
+func TestUnitsOfAnUpstreamThatLeft(t *testing.T) {
+	is := is.New(t)
+	clk := &clock.Manual{}
+	g := newGrants(grant.NewHolder(grant.HolderConfig{VM: "vm", Incarnation: 1}, clk))
+	owner := grant.NewOwner(grant.OwnerConfig{Term: 1, NoPredecessor: true}, clk)
+	owner.SetCaps([]grant.Cap{
+		{Resource: grant.SlotsID("u"), Kind: apipb.ResourceKind_RESOURCE_KIND_UNITS, Units: 6},
+		{Resource: grant.ConnsID("u"), Kind: apipb.ResourceKind_RESOURCE_KIND_UNITS, Units: 6},
+	})
+	slots, conns := slotGrants{g}, connGrants{g}
+	slots.TryAcquire("u")
+	conns.AcquireConn("u")
+	is.NoErr(g.holder.Accept(owner.Renew(g.holder.BuildRequest(), true)))
+	is.True(slots.TryAcquire("u"))
+	is.True(conns.AcquireConn("u"))
+
+	g.forgetUpstream("u")
+	names, used := needsOf(g.holder, "/u")
+	is.Equal(len(names), 2) // in use
+	is.Equal(used, uint32(2))
+	slots.Release("u")
+	conns.ReleaseConn("u")
+	names, _ = needsOf(g.holder, "/u")
+	is.Equal(len(names), 0)
+	is.Equal(len(g.slots.left.keys())+len(g.conns.left.keys()), 0)
+	is.True(!slots.TryAcquire("u")) // back in the list, without a grant yet
+	names, _ = needsOf(g.holder, "slots/u")
+	is.Equal(len(names), 1)
+}
+
+// Guards against grants that are held for customers, services and upstreams that
+// left, also when a request that was under way asks for one once more.
+func TestGrantsOfWhatLeftAreHandedBack(t *testing.T) {
+	is := is.New(t)
+	d := newTestDaemon(t, &clock.Manual{}, &fakeDialer{}, "a")
+	apply := func(revision uint64, changes ...string) {
+		v, err := d.keeper.build(example(t, int(revision), changes...), d.keeper.load(), &apipb.WatchReply{Revision: revision})
+		is.NoErr(err)
+		d.keeper.current.Store(v)
+		d.applyView(v)
+	}
+	list := func(ids ...string) {
+		var entries []platform.Upstream
+		for _, id := range ids {
+			entries = append(entries, platform.Upstream{ID: id, Service: "records", Region: "cali", FailureDomain: "cali-1"})
+		}
+		d.setUpstreams(platform.List[platform.Upstream]{Entries: entries})
+	}
+	held := func(part string) int {
+		names, _ := needsOf(d.holder, part)
+		return len(names)
+	}
+	apply(1)
+	list("u1", "u2")
+	(regionGrants{d.grants}).TryTake("cali", "billing")
+	(connGrants{d.grants}).AcquireConn("u1")
+	is.Equal(held("customer/belen"), 1)
+	is.Equal(held("slots/"), 2)
+	is.Equal(held("conns/"), 1)
+	is.Equal(held("/billing"), 1)
+
+	list("u2")
+	is.Equal(held("slots/"), 1)
+	is.Equal(held("conns/"), 0)
+	apply(2, "- name: belen", "- name: nazareth")
+	is.Equal(held("customer/belen"), 0)
+	is.Equal(held("customer/nazareth"), 1)
+
+	d.grants.customer("belen") // a request under the former view
+	d.grants.slot("u1")
+	d.serveWhenReady()
+	is.Equal(held("customer/belen"), 0)
+	is.Equal(held("slots/"), 1)
+}
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
 
 	"pistachiomount.example/pistachiomount/apipb"
 	"pistachiomount.example/pistachiomount/forward/reject"
@@ -14,66 +14,140 @@
 // minSpareTurns is how many turns stay free for callers while a job starts.
 const minSpareTurns = 1
 
-// runJobs runs deferred jobs from spare capacity, one at a time.
-func (d *Daemon) runJobs(ctx context.Context) {
-	ticker := time.NewTicker(jobInterval)
-	defer ticker.Stop()
+// jobRunner runs deferred jobs from spare capacity, one at a time.
+type jobRunner struct {
+	environment apipb.Environment
+	holder      string
+	commands    *commands
+	log         logrus.FieldLogger
+	// services returns the services with spare capacity.
+	services func() []string
+	run      func(context.Context, *apipb.Job) (*apipb.Outcome, error)
+	random   func() uint64
+
+	// pending is the attempt whose start was not answered: it may have been given
+	// a job, which only the same attempt gets again.
+	pending uint64
+	// active holds one element while a job runs, and for good once closed.
+	active chan struct{}
+}
+
+// jobResult is how one look for a job ended.
+type jobResult int
+
+const (
+	jobNone jobResult = iota
+	jobEnded
+	jobRequeued
+)
+
+// loop runs jobs until the context ends.
+func (r *jobRunner) loop(ctx context.Context) {
+	wait := jobInterval
+	for ctx.Err() == nil {
+		pause(ctx, wait)
+		last := r.runWaiting(ctx)
+		wait = nextPause(wait, last)
+	}
+}
+
+// nextPause grows while jobs cannot run, for example because their customer's
+// rate is used up: without a pause the same job would go round at full speed.
+func nextPause(before time.Duration, last jobResult) time.Duration {
+	if last == jobRequeued {
+		return min(2*before, maxJobPause)
+	}
+	return jobInterval
+}
+
+// runWaiting runs jobs until there is none or one cannot run.
+func (r *jobRunner) runWaiting(ctx context.Context) jobResult {
 	for {
 		select {
+		case r.active <- struct{}{}:
 		case <-ctx.Done():
-			return
-		case <-ticker.C:
+			return jobNone
 		}
-		for d.mayRunJob() && d.runJob(ctx) {
-			if ctx.Err() != nil {
-				return
-			}
+		result := r.runOne(ctx)
+		<-r.active
+		if result != jobEnded {
+			return result
 		}
 	}
 }
 
-// mayRunJob reports whether this VM has capacity that no caller waits for.
-func (d *Daemon) mayRunJob() bool {
-	return d.lifecycle.State() == apipb.VmState_VM_STATE_SERVING && len(d.spareServices()) > 0
+// close waits for the job under way and starts no other.
+func (r *jobRunner) close(ctx context.Context) error {
+	select {
+	case r.active <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return errors.Annotate(ctx.Err(), "a deferred job still runs")
+	}
 }
 
-func (d *Daemon) spareServices() []string {
-	var names []string
-	for _, s := range d.keeper.load().index.Document().Services {
-		if d.queue.spare(s.Name) > minSpareTurns {
-			names = append(names, s.Name)
-		}
+// runOne takes one job and runs it.
+func (r *jobRunner) runOne(ctx context.Context) jobResult {
+	services := r.services()
+	if len(services) == 0 {
+		return jobNone
 	}
-	return names
+	job, attempt := r.start(ctx, services)
+	if job == nil {
+		return jobNone
+	}
+	outcome, err := r.run(ctx, job)
+	return r.finish(job, attempt, outcome, err)
 }
 
-// runJob takes one job and runs it; false means that there was none.
-func (d *Daemon) runJob(ctx context.Context) bool {
-	attempt := rand.Uint64() | 1 // 0 marks jobs without an attempt
-	reply, err := d.commands.start(ctx, &apipb.StartJobRequest{
-		Environment: d.cfg.Environment, Services: d.spareServices(), Holder: d.cfg.VM, AttemptId: attempt,
+// start takes a job under an attempt id that no other start has used.
+func (r *jobRunner) start(ctx context.Context, services []string) (*apipb.Job, uint64) {
+	if r.pending == 0 {
+		r.pending = r.random() | 1 // 0 marks jobs without an attempt
+	}
+	attempt := r.pending
+	reply, err := r.commands.start(ctx, &apipb.StartJobRequest{
+		Environment: r.environment, Services: services, Holder: r.holder, AttemptId: attempt,
 	})
-	if err != nil || reply.GetJob() == nil {
-		return false
+	if err != nil {
+		return nil, attempt
 	}
-	outcome, err := d.forwarder.RunJob(ctx, reply.Job)
-	d.finishJob(reply.Job, attempt, outcome, err)
-	return true
+	r.pending = 0
+	return reply.GetJob(), attempt
 }
 
-// finishJob records the end of an attempt. A job that certainly did not run goes
+// finish records the end of an attempt. A job that certainly did not run goes
 // back to the queue; so does an idempotent one without an answer.
-func (d *Daemon) finishJob(job *apipb.Job, attempt uint64, outcome *apipb.Outcome, err error) {
+func (r *jobRunner) finish(job *apipb.Job, attempt uint64, outcome *apipb.Outcome, err error) jobResult {
 	request := &apipb.FinishJobRequest{JobId: job.Id, AttemptId: attempt, Outcome: outcome}
+	result := jobEnded
 	if err != nil {
-		var rejection *reject.Rejection
-		notRun := errors.As(err, &rejection) && rejection.Run == reject.NotRun
-		if !notRun && !job.Idempotent {
-			return // its outcome is unknown; the control daemons record that at its deadline
+		if !notRun(err) && !job.Idempotent {
+			return jobEnded // its outcome is unknown; the control daemons record that at its deadline
 		}
-		request.Requeue = true
+		request.Requeue, result = true, jobRequeued
 	}
-	if _, err := d.commands.finish(context.Background(), request); err != nil {
-		d.cfg.Log.WithError(err).WithField("job", job.Id).Warn("end of job not recorded")
+	if _, err := r.commands.finish(context.Background(), request); err != nil {
+		r.log.WithError(err).WithField("job", job.Id).Warn("end of job not recorded")
 	}
+	return result
+}
+
+func notRun(err error) bool {
+	var rejection *reject.Rejection
+	return errors.As(err, &rejection) && rejection.Run == reject.NotRun
+}
+
+// servicesForJobs returns the services with capacity that no caller waits for.
+func (d *Daemon) servicesForJobs() []string {
+	if d.lifecycle.State() != apipb.VmState_VM_STATE_SERVING {
+		return nil
+	}
+	var names []string
+	for _, s := range d.keeper.load().index.Document().Services {
+		if d.queue.spare(s.Name) > minSpareTurns {
+			names = append(names, s.Name)
+		}
+	}
+	return names
 }
--- a/entry/lookups.go
+++ b/entry/lookups.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -18,6 +19,7 @@
 
 	mu     sync.Mutex // serialises changes
 	fleet  []*apipb.Vm
+	left   string // the VM that is never named
 	ranker atomic.Pointer[lookup.Ranker]
 }
 
@@ -44,8 +46,24 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.fleet = fleet
+	l.update()
+}
+
+// leaveOut takes a VM out of all answers from now on, whatever the fleet list says.
+func (l *lookups) leaveOut(vm string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.left = vm
+	l.update()
+}
+
+// update hands the fleet to the ranker. The lock is held.
+func (l *lookups) update() {
+	if l.left != "" {
+		l.fleet = slices.DeleteFunc(slices.Clone(l.fleet), func(vm *apipb.Vm) bool { return vm.GetName() == l.left })
+	}
 	if ranker := l.ranker.Load(); ranker != nil {
-		ranker.Update(fleet)
+		ranker.Update(l.fleet)
 	}
 }
 
@@ -62,6 +80,10 @@
 // serveLookup answers a caller that asks which entry VMs to use.
 func (d *Daemon) serveLookup(w http.ResponseWriter, r *http.Request) {
 	v := d.keeper.load()
+	if v.revision == 0 {
+		writeLookupError(w, http.StatusServiceUnavailable, "view_stale", "no document is known yet")
+		return
+	}
 	name := r.URL.Query().Get("service")
 	if name != "" && v.index.Service(name) == nil {
 		writeLookupError(w, http.StatusNotFound, "route_unknown", "no such service")
--- a/entry/renewer.go
+++ b/entry/renewer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -25,7 +24,9 @@
 	// onRenewed is called after each accepted renewal.
 	onRenewed func()
 
-	mu           sync.Mutex // one renewal at a time: a later one makes the reply to an earlier one void
+	// turn is held by one renewal at a time: a later one makes the reply to an
+	// earlier one void.
+	turn         chan struct{}
 	fleetVersion uint64
 	failing      bool
 }
@@ -57,10 +58,26 @@
 	r.failing = err != nil
 }
 
+// insistTries is how often a planned stop tries to reach the leader: once more
+// than it takes to learn of a new one from a daemon that is none.
+const insistTries = 4
+
+// insist renews until it succeeds or the tries are used up.
+func (r *renewer) insist(ctx context.Context) error {
+	var err error
+	for range insistTries {
+		if err = r.renew(ctx); err == nil {
+			return nil
+		}
+		pause(ctx, retryPause)
+	}
+	return errors.Trace(err)
+}
+
 // renew asks the leader once. An error makes the next renewal ask another.
 func (r *renewer) renew(ctx context.Context) error {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+	r.turn <- struct{}{}
+	defer func() { <-r.turn }()
 	client, address, err := r.controls.leaderClient()
 	if err != nil {
 		r.controls.leaveLeader(address)
--- a/entry/timing.go
+++ b/entry/timing.go
@@ -26,12 +26,16 @@
 	tickInterval = 100 * time.Millisecond
 	// LookupTTL is how long callers may keep a look-up answer.
 	LookupTTL = 5 * time.Second
-	// stopMargin is added to the TTL before a stopping daemon closes its listener,
-	// for callers whose request is on its way.
-	stopMargin = time.Second
+	// stopMargin is added to the TTL before a stopping daemon closes its listener:
+	// other VMs name it until their next renewal, up to 1 s later and answered up
+	// to 0.9 s after that, and a caller's request may be on its way for a second.
+	stopMargin = 3 * time.Second
 	// maxStartRenewals is after how many renewals a starting VM serves even if it
 	// holds no slot.
 	maxStartRenewals = 10
 	// jobInterval is how often spare capacity is looked for to run deferred jobs.
 	jobInterval = 250 * time.Millisecond
+	// maxJobPause bounds the growing pause after jobs that could not run and went
+	// back to the queue. Each try costs two commits.
+	maxJobPause = 8 * time.Second
 )
