Test planned stops, starts, look-ups and turns of the entry daemon

The stop runs with virtual time over in-memory connections. The property test of the turn queue checks that turns never exceed the slots held and ends only if no wake-up is lost.

--- /dev/null
+++ b/entry/leave_test.go
@@ -0,0 +1,225 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pistachiomount.example/pistachiomount/apipb"
+	"pistachiomount.example/pistachiomount/grant"
+	"pistachiomount.example/pistachiomount/lookup"
+	"pistachiomount.example/pistachiomount/platform"
+)
+
+// memoryListener accepts in-memory connections, which virtual time covers.
+type memoryListener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+}
+
+func newMemoryListener() *memoryListener {
+	return &memoryListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+}
+
+func (l *memoryListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *memoryListener) Close() error   { close(l.closed); return nil }
+func (l *memoryListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// get sends one request and returns its status, or 0 if the listener is closed.
+func (l *memoryListener) get(path string) int {
+	client, server := net.Pipe()
+	defer client.Close()
+	select {
+	case l.conns <- server:
+	case <-l.closed:
+		return 0
+	}
+	go func() { _, _ = client.Write([]byte("GET " + path + " HTTP/1.1\r\nHost: entry\r\n\r\n")) }()
+	reply, err := http.ReadResponse(bufio.NewReader(client), nil)
+	if err != nil {
+		return 0
+	}
+	defer reply.Body.Close()
+	return reply.StatusCode
+}
+
+// renewals answers as the leader and records the state of the VM in each.
+type renewals struct {
+	owner  *grant.Owner
+	states []apipb.VmState
+	last   *apipb.RenewRequest
+}
+
+func (r *renewals) answer(_ context.Context, in *apipb.RenewRequest) (*apipb.RenewReply, error) {
+	r.states, r.last = append(r.states, in.Vm.State), in
+	return r.owner.Renew(in, true), nil
+}
+
+func newRenewals() *renewals {
+	r := &renewals{owner: grant.NewOwner(grant.OwnerConfig{Term: 1, NoPredecessor: true}, goClock{})}
+	r.owner.SetCaps(nil)
+	return r
+}
+
+func put(t *testing.T, d *Daemon, raw []byte, revision uint64) {
+	t.Helper()
+	v, err := d.keeper.build(raw, d.keeper.load(), &apipb.WatchReply{Revision: revision})
+	if err != nil {
+		t.Fatal(err)
+	}
+	v.confirmed, v.confirmedAt = true, d.cfg.Clock.Now()
+	d.keeper.current.Store(v)
+	d.applyView(v)
+}
+
+// Guards against requests dropped by a planned stop: the fleet is told first,
+// callers with an old look-up answer are served, requests under way end, and only
+// then are the grants handed back.
+func TestPlannedStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		leader := newRenewals()
+		control := &fakeControl{renew: leader.answer}
+		d := newTestDaemon(t, goClock{}, &fakeDialer{daemons: map[string]*fakeControl{"a": control}}, "a")
+		put(t, d, example(t, 1), 1)
+		is.NoErr(d.lifecycle.Serve())
+		release := make(chan struct{})
+		mux := http.NewServeMux()
+		mux.HandleFunc("/fast", func(http.ResponseWriter, *http.Request) {})
+		mux.HandleFunc("/slow", func(http.ResponseWriter, *http.Request) { <-release })
+		server := &http.Server{Handler: d.counted(mux)}
+		listener := newMemoryListener()
+		go func() { _ = serve(server, listener) }()
+
+		left := make(chan error, 1)
+		began := time.Now()
+		go func() { left <- d.leave(server) }()
+		synctest.Wait()
+		is.Equal(leader.states, []apipb.VmState{apipb.VmState_VM_STATE_LEAVING}) // at once
+		is.True(!leader.last.HandingBack)
+		slow := make(chan int, 1)
+		// Another VM may name this one until its own next renewal.
+		time.Sleep(grant.RenewInterval + renewTimeout + LookupTTL)
+		is.Equal(listener.get("/fast"), 200)
+		go func() { slow <- listener.get("/slow") }()
+		time.Sleep(time.Minute)
+		is.Equal(listener.get("/fast"), 0)
+		is.Equal(len(left), 0)
+		is.Equal(len(leader.states), 1)
+		close(release)
+		is.Equal(<-slow, 200)
+		is.NoErr(<-left)
+		is.True(time.Since(began) < stopTimeout)
+		is.True(leader.last.HandingBack)
+		is.Equal(d.lifecycle.State(), apipb.VmState_VM_STATE_STOPPED)
+	})
+}
+
+// Guards against grants that stay with a stopped VM because the leader changed.
+func TestPlannedStopFindsTheNewLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		leader := newRenewals()
+		d := newTestDaemon(t, goClock{}, &fakeDialer{daemons: map[string]*fakeControl{
+			"a": {renew: func(_ context.Context, in *apipb.RenewRequest) (*apipb.RenewReply, error) { return follows("b")(in) }},
+			"b": {renew: leader.answer},
+		}}, "a")
+		is.NoErr(d.lifecycle.Serve())
+		is.NoErr(d.leave(&http.Server{}))
+		is.True(leader.last.HandingBack)
+	})
+}
+
+// Guards against look-ups that name a starting VM: it holds no grants yet and
+// would refuse requests.
+func TestStartingVMServesOnceItHoldsGrants(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		leader := newRenewals()
+		d := newTestDaemon(t, goClock{}, &fakeDialer{daemons: map[string]*fakeControl{"a": {renew: leader.answer}}}, "a")
+		is.NoErr(d.renewer.renew(t.Context()))
+		is.NoErr(d.renewer.renew(t.Context()))
+		is.Equal(d.lifecycle.State(), apipb.VmState_VM_STATE_STARTING) // no document yet
+		put(t, d, example(t, 1), 1)
+		d.setUpstreams(platform.List[platform.Upstream]{Entries: []platform.Upstream{
+			{ID: "u", Service: "records", Region: "cali", FailureDomain: "cali-1"},
+		}})
+		is.NoErr(d.renewer.renew(t.Context()))
+		is.Equal(d.lifecycle.State(), apipb.VmState_VM_STATE_STARTING) // no slots yet
+		leader.owner.SetCaps([]grant.Cap{{
+			Resource: grant.SlotsID("u"), Kind: apipb.ResourceKind_RESOURCE_KIND_UNITS, Units: 6,
+		}})
+		_, _ = d.queue.service("records").acquire()
+		tries := 0
+		for ; d.lifecycle.State() == apipb.VmState_VM_STATE_STARTING && tries < 4; tries++ {
+			time.Sleep(time.Second)
+			put(t, d, example(t, 1), 1)
+			is.NoErr(d.renewer.renew(t.Context()))
+		}
+		is.Equal(d.lifecycle.State(), apipb.VmState_VM_STATE_SERVING)
+		is.True(!d.queue.empty()) // and not because it gave up waiting
+		for _, state := range leader.states {
+			is.Equal(state, apipb.VmState_VM_STATE_STARTING) // what the fleet was told until then
+		}
+	})
+}
+
+// Guards against look-up answers that name VMs which leave or start, and against
+// callers sent to another region than that of their block.
+func TestLookupAnswers(t *testing.T) {
+	is := is.New(t)
+	d := newTestDaemon(t, goClock{}, &fakeDialer{}, "a")
+	ask := func(caller string) (int, []string) {
+		r := httptest.NewRequest(http.MethodGet, "/v1/lookup?service=records", nil)
+		r.RemoteAddr = caller
+		w := httptest.NewRecorder()
+		d.callerServer().Handler.ServeHTTP(w, r)
+		var reply lookup.Response
+		is.NoErr(json.NewDecoder(w.Body).Decode(&reply))
+		var names []string
+		for _, vm := range reply.EntryVMs {
+			names = append(names, vm.Address)
+		}
+		return w.Code, names
+	}
+	status, _ := ask("10.30.1.1:999")
+	is.Equal(status, http.StatusServiceUnavailable) // not "no such service": no document is known
+	put(t, d, example(t, 1), 1)
+	status, _ = ask("10.30.1.1:999")
+	is.Equal(status, http.StatusServiceUnavailable)
+	vm := func(name, region string, state apipb.VmState) *apipb.Vm {
+		return &apipb.Vm{Name: name, Address: name, Region: region, FailureDomain: region + "-1", State: state}
+	}
+	const serving, leaving, starting = apipb.VmState_VM_STATE_SERVING, apipb.VmState_VM_STATE_LEAVING, apipb.VmState_VM_STATE_STARTING
+	d.lookups.setFleet(1, []*apipb.Vm{
+		vm("vm", "bogota", serving), vm("cali", "cali", serving), vm("gone", "cali", leaving), vm("new", "bogota", starting),
+	})
+	_, names := ask("10.30.1.1:999")
+	is.Equal(names, []string{"cali", "vm"})
+	_, names = ask("10.10.1.1:999")
+	is.Equal(names, []string{"vm", "cali"})
+	_, names = ask("192.0.2.1:999") // in no block: as callers of this VM's region
+	is.Equal(names, []string{"vm", "cali"})
+	d.lookups.leaveOut("vm")
+	_, names = ask("10.10.1.1:999")
+	is.Equal(names, []string{"cali"})
+	d.lookups.setFleet(2, []*apipb.Vm{vm("vm", "bogota", serving), vm("cali", "cali", serving)}) // an outdated list
+	_, names = ask("10.10.1.1:999")
+	is.Equal(names, []string{"cali"})
+}
--- /dev/null
+++ b/entry/turn_queue_test.go
@@ -0,0 +1,110 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"pistachiomount.example/pistachiomount/apipb"
+	"pistachiomount.example/pistachiomount/clock"
+	"pistachiomount.example/pistachiomount/forward"
+	"pistachiomount.example/pistachiomount/grant"
+)
+
+// newTestTurns returns a queue whose VM holds the number of slots at upstream u.
+func newTestTurns(clk clock.Clock, slots uint32) (*turnQueue, *grant.Owner) {
+	g := newGrants(grant.NewHolder(grant.HolderConfig{VM: "vm", Incarnation: 1}, clk))
+	owner := grant.NewOwner(grant.OwnerConfig{Term: 1, NoPredecessor: true, Lease: time.Hour}, clk)
+	owner.SetCaps([]grant.Cap{{Resource: grant.SlotsID("u"), Kind: apipb.ResourceKind_RESOURCE_KIND_UNITS, Units: slots}})
+	q := newTurnQueue(clk, g, func(string) float64 { return 1 }, func(string) {})
+	q.setUpstreams(map[string][]string{"svc": {"u"}})
+	g.slot("u").TryAcquire() // reported as demand
+	_ = g.holder.Accept(owner.Renew(g.holder.BuildRequest(), true))
+	q.refresh()
+	return q, owner
+}
+
+// Guards against more requests at once than slots are held, and against a wake-up
+// that is lost between the end of a turn and a request that begins to wait: the
+// test then never ends.
+func TestTurnsAndWakeUps(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.Uint32Range(1, 4).Draw(t, "slots")
+		callers := rapid.IntRange(1, 12).Draw(t, "callers")
+		rounds := rapid.IntRange(1, 30).Draw(t, "rounds")
+		giveUp := rapid.SliceOfN(rapid.Bool(), callers, callers).Draw(t, "giving up")
+		q, _ := newTestTurns(&clock.Manual{}, slots)
+		var running, most atomic.Int64
+		var wg sync.WaitGroup
+		for i := range callers {
+			wg.Go(func() {
+				for range rounds {
+					ctx, cancel := context.WithCancel(context.Background())
+					if giveUp[i] {
+						go cancel()
+					}
+					if q.Acquire(ctx, "svc", string(rune('a'+i%3))) == nil {
+						n := running.Add(1)
+						for m := most.Load(); n > m && !most.CompareAndSwap(m, n); m = most.Load() {
+						}
+						running.Add(-1)
+						q.Release("svc", "")
+					}
+					cancel()
+				}
+			})
+		}
+		wg.Wait()
+		inUse, capacity := q.usage()
+		if inUse != 0 || capacity != int64(slots) || most.Load() > int64(slots) {
+			t.Fatalf("%d turns in use at the end, at most %d at once of %d, %d slots", inUse, most.Load(), capacity, slots)
+		}
+		if waiting := q.service("svc").queue.Waiting(); waiting != 0 {
+			t.Fatalf("%d requests still wait", waiting)
+		}
+	})
+}
+
+// Guards against turns that go on after the lease of the slots ended.
+func TestTurnsEndWithTheLease(t *testing.T) {
+	is := is.New(t)
+	clk := &clock.Manual{}
+	q, _ := newTestTurns(clk, 2)
+	is.NoErr(q.Acquire(t.Context(), "svc", "c"))
+	clk.Suspend(2 * time.Hour)
+	q.refresh()
+	is.True(q.empty())
+	is.True(q.spare("svc") < 0)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	is.Equal(q.Acquire(ctx, "svc", "c"), context.Canceled)
+	q.Release("svc", "c")
+	inUse, _ := q.usage()
+	is.Equal(inUse, int64(0))
+}
+
+// Guards against a queue without bound, and a refusal with another reason.
+func TestFullQueueRefuses(t *testing.T) {
+	is := is.New(t)
+	q, _ := newTestTurns(&clock.Manual{}, 1)
+	is.NoErr(q.Acquire(t.Context(), "svc", "c"))
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	results := make(chan error, 200)
+	for range 200 {
+		wg.Go(func() { results <- q.Acquire(ctx, "svc", "c") })
+	}
+	for range 200 - 64 {
+		is.Equal(<-results, forward.ErrQueueFull)
+	}
+	cancel()
+	wg.Wait()
+	for range 64 {
+		is.Equal(<-results, context.Canceled)
+	}
+}
