Keep client blocks in the table only

Cause: an entry daemon held the client blocks four times: in the bytes of the document, as a copy in the decoder, as decoded strings and in the table. At 730,000 blocks the copy and the strings alone are about 70 MB (calculated), above the 64 MB for all control state. Ruled out: dropping the bytes of the document, which deltas are applied to. Conclusion: the decoder keeps a digest, the view the table.

--- a/document/decoder.go
+++ b/document/decoder.go
@@ -1,35 +1,37 @@
 package document
 
-import "bytes"
+import (
+	"bytes"
+	"crypto/sha256"
+)
 
 // Decoder decodes successive documents of one environment. The client blocks
 // are by far the largest part of a document at scale and rarely change, so
-// their decoded form is used again while their bytes stay the same.
+// they are decoded only when their bytes changed. The caller keeps what it made
+// of them; the decoder keeps a digest only, since at the design scale the bytes
+// alone are 25 MB.
 //
 // It is for documents that were accepted, and so checked as a whole, before. It
 // is not safe for concurrent use.
 type Decoder struct {
-	blocksRaw []byte
-	blocks    []ClientBlock
+	blocksDigest [sha256.Size]byte
+	known        bool
 }
 
-// Decode decodes the document. It reports whether the client blocks are those
-// of the document before.
+// Decode decodes the document. If the client blocks are those of the document
+// before, it says so and leaves them out.
 func (d *Decoder) Decode(raw []byte) (doc *Document, sameBlocks bool, err error) {
 	rest, blocksRaw := cutBlocks(raw)
-	if len(blocksRaw) > 0 && bytes.Equal(blocksRaw, d.blocksRaw) {
+	digest := sha256.Sum256(blocksRaw)
+	if d.known && digest == d.blocksDigest {
 		doc, err = Decode(rest)
-		if err != nil {
-			return nil, false, err
-		}
-		doc.ClientBlocks = d.blocks
-		return doc, true, nil
+		return doc, err == nil, err
 	}
 	doc, err = Decode(raw)
 	if err != nil {
 		return nil, false, err
 	}
-	d.blocksRaw, d.blocks = bytes.Clone(blocksRaw), doc.ClientBlocks
+	d.blocksDigest, d.known = digest, true
 	return doc, false, nil
 }
 
--- a/entry/view_keeper.go
+++ b/entry/view_keeper.go
@@ -196,10 +196,11 @@
 		return nil, errors.Annotatef(ErrDeployment, "%q, expected %q", doc.Deployment, k.deployment)
 	}
 	blocks := have.blocks
-	if !sameBlocks || blocks == nil {
+	if !sameBlocks {
 		if blocks, err = blocksOf(doc); err != nil {
 			return nil, errors.Trace(err)
 		}
+		doc.ClientBlocks = nil // the table holds them in a fraction of the memory
 	}
 	return &view{
 		raw: raw, revision: reply.Revision, number: reply.Number, digest: reply.Digest,
