Let a first attempt wait for capacity that is on its way

Ruled out: waiting with retries and hedges, which already hold a slot. Conclusion: a request waits up to a quarter of its time, 500 ms at most, looking every 20 ms.

--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -26,26 +26,27 @@
 
 // harness fakes everything around the handler and checks that all grants return.
 type harness struct {
-	mu        sync.Mutex
-	view      View
-	upstreams []Upstream
-	taken     map[string]int // grants out, by kind and name
-	refuse    map[string]bool
-	reports   map[Result]int
-	draining  int
-	links     map[string]int
-	linkGate  func(ctx context.Context) error
-	queueGate func(ctx context.Context) error
-	hedge     time.Duration
-	retries   int
-	ended     []Ended
-	claims    map[string]*apipb.ClaimReply
-	claimErr  error
-	completed []*apipb.CompleteRequest
-	job       *apipb.Job
-	enqueue   *apipb.EnqueueReply
-	handler   *Handler
-	server    *httptest.Server
+	mu          sync.Mutex
+	view        View
+	upstreams   []Upstream
+	taken       map[string]int // grants out, by kind and name
+	refuse      map[string]bool
+	refuseFirst map[string]int // how often each kind is refused before it is granted
+	reports     map[Result]int
+	draining    int
+	links       map[string]int
+	linkGate    func(ctx context.Context) error
+	queueGate   func(ctx context.Context) error
+	hedge       time.Duration
+	retries     int
+	ended       []Ended
+	claims      map[string]*apipb.ClaimReply
+	claimErr    error
+	completed   []*apipb.CompleteRequest
+	job         *apipb.Job
+	enqueue     *apipb.EnqueueReply
+	handler     *Handler
+	server      *httptest.Server
 }
 
 func testDocument(aliceKeys ...string) *document.Document {
@@ -125,6 +126,10 @@
 	if n > 0 && (w.refuse[kind] || w.refuse[kind+name]) {
 		return false
 	}
+	if n > 0 && w.refuseFirst[kind] > 0 {
+		w.refuseFirst[kind]--
+		return false
+	}
 	w.taken[kind+name] += n
 	return true
 }
--- a/forward/once.go
+++ b/forward/once.go
@@ -11,7 +11,7 @@
 
 // once makes the only attempt of a request that may not be repeated.
 func (x *exchange) once() (*attempt, *reject.Rejection) {
-	a, rejection := x.pick(nil)
+	a, rejection := x.pickFirst()
 	if rejection != nil {
 		return nil, rejection
 	}
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -1,13 +1,40 @@
 package forward
 
 import (
+	"context"
 	"slices"
+	"time"
 
 	"pistachiomount.example/pistachiomount/forward/reject"
 )
 
-// maxPicks bounds the upstreams asked for a slot in one region.
-const maxPicks = 4
+const (
+	// maxPicks bounds the upstreams asked for a slot in one region.
+	maxPicks = 4
+	// maxCapacityWait bounds how long the first attempt waits for a slot and a
+	// region grant. While shares move to where demand arrives, a VM may hold slots
+	// at other upstreams than those chosen; a renewal brings them in about 200 ms.
+	maxCapacityWait = 500 * time.Millisecond
+	// capacityRetry is the time between two looks for free capacity.
+	capacityRetry = 20 * time.Millisecond
+)
+
+// pickFirst picks for the first attempt of a request, waiting for capacity for a
+// part of the time that the request has.
+func (x *exchange) pickFirst() (*attempt, *reject.Rejection) {
+	until := time.Now().Add(min(maxCapacityWait, time.Until(x.deadline)/4))
+	for {
+		a, rejection := x.pick(nil)
+		if rejection == nil || time.Now().Add(capacityRetry).After(until) {
+			return a, rejection
+		}
+		select {
+		case <-x.ctx.Done():
+			return nil, x.refusal(context.Cause(x.ctx))
+		case <-time.After(capacityRetry):
+		}
+	}
+}
 
 // pick takes a region grant, an upstream and one of its slots. The excluded
 // upstreams were tried by this request before.
--- a/forward/race.go
+++ b/forward/race.go
@@ -41,7 +41,7 @@
 // launch starts an attempt. It runs on its own goroutine and returns itself
 // through results, which has room for every attempt.
 func (rc *race) launch(hedge bool) *reject.Rejection {
-	a, rejection := rc.x.pick(rc.excluded)
+	a, rejection := rc.pick()
 	if rejection != nil {
 		if rc.last != nil {
 			return rc.x.failure(rc.last)
@@ -60,6 +60,13 @@
 	return nil
 }
 
+func (rc *race) pick() (*attempt, *reject.Rejection) {
+	if len(rc.running) == 0 {
+		return rc.x.pickFirst()
+	}
+	return rc.x.pick(rc.excluded)
+}
+
 // attemptTimeout leaves half of the remaining time for further attempts.
 func (rc *race) attemptTimeout() time.Duration {
 	if !rc.attemptsLeft() {
--- a/forward/refuse_test.go
+++ b/forward/refuse_test.go
@@ -180,3 +180,24 @@
 	is.Equal(w.draining, 2)
 	is.True(!strings.Contains(fmt.Sprint(w.ended), aliceKey))
 }
+
+// Guards against a refusal while capacity is on its way: a share that moves to
+// this VM arrives with the next renewal.
+func TestFirstAttemptWaitsForCapacity(t *testing.T) {
+	for _, path := range []string{"/look", "/book"} {
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			up := newRecorder(t, "a", "near", nil)
+			w := newHarness(t, up)
+			w.refuseFirst = map[string]int{"slot": 3}
+			method := "GET"
+			if path == "/book" {
+				method = "POST"
+			}
+			got := w.do(method, path, "", "X-Api-Key", aliceKey)
+			is.NoErr(got.err)
+			is.Equal(got.status, http.StatusOK)
+			is.Equal(up.count(), 1)
+		})
+	}
+}
