Refuse pmctl drain without exactly one target

Both are wrong arguments now, exit code 2, and nothing is written.

The check stands in the command and not in EditDrain: the flags are the command's.

--- a/cmd/pmctl/queries.go
+++ b/cmd/pmctl/queries.go
@@ -112,6 +112,9 @@
 }
 
 func (c *drainCommand) run(ctx context.Context, s *session) error {
+	if (c.Region == "") == (c.Upstream == "") {
+		return errors.Annotate(settings.ErrUsage, "set exactly one of --region and --upstream")
+	}
 	raw, err := s.client.Document(ctx, string(settings.Trial), 0)
 	if err != nil {
 		return errors.Trace(err)
