Make the turn tests see a turn beyond the slots and a lost wake-up

Cause: on a scratch copy with one turn too many the property test passed, since no request held its turn while another asked. It now yields within the turn, and a test with virtual time covers one waiter. With the mechanisms disabled on a scratch copy: one turn too many fails both tests; not waking the last waiter makes the test hang until its time limit. Counting the waiter after it queued, instead of before, is not seen by either test: the window is a few instructions wide.

--- a/entry/turn_queue_test.go
+++ b/entry/turn_queue_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -52,6 +54,9 @@
 						n := running.Add(1)
 						for m := most.Load(); n > m && !most.CompareAndSwap(m, n); m = most.Load() {
 						}
+						for range 3 {
+							runtime.Gosched() // let others ask while the turn is in use
+						}
 						running.Add(-1)
 						q.Release("svc", "")
 					}
@@ -70,6 +75,25 @@
 	})
 }
 
+// Guards against a turn beyond the slots held and against a single waiter that is
+// not woken by the end of a turn.
+func TestWaiterGetsTheNextTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		q, _ := newTestTurns(&clock.Manual{}, 2)
+		is.NoErr(q.Acquire(t.Context(), "svc", "c"))
+		is.NoErr(q.Acquire(t.Context(), "svc", "c"))
+		third := make(chan error, 1)
+		go func() { third <- q.Acquire(t.Context(), "svc", "c") }()
+		synctest.Wait()
+		is.Equal(len(third), 0)
+		q.Release("svc", "c")
+		synctest.Wait()
+		is.Equal(len(third), 1)
+		is.NoErr(<-third)
+	})
+}
+
 // Guards against turns that go on after the lease of the slots ended.
 func TestTurnsEndWithTheLease(t *testing.T) {
 	is := is.New(t)
