Trace calls to control daemons; answer view_stale without a document

A span for each poll, renewal and command, whose context goes to the control daemon in the metadata of the call; a call without it is served as before, so consensus messages leave no spans. Without a tracer nothing is wrapped. A VM that has no document yet answered route_unknown, which a caller may take as final.

--- a/cmd/pm-control/options.go
+++ b/cmd/pm-control/options.go
@@ -88,6 +88,7 @@
 		Deployment: string(o.Deployment), DataDir: string(o.DataDir), Peers: addressStrings(o.Peers),
 		OperatorTokens: tokens, RPCListener: rpc, HTTPListener: operators, Security: security,
 		Clock: clk, Log: observed.Logger, Meter: observed.MeterProvider.Meter("control"),
+		Tracer:    observed.TracerProvider.Tracer("control"),
 		Handlers:  map[string]http.Handler{"/metrics": observed.MetricsHandler(), "/ready": ready},
 		Platforms: o.platforms(ctx, clk, observed),
 	}, ready, nil
--- a/control/config.go
+++ b/control/config.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 	"go.opentelemetry.io/otel/metric"
+	"go.opentelemetry.io/otel/trace"
 
 	"pistachiomount.example/pistachiomount/apipb"
 	"pistachiomount.example/pistachiomount/clock"
@@ -39,6 +40,7 @@
 	Clock        clock.Clock
 	Log          logrus.FieldLogger
 	Meter        metric.Meter
+	Tracer       trace.Tracer // nil: no traces
 	// Handlers are further GET handlers of the HTTP listener, by path, such as
 	// metrics and readiness.
 	Handlers map[string]http.Handler
--- a/control/daemon.go
+++ b/control/daemon.go
@@ -244,7 +244,8 @@
 		}
 	}
 	server := transport.NewServer(d.cfg.Security, map[transport.Role]drpc.Handler{
-		transport.RoleControl: all, transport.RoleEntry: entry,
+		transport.RoleControl: transport.NewTracedHandler(all, d.cfg.Tracer),
+		transport.RoleEntry:   transport.NewTracedHandler(entry, d.cfg.Tracer),
 	}, d.cfg.Log)
 	return errors.Annotate(server.Serve(ctx, d.cfg.RPCListener), "serve rpc")
 }
--- a/entry/controls.go
+++ b/entry/controls.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"github.com/juju/errors"
+	"go.opentelemetry.io/otel/trace"
 
 	"pistachiomount.example/pistachiomount/apipb"
 	"pistachiomount.example/pistachiomount/transport"
@@ -16,14 +17,17 @@
 }
 
 // peerDialer makes clients that call over the network.
-type peerDialer struct{ peers *transport.Peers }
+type peerDialer struct {
+	peers  *transport.Peers
+	tracer trace.Tracer
+}
 
 func (d peerDialer) dial(address string) (apipb.DRPCControlClient, error) {
 	client, err := d.peers.Get(address)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	return apipb.NewDRPCControlClient(client), nil
+	return apipb.NewDRPCControlClient(transport.NewTracedConn(client, d.tracer)), nil
 }
 
 // controls knows the control daemons: those from the settings and those that
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -74,7 +74,7 @@
 		steerer:     steering.New(cfg.Clock, nil),
 		lifecycle:   membership.NewLifecycle(cfg.Clock),
 	}
-	d.controls = newControls(cfg.Controls, hashOf(cfg.VM), peerDialer{d.peers})
+	d.controls = newControls(cfg.Controls, hashOf(cfg.VM), peerDialer{d.peers, cfg.Tracer})
 	d.commands = &commands{controls: d.controls}
 	d.holder = grant.NewHolder(grant.HolderConfig{
 		Environment: cfg.Environment, VM: cfg.VM, Incarnation: d.incarnation,
--- a/forward/accept.go
+++ b/forward/accept.go
@@ -40,6 +40,9 @@
 // admit finds the route and the customer and takes one request from its rate.
 func (x *exchange) admit(r *http.Request, key string) *reject.Rejection {
 	match, ok := x.view.Index.Match(x.target.Path)
+	if !ok && x.view.Revision == 0 {
+		return reject.New(reject.ViewStale, "no document is known yet").After(retrySoon)
+	}
 	if !ok {
 		return reject.New(reject.RouteUnknown, "no route has this path")
 	}
--- a/forward/refuse_test.go
+++ b/forward/refuse_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"pistachiomount.example/pistachiomount/apipb"
+	"pistachiomount.example/pistachiomount/document"
 )
 
 // Guards against a refusal that says not_run although an upstream got the request.
@@ -180,3 +181,15 @@
 	is.Equal(w.draining, 2)
 	is.True(!strings.Contains(fmt.Sprint(w.ended), aliceKey))
 }
+
+// Guards against a request that is told its route does not exist because this VM
+// has not fetched a document yet.
+func TestNoDocumentIsKnownYet(t *testing.T) {
+	is := is.New(t)
+	w := newHarness(t)
+	w.view = View{Index: document.NewIndex(&document.Document{}), Region: "near"}
+	got := w.keyed("GET", "/look", "")
+	is.Equal(got.status, 503)
+	is.True(strings.Contains(got.body, "view_stale"))
+	is.True(strings.Contains(got.body, "not_run"))
+}
