Add metrics and the steering status of the entry daemon

Metrics are read when they are collected and cost nothing on the path of a request. GET /v1/steering at the admin listener shows drains and upstreams. Messages of net/http become JSON log lines, and OPTIONS * is no longer answered by net/http itself.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -19,6 +19,7 @@
 	"pistachiomount.example/pistachiomount/membership"
 	"pistachiomount.example/pistachiomount/platform"
 	"pistachiomount.example/pistachiomount/steering"
+	"pistachiomount.example/pistachiomount/telemetry"
 	"pistachiomount.example/pistachiomount/transport"
 )
 
@@ -105,7 +106,7 @@
 		services: d.servicesForJobs, run: d.forwarder.RunJob, random: rand.Uint64,
 		active: make(chan struct{}, 1),
 	}
-	return d, nil
+	return d, errors.Trace(registerGauges(cfg.Meter, d))
 }
 
 func hashOf(name string) uint64 {
@@ -187,6 +188,9 @@
 	return &http.Server{
 		Handler: d.counted(mux), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog:       telemetry.ServerLog(d.cfg.Log),
+		// OPTIONS * is refused like any other unknown target.
+		DisableGeneralOptionsHandler: true,
 	}
 }
 
@@ -207,7 +211,11 @@
 	for path, handler := range d.cfg.AdminHandlers {
 		mux.Handle(path, handler, http.MethodGet)
 	}
-	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	mux.HandleFunc("/v1/steering", d.serveSteering, http.MethodGet)
+	return &http.Server{
+		Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		ErrorLog: telemetry.ServerLog(d.cfg.Log), DisableGeneralOptionsHandler: true,
+	}
 }
 
 func (d *Daemon) customerWeight(name string) float64 {
--- a/entry/grants.go
+++ b/entry/grants.go
@@ -67,3 +67,21 @@
 	g.regions.remove(k)
 	g.holder.Forget(grant.RegionID(k.region, k.service))
 }
+
+// held counts the resources with a valid grant by kind.
+func (g *grants) held() map[string]int {
+	return map[string]int{
+		"customer": heldRates(&g.customers), "region": heldRates(&g.regions), "link": heldRates(&g.links),
+		"slots": g.slots.held(), "conns": g.conns.held(),
+	}
+}
+
+func heldRates[K comparable](m *cowMap[K, *grant.Bucket]) int {
+	n := 0
+	for _, key := range m.keys() {
+		if b, ok := m.load(key); ok && b.Depth() > 0 {
+			n++
+		}
+	}
+	return n
+}
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -30,6 +31,8 @@
 	pending uint64
 	// active holds one element while a job runs, and for good once closed.
 	active chan struct{}
+
+	ended, requeued, unknown atomic.Uint64
 }
 
 // jobResult is how one look for a job ended.
@@ -97,7 +100,20 @@
 		return jobNone
 	}
 	outcome, err := r.run(ctx, job)
-	return r.finish(job, attempt, outcome, err)
+	result := r.finish(job, attempt, outcome, err)
+	r.count(result, err)
+	return result
+}
+
+func (r *jobRunner) count(result jobResult, err error) {
+	switch {
+	case result == jobRequeued:
+		r.requeued.Add(1)
+	case err != nil:
+		r.unknown.Add(1)
+	default:
+		r.ended.Add(1)
+	}
 }
 
 // start takes a job under an attempt id that no other start has used.
--- a/entry/renewer.go
+++ b/entry/renewer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -29,6 +30,7 @@
 	turn         chan struct{}
 	fleetVersion uint64
 	failing      bool
+	failed       atomic.Uint64 // renewals
 }
 
 // run renews until the context ends.
@@ -76,6 +78,14 @@
 
 // renew asks the leader once. An error makes the next renewal ask another.
 func (r *renewer) renew(ctx context.Context) error {
+	err := r.ask(ctx)
+	if err != nil {
+		r.failed.Add(1)
+	}
+	return err
+}
+
+func (r *renewer) ask(ctx context.Context) error {
 	r.turn <- struct{}{}
 	defer func() { <-r.turn }()
 	client, address, err := r.controls.leaderClient()
--- /dev/null
+++ b/entry/steering_status.go
@@ -0,0 +1,57 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"pistachiomount.example/pistachiomount/steering"
+)
+
+// steeringStatus is the answer of GET /v1/steering.
+type steeringStatus struct {
+	Drains    []drainStatus    `json:"drains"`
+	Upstreams []upstreamStatus `json:"upstreams"`
+}
+
+type drainStatus struct {
+	Service     string  `json:"service"`
+	Region      string  `json:"region"`
+	Upstream    string  `json:"upstream,omitempty"` // empty: the whole region
+	ShareBefore float64 `json:"share_before"`
+	ShareNow    float64 `json:"share_now"`
+	Remaining   float64 `json:"remaining"`
+	InFlight    int     `json:"in_flight"`
+}
+
+type upstreamStatus struct {
+	ID                string       `json:"id"`
+	Service           string       `json:"service"`
+	Region            string       `json:"region"`
+	Use               steering.Use `json:"use"`
+	InFlight          int          `json:"in_flight"`
+	RequestsPerSecond float64      `json:"requests_per_second"`
+	LatencyMS         float64      `json:"latency_ms"`
+	Failures          int          `json:"failures"`
+	EjectedForMS      int64        `json:"ejected_for_ms"`
+}
+
+// serveSteering answers an operator who follows a drain or looks for an upstream.
+func (d *Daemon) serveSteering(w http.ResponseWriter, _ *http.Request) {
+	out := steeringStatus{Drains: []drainStatus{}, Upstreams: []upstreamStatus{}}
+	for _, s := range d.steerer.Drains() {
+		out.Drains = append(out.Drains, drainStatus{
+			Service: s.Service, Region: s.Region, Upstream: s.Upstream, ShareBefore: s.ShareBefore,
+			ShareNow: s.ShareNow, Remaining: s.Remaining(), InFlight: s.InFlight,
+		})
+	}
+	for _, s := range d.steerer.UpstreamStatuses() {
+		out.Upstreams = append(out.Upstreams, upstreamStatus{
+			ID: s.Upstream.ID, Service: s.Upstream.Service, Region: s.Upstream.Region, Use: s.Use,
+			InFlight: s.InFlight, RequestsPerSecond: s.RequestsPerSecond,
+			LatencyMS: float64(s.Latency.Microseconds()) / 1000, Failures: s.Failures,
+			EjectedForMS: s.EjectedFor.Milliseconds(),
+		})
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(out) // an error here means that the client has gone
+}
--- a/entry/upstream_units.go
+++ b/entry/upstream_units.go
@@ -46,3 +46,16 @@
 		m.left.remove(upstream)
 	}
 }
+
+// held counts the upstreams of which units are granted.
+func (m *upstreamUnits) held() int {
+	n := 0
+	for _, upstream := range m.live.keys() {
+		if u, ok := m.live.load(upstream); ok {
+			if _, granted := u.InUse(); granted > 0 {
+				n++
+			}
+		}
+	}
+	return n
+}
--- a/entry/view_keeper.go
+++ b/entry/view_keeper.go
@@ -27,6 +27,7 @@
 
 	current atomic.Pointer[view]
 	failing string
+	failed  atomic.Uint64 // polls
 	decoder document.Decoder
 	// wantWhole asks for the whole document because the last answer did not fit
 	// to what is in force here. Another delta would fail in the same way.
@@ -52,6 +53,7 @@
 		if ctx.Err() != nil {
 			return
 		}
+		k.failed.Add(1)
 		k.report(address, err)
 		k.controls.rotate(address)
 		pause(ctx, retryPause)
