--- a/entry/applying.go
+++ b/entry/applying.go
@@ -152,8 +152,7 @@
 	}
 }
 
-// runTicks moves ramps and estimates, takes in grants, and ends what a stale
-// view no longer allows.
+// runTicks ticks until the context ends.
 func (d *Daemon) runTicks(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -163,17 +162,23 @@
 			return
 		case <-ticker.C:
 		}
-		d.steerer.Tick()
-		for _, load := range d.steerer.MeasuredLoads() {
-			d.steerer.ReportRegion(load)
-		}
-		for _, target := range d.steerer.ProbesDue() {
-			d.probing.store(target.Upstream().ID, target)
-		}
-		d.queue.refresh()
-		if view := d.View(); !view.Fresh {
-			d.forwarder.Revalidate(view)
-		}
+		d.tick()
+	}
+}
+
+// tick moves ramps and estimates, takes in grants, and ends what a stale view no
+// longer allows.
+func (d *Daemon) tick() {
+	d.steerer.Tick()
+	for _, load := range d.steerer.MeasuredLoads() {
+		d.steerer.ReportRegion(load)
+	}
+	for _, target := range d.steerer.ProbesDue() {
+		d.probing.store(target.Upstream().ID, target)
+	}
+	d.queue.refresh()
+	if view := d.View(); !view.Fresh {
+		d.forwarder.Revalidate(view)
 	}
 }
 
