--- a/control/observer.go
+++ b/control/observer.go
@@ -12,7 +12,7 @@
 	"pistachiomount.example/pistachiomount/apipb"
 )
 
-// Names of attributes and counted results.
+// Names of attributes.
 const (
 	attributeEnvironment = "environment"
 	attributeResult      = "result"
