--- a/grant/bench_test.go
+++ b/grant/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -24,6 +25,28 @@
 	return caps
 }
 
+// changeDemand lists all positions again, with random demand.
+func changeDemand(req *apipb.RenewRequest, entries []entry, rng *rand.Rand) {
+	reports, ok := readReports(req, positionsOf(entries), nil)
+	if !ok {
+		panic("columns do not fit the request")
+	}
+	req.Runs, req.HeldRate, req.HeldDepth, req.Demand = nil, nil, nil, nil
+	req.HeldUnits, req.UsedUnits, req.WantedUnits = nil, nil, nil
+	for i, r := range reports {
+		r.demand = 10 * rng.Float64()
+		writeReport(req, entries[i].kind(), r)
+	}
+}
+
+func positionsOf(entries []entry) *layout {
+	l := new(layout)
+	for _, e := range entries {
+		l.positions = append(l.positions, position{kind: e.kind()})
+	}
+	return l
+}
+
 // BenchmarkRenew measures one renewal at the owner with 90 resources; demand of
 // each holder changes with each renewal.
 func BenchmarkRenew(b *testing.B) {
@@ -41,9 +64,7 @@
 				h := w.holders[i%holders].holder
 				owner.clock.Advance(gap)
 				req := h.BuildRequest()
-				for _, need := range req.Needs {
-					need.Demand = 10 * w.rng.Float64()
-				}
+				changeDemand(req, h.entries, w.rng)
 				return h, req
 			}
 			for i := range 3 * holders {
--- a/grant/bucket.go
+++ b/grant/bucket.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"pistachiomount.example/pistachiomount/apipb"
 	"pistachiomount.example/pistachiomount/clock"
 )
 
@@ -28,7 +27,6 @@
 	epoch    uint64 // counts the times the bucket was emptied by expiry
 	demand   meter
 	early    earlyTrigger
-	asked    uint64 // sequence of the last request that reported this bucket
 	closed   bool
 }
 
@@ -144,34 +142,26 @@
 	b.leased, b.rate, b.depth, b.tokens = false, 0, 0, 0
 }
 
-// report describes the bucket for the request with the given sequence.
-func (b *Bucket) report(now clock.Instant, sequence uint64) *apipb.Need {
+// report describes the bucket for a request.
+func (b *Bucket) report(now clock.Instant) report {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.expire(now)
 	b.early.asked(now, b.rate)
-	b.asked = sequence
-	return &apipb.Need{
-		Resource: string(b.resource), Kind: apipb.ResourceKind_RESOURCE_KIND_RATE,
-		HeldRate: b.rate, HeldDepth: b.depth, Demand: b.demand.roll(now),
-	}
+	return report{held: portion{rate: b.rate, depth: b.depth}, demand: b.demand.roll(now)}
 }
 
 // apply puts a share in force. Depth that is new to the bucket starts empty.
-func (b *Bucket) apply(now clock.Instant, sequence uint64, share *apipb.Share, leaseEnd clock.Instant) {
+func (b *Bucket) apply(now clock.Instant, share portion, leaseEnd clock.Instant) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.asked != sequence {
-		return
-	}
 	b.expire(now)
 	if b.closed {
 		return
 	}
 	b.fill(now)
-	rate := amount(share.GetRate())
-	b.early.answered(rate, b.rate)
-	b.rate, b.depth = rate, amount(share.GetDepth())
+	b.early.answered(share.rate, b.rate)
+	b.rate, b.depth = share.rate, share.depth
 	b.tokens = min(b.tokens, b.depth)
 	b.filled, b.leaseEnd, b.leased = now, leaseEnd, true
 }
--- a/grant/directed_test.go
+++ b/grant/directed_test.go
@@ -80,7 +80,9 @@
 	is.NoErr(exchange(h, o))
 	is.True(u.TryAcquire())
 	c.SetWall(DefaultLease)
-	is.Equal(h.BuildRequest().GetNeeds()[0].GetHeldRate(), 0.0)
+	reports, ok := readReports(h.BuildRequest(), &o.order[0].layout, nil)
+	is.True(ok)
+	is.Equal(reports[0].held.rate, 0.0)
 	c.SetWall(-DefaultLease)
 	is.True(!u.TryAcquire())
 	is.Equal(b.Depth(), 0.0)
@@ -98,8 +100,9 @@
 	is.True(u.TryAcquire())
 	other, _, _ := directedHolder(&ownerClock, "b")
 	reply := o.Renew(other.BuildRequest(), true)
-	is.Equal(reply.GetShares()[0].GetRate(), 0.0)
-	is.Equal(reply.GetShares()[1].GetUnits(), uint32(0))
+	shares, ok := readShares(reply, other.entries)
+	is.True(ok)
+	is.Equal(shares, make([]portion, 2))
 }
 
 // Guards against replies of an owner that was replaced, against a second use of
@@ -110,7 +113,7 @@
 	first, second := directedOwner(&c, 1), directedOwner(&c, 2)
 	h, _, _ := directedHolder(&c, "a")
 	refusal := first.Renew(h.BuildRequest(), false)
-	is.Equal(len(refusal.GetShares())+len(first.members), 0)
+	is.Equal(len(refusal.GetRuns())+len(first.members), 0)
 	is.Equal(h.Accept(refusal), ErrNotLeader)
 	early := first.Renew(h.BuildRequest(), true)
 	reply := second.Renew(h.BuildRequest(), true)
--- a/grant/holder.go
+++ b/grant/holder.go
@@ -37,6 +37,12 @@
 	acceptedSequence uint64
 	acceptedTerm     uint64
 	stopped          bool
+
+	entries      []entry // of the most recent request
+	layoutNumber uint64  // of the list of entries
+	// layoutKnown says that an owner processed a request with this list. A request
+	// without the names is then answered, or refused by an owner that lacks them.
+	layoutKnown bool
 }
 
 // NewHolder returns a holder without grants.
@@ -45,6 +51,8 @@
 		cfg: cfg, clock: c,
 		buckets: map[ResourceID]*Bucket{},
 		units:   map[ResourceID]*Units{},
+
+		layoutNumber: 1,
 	}
 }
 
@@ -173,33 +181,35 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.clock.Now()
+	h.layoutKnown = h.layoutKnown && h.answered
 	h.sequence++
 	h.sentAt, h.answered, h.refused = now, false, false
 	for _, id := range slices.Clone(h.order) {
 		h.prune(id)
 	}
-	return &apipb.RenewRequest{
+	req := &apipb.RenewRequest{
 		Environment: h.cfg.Environment,
 		Vm:          &apipb.Vm{Name: h.cfg.VM, Incarnation: h.cfg.Incarnation},
 		Sequence:    h.sequence, AcceptedSequence: h.acceptedSequence,
-		AcceptedTerm: h.acceptedTerm, Needs: h.needs(now), HandingBack: h.stopped,
+		AcceptedTerm: h.acceptedTerm, HandingBack: h.stopped, Weight: h.cfg.Weight,
 	}
+	h.describe(req, now)
+	return req
 }
 
-func (h *Holder) needs(now clock.Instant) []*apipb.Need {
-	needs := make([]*apipb.Need, 0, len(h.order))
-	for _, id := range h.order {
-		if b := h.buckets[id]; b != nil {
-			needs = append(needs, b.report(now, h.sequence))
-		}
-		if u := h.units[id]; u != nil {
-			needs = append(needs, u.report(now, h.sequence))
-		}
+// describe fills in the columns, and the layout unless the owner knows it.
+func (h *Holder) describe(req *apipb.RenewRequest, now clock.Instant) {
+	h.lineUp()
+	req.LayoutNumber = h.layoutNumber
+	if !h.layoutKnown {
+		req.Layout = h.layoutNames()
 	}
-	for _, n := range needs {
-		n.Weight = h.cfg.Weight
+	for i := range h.entries {
+		e := &h.entries[i]
+		r := e.report(now)
+		e.held = r.held
+		writeReport(req, e.kind(), r)
 	}
-	return needs
 }
 
 // Accept puts the shares of a reply in force. It rejects replies that do not
@@ -210,17 +220,21 @@
 	defer h.mu.Unlock()
 	now := h.clock.Now()
 	if err := h.check(reply); err != nil {
-		h.refused = h.refused || err == ErrNotLeader
+		h.refused = h.refused || err == ErrNotLeader || err == ErrUnknownLayout
 		return err
 	}
-	h.answered, h.term = true, reply.GetTerm()
+	shares, ok := readShares(reply, h.entries)
+	if !ok {
+		return ErrMalformedReply
+	}
+	h.answered, h.layoutKnown, h.term = true, true, reply.GetTerm()
 	leaseEnd := h.sentAt.Add(time.Duration(reply.GetLeaseMs()) * time.Millisecond)
 	if !now.Before(leaseEnd) {
 		return ErrLeaseOver
 	}
 	h.acceptedSequence, h.acceptedTerm = reply.GetSequence(), reply.GetTerm()
-	for _, share := range reply.GetShares() {
-		h.apply(now, share, leaseEnd)
+	for i, e := range h.entries {
+		e.apply(now, shares[i], leaseEnd)
 	}
 	return nil
 }
@@ -235,19 +249,8 @@
 		return ErrNotLeader
 	case reply.GetStaleIncarnation():
 		return ErrStaleIncarnation
+	case reply.GetUnknownLayout():
+		return ErrUnknownLayout
 	}
 	return nil
 }
-
-func (h *Holder) apply(now clock.Instant, share *apipb.Share, leaseEnd clock.Instant) {
-	id := ResourceID(share.GetResource())
-	if share.GetKind() == apipb.ResourceKind_RESOURCE_KIND_UNITS {
-		if u := h.units[id]; u != nil {
-			u.apply(now, h.sequence, share, leaseEnd)
-		}
-		return
-	}
-	if b := h.buckets[id]; b != nil {
-		b.apply(now, h.sequence, share, leaseEnd)
-	}
-}
--- a/grant/holding.go
+++ b/grant/holding.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 
-	"pistachiomount.example/pistachiomount/apipb"
 	"pistachiomount.example/pistachiomount/clock"
 )
 
@@ -21,6 +20,7 @@
 	member                 *member
 	pool                   *pool
 	poolIndex, memberIndex int
+	removed                bool
 
 	sequence uint64  // of the request that reported it last
 	held     portion // in force when that request was sent
@@ -62,6 +62,7 @@
 // reportFacts is what the owner knows about a request as a whole.
 type reportFacts struct {
 	sequence uint64
+	weight   float64
 	// acknowledged says that the last reply is in force at the holder.
 	acknowledged bool
 	// trusted says that grants of an earlier term may be reported.
@@ -72,23 +73,20 @@
 // settle records a report. The holder sent it after all replies issued before,
 // and accepts only the reply to it from now on; so what was issued but is not
 // reported as held can never come into force.
-func (h *holding) settle(need *apipb.Need, facts reportFacts) {
-	reported := portion{
-		rate: amount(need.GetHeldRate()), depth: amount(need.GetHeldDepth()), units: need.GetHeldUnits(),
-	}
+func (h *holding) settle(r report, facts reportFacts) {
 	h.change(func() {
-		h.held = h.inForce(reported, facts)
+		h.held = h.inForce(r.held, facts)
 		h.issued = portion{}
-		h.used = need.GetUsedUnits()
+		h.used = r.used
 		// Without a grant in force the units in use are exactly those reported.
 		// Otherwise the request was sent before the lease lapsed and the units
 		// may have been taken after that.
-		if h.quarantine > 0 && (reported.units == 0 || !facts.quarantined(h)) {
+		if h.quarantine > 0 && (r.held.units == 0 || !facts.quarantined(h)) {
 			h.quarantine = 0
 		}
 	})
 	h.sequence = facts.sequence
-	h.setDemand(amount(need.GetDemand()), amount(need.GetWeight()))
+	h.setDemand(r.demand, facts.weight)
 }
 
 // inForce limits a report to what this owner knows that the holder can have. A
--- a/grant/member.go
+++ b/grant/member.go
@@ -17,6 +17,7 @@
 	handingBack bool
 	holdings    map[ResourceID]*holding
 	order       []*holding
+	layout      layout
 }
 
 func (m *member) add(p *pool) *holding {
@@ -37,6 +38,7 @@
 	p.holdings[len(p.holdings)-1] = nil
 	p.holdings = p.holdings[:len(p.holdings)-1]
 	p.dirty = true
+	h.removed = true
 
 	tail := m.order[len(m.order)-1]
 	m.order[h.memberIndex], tail.memberIndex = tail, h.memberIndex
--- a/grant/owner.go
+++ b/grant/owner.go
@@ -37,6 +37,7 @@
 	order   []*member
 	latest  map[string]uint64 // highest incarnation of each VM in members
 	swept   clock.Instant
+	reports []report // of the current request
 }
 
 // NewOwner returns the owner of a term that begins now.
@@ -106,7 +107,7 @@
 	}
 	o.settle(m, req, now)
 	reply.LeaseMs = uint32(o.cfg.Lease / time.Millisecond)
-	reply.Shares = o.issue(m, req, now)
+	o.issue(m, reply, now)
 	m.sequence, m.received = req.GetSequence(), now
 	return reply
 }
@@ -130,6 +131,14 @@
 		o.order = append(o.order, m)
 		o.latest[key.vm] = key.incarnation
 	}
+	var ok bool
+	if ok = m.layout.learn(req); ok {
+		o.reports, ok = readReports(req, &m.layout, o.reports[:0])
+	}
+	if !ok {
+		reply.UnknownLayout = true
+		return nil
+	}
 	m.live, m.handingBack = true, req.GetHandingBack()
 	return m
 }
@@ -140,11 +149,12 @@
 		acknowledged: req.GetAcceptedTerm() == o.cfg.Term && req.GetAcceptedSequence() == m.sequence,
 		trusted:      o.waiting(now) && req.GetAcceptedTerm() < o.cfg.Term,
 		sequence:     req.GetSequence(),
+		weight:       amount(req.GetWeight()),
 		quarantined:  func(h *holding) bool { return !passed(now, h.quarantinedAt, withMargin(o.cfg.Quarantine)) },
 	}
-	for _, need := range req.GetNeeds() {
-		if h := o.holdingOf(m, need); h != nil && h.sequence != facts.sequence {
-			h.settle(need, facts)
+	for i := range m.layout.positions {
+		if h := o.holdingAt(m, &m.layout.positions[i]); h != nil && h.sequence != facts.sequence {
+			h.settle(o.reports[i], facts)
 		}
 	}
 	// A report is complete: what it omits is not held any more.
@@ -155,39 +165,36 @@
 	}
 }
 
-func (o *Owner) holdingOf(m *member, need *apipb.Need) *holding {
-	id := ResourceID(need.GetResource())
-	if h := m.holdings[id]; h != nil {
-		if h.pool.cap.Kind != need.GetKind() {
+// holdingAt finds or adds the holding of a position. It returns nil for a
+// resource without a cap of this kind.
+func (o *Owner) holdingAt(m *member, at *position) *holding {
+	if at.holding == nil || at.holding.removed {
+		at.holding = m.holdings[at.id]
+		if p := o.pools[at.id]; at.holding == nil && p != nil && p.cap.Kind == at.kind {
+			at.holding = m.add(p)
+		}
+		if at.holding == nil || at.holding.pool.cap.Kind != at.kind {
+			at.holding = nil
 			return nil
 		}
-		return h
+		at.id = at.holding.pool.cap.Resource // one copy of the name for all members
 	}
-	p := o.pools[id]
-	if p == nil || p.cap.Kind != need.GetKind() {
-		return nil
-	}
-	return m.add(p)
+	return at.holding
 }
 
-// issue decides the shares of all needs.
-func (o *Owner) issue(m *member, req *apipb.RenewRequest, now clock.Instant) []*apipb.Share {
+// issue decides the shares of all positions.
+func (o *Owner) issue(m *member, reply *apipb.RenewReply, now clock.Instant) {
 	waiting := o.waiting(now)
-	rows := make([]apipb.Share, len(req.GetNeeds()))
-	shares := make([]*apipb.Share, len(rows))
-	for i, need := range req.GetNeeds() {
-		share := &rows[i]
-		share.Resource, share.Kind = need.GetResource(), need.GetKind()
-		shares[i] = share
-		h := m.holdings[ResourceID(need.GetResource())]
-		if h == nil || h.pool.cap.Kind != need.GetKind() {
-			continue
+	for i := range m.layout.positions {
+		at := &m.layout.positions[i]
+		var next portion
+		if h := at.holding; h != nil {
+			next = o.next(h, now, waiting)
+			next.rate, next.depth = roundDown(next.rate), roundDown(next.depth)
+			h.change(func() { h.issued = next })
 		}
-		next := o.next(h, now, waiting)
-		h.change(func() { h.issued = next })
-		share.Rate, share.Depth, share.Units = next.rate, next.depth, next.units
+		writeShare(reply, at.kind, o.reports[i].held, next)
 	}
-	return shares
 }
 
 func (o *Owner) next(h *holding, now clock.Instant, waiting bool) portion {
--- a/grant/pool.go
+++ b/grant/pool.go
@@ -144,12 +144,13 @@
 	return next
 }
 
-// within keeps the present value if it is close to the target.
+// within keeps the present value if it is close to the target, which is rounded
+// to the precision of shares here; what is free and roundDown still limit it.
 func within(present, target, band float64, tight bool) float64 {
 	if !tight && present > 0 && max(present, target)*(1-band) <= min(present, target) {
 		return present
 	}
-	return target
+	return float64(float32(target))
 }
 
 // planIfDue divides the cap anew if something changed since the last plan.
--- /dev/null
+++ b/grant/report.go
@@ -0,0 +1,103 @@
+package grant
+
+import (
+	"math"
+
+	"pistachiomount.example/pistachiomount/apipb"
+)
+
+// wantedScale is the number of steps of a wanted unit on the wire.
+const wantedScale = 16
+
+// report is what a holder reports of one position of its layout.
+type report struct {
+	held   portion
+	used   uint32
+	demand float64
+}
+
+// writeReport adds the next position to the columns of a request. What is held
+// came from a float32 and is written exactly.
+func writeReport(req *apipb.RenewRequest, kind apipb.ResourceKind, r report) {
+	listed := r != report{}
+	req.Runs = appendRun(req.Runs, listed)
+	switch {
+	case !listed:
+	case kind == apipb.ResourceKind_RESOURCE_KIND_UNITS:
+		req.HeldUnits = append(req.HeldUnits, r.held.units)
+		req.UsedUnits = append(req.UsedUnits, r.used)
+		wanted := min(math.Ceil(r.demand*wantedScale), math.MaxUint32)
+		req.WantedUnits = append(req.WantedUnits, uint32(wanted))
+	default:
+		req.HeldRate = append(req.HeldRate, float32(r.held.rate))
+		req.HeldDepth = append(req.HeldDepth, float32(r.held.depth))
+		req.Demand = append(req.Demand, float32(r.demand))
+	}
+}
+
+// readReports appends one report for each position of the layout. It returns
+// false if the columns do not fit the layout.
+func readReports(req *apipb.RenewRequest, l *layout, reports []report) ([]report, bool) {
+	in := newRunReader(req.GetRuns())
+	rate, depth, demand := column(req.GetHeldRate()), column(req.GetHeldDepth()), column(req.GetDemand())
+	held, used, wanted := column(req.GetHeldUnits()), column(req.GetUsedUnits()), column(req.GetWantedUnits())
+	for i := range l.positions {
+		var r report
+		switch {
+		case !in.next():
+		case l.positions[i].kind == apipb.ResourceKind_RESOURCE_KIND_UNITS:
+			r.held.units, r.used = held.next(), used.next()
+			r.demand = float64(wanted.next()) / wantedScale
+		default:
+			r.held.rate, r.held.depth = amount(float64(rate.next())), amount(float64(depth.next()))
+			r.demand = amount(float64(demand.next()))
+		}
+		reports = append(reports, r)
+	}
+	return reports, in.done() && rate.done() && depth.done() && demand.done() &&
+		held.done() && used.done() && wanted.done()
+}
+
+// writeShare adds the next position to the columns of a reply. A share that
+// equals what was reported as held is left out.
+func writeShare(reply *apipb.RenewReply, kind apipb.ResourceKind, held, share portion) {
+	listed := held != share
+	reply.Runs = appendRun(reply.Runs, listed)
+	switch {
+	case !listed:
+	case kind == apipb.ResourceKind_RESOURCE_KIND_UNITS:
+		reply.Units = append(reply.Units, share.units)
+	default:
+		reply.Rate = append(reply.Rate, float32(share.rate))
+		reply.Depth = append(reply.Depth, float32(share.depth))
+	}
+}
+
+// readShares returns one share for each entry of the request that is answered.
+// It returns false if the columns do not fit these.
+func readShares(reply *apipb.RenewReply, entries []entry) ([]portion, bool) {
+	in := newRunReader(reply.GetRuns())
+	rate, depth, units := column(reply.GetRate()), column(reply.GetDepth()), column(reply.GetUnits())
+	shares := make([]portion, len(entries))
+	for i, e := range entries {
+		switch {
+		case !in.next():
+			shares[i] = e.held
+		case e.units != nil:
+			shares[i].units = units.next()
+		default:
+			shares[i].rate, shares[i].depth = amount(float64(rate.next())), amount(float64(depth.next()))
+		}
+	}
+	return shares, in.done() && rate.done() && depth.done() && units.done()
+}
+
+// roundDown returns the largest float32 up to v, so that the amount counted is
+// exactly the one that the holder puts in force, and no sum exceeds its cap.
+func roundDown(v float64) float64 {
+	f := float32(v)
+	if float64(f) > v {
+		f = math.Nextafter32(f, 0)
+	}
+	return float64(f)
+}
--- /dev/null
+++ b/grant/runs.go
@@ -0,0 +1,59 @@
+package grant
+
+// appendRun adds a position to the lengths of runs that are listed and left out
+// by turns, the first one listed.
+func appendRun(runs []uint32, listed bool) []uint32 {
+	lastListed := len(runs)%2 == 1
+	switch {
+	case len(runs) == 0 && !listed:
+		return append(runs, 0, 1)
+	case len(runs) > 0 && lastListed == listed:
+		runs[len(runs)-1]++
+		return runs
+	}
+	return append(runs, 1)
+}
+
+// runReader reads what appendRun wrote, position by position.
+type runReader struct {
+	runs   []uint32
+	left   uint32
+	listed bool
+}
+
+func newRunReader(runs []uint32) runReader { return runReader{runs: runs} }
+
+// next reports whether the next position is listed.
+func (r *runReader) next() bool {
+	for r.left == 0 {
+		if len(r.runs) == 0 {
+			return false
+		}
+		r.left, r.runs, r.listed = r.runs[0], r.runs[1:], !r.listed
+	}
+	r.left--
+	return r.listed
+}
+
+// done reports whether no position follows.
+func (r *runReader) done() bool { return r.left == 0 && len(r.runs) == 0 }
+
+// columnReader reads the values of one column.
+type columnReader[T any] struct {
+	values []T
+	short  bool // a value was missing
+}
+
+func column[T any](values []T) columnReader[T] { return columnReader[T]{values: values} }
+
+func (c *columnReader[T]) next() (v T) {
+	if len(c.values) == 0 {
+		c.short = true
+		return v
+	}
+	v, c.values = c.values[0], c.values[1:]
+	return v
+}
+
+// done reports whether there were exactly as many values as read.
+func (c *columnReader[T]) done() bool { return !c.short && len(c.values) == 0 }
--- a/grant/units.go
+++ b/grant/units.go
@@ -4,7 +4,6 @@
 	"math"
 	"sync"
 
-	"pistachiomount.example/pistachiomount/apipb"
 	"pistachiomount.example/pistachiomount/clock"
 )
 
@@ -23,7 +22,6 @@
 	leaseEnd clock.Instant
 	leased   bool
 	early    earlyTrigger
-	asked    uint64
 	closed   bool
 }
 
@@ -76,16 +74,12 @@
 	}
 }
 
-func (u *Units) report(now clock.Instant, sequence uint64) *apipb.Need {
+func (u *Units) report(now clock.Instant) report {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.expire(now)
 	u.early.asked(now, float64(u.granted))
-	u.asked = sequence
-	return &apipb.Need{
-		Resource: string(u.resource), Kind: apipb.ResourceKind_RESOURCE_KIND_UNITS,
-		HeldUnits: u.granted, UsedUnits: u.used, Demand: u.rollDemand(now),
-	}
+	return report{held: portion{units: u.granted}, used: u.used, demand: u.rollDemand(now)}
 }
 
 // rollDemand returns the units wanted: the peak use, half as much again after a
@@ -104,18 +98,15 @@
 	return u.want
 }
 
-func (u *Units) apply(now clock.Instant, sequence uint64, share *apipb.Share, leaseEnd clock.Instant) {
+func (u *Units) apply(now clock.Instant, share portion, leaseEnd clock.Instant) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.asked != sequence {
-		return
-	}
 	u.expire(now)
 	if u.closed {
 		return
 	}
-	u.early.answered(float64(share.GetUnits()), float64(u.granted))
-	u.granted, u.leaseEnd, u.leased = share.GetUnits(), leaseEnd, true
+	u.early.answered(float64(share.units), float64(u.granted))
+	u.granted, u.leaseEnd, u.leased = share.units, leaseEnd, true
 }
 
 func (u *Units) handBack() {
