--- a/grant/bench_test.go
+++ b/grant/bench_test.go
@@ -31,18 +31,18 @@
 	if !ok {
 		panic("columns do not fit the request")
 	}
-	req.Runs, req.HeldRate, req.HeldDepth, req.Demand = nil, nil, nil, nil
-	req.HeldUnits, req.UsedUnits, req.WantedUnits = nil, nil, nil
+	req.HeldRuns, req.HeldRate, req.HeldDepth, req.HeldUnits = nil, nil, nil, nil
+	req.UseRuns, req.Demand, req.UsedUnits, req.WantedUnits = nil, nil, nil, nil
 	for i, r := range reports {
 		r.demand = 10 * rng.Float64()
-		writeReport(req, entries[i].kind(), r)
+		writeReport(req, entries[i].kind(), r, entries[i].granted)
 	}
 }
 
 func positionsOf(entries []entry) *layout {
 	l := new(layout)
 	for _, e := range entries {
-		l.positions = append(l.positions, position{kind: e.kind()})
+		l.positions = append(l.positions, position{kind: e.kind(), granted: e.granted})
 	}
 	return l
 }
--- a/grant/entry.go
+++ b/grant/entry.go
@@ -8,11 +8,11 @@
 )
 
 // entry is one position of the most recent request: a bucket or units, and what
-// was reported as held.
+// was reported as held and then granted.
 type entry struct {
-	bucket *Bucket
-	units  *Units
-	held   portion
+	bucket        *Bucket
+	units         *Units
+	held, granted portion
 }
 
 func (e entry) kind() apipb.ResourceKind {
@@ -39,10 +39,9 @@
 
 func (e entry) same(o entry) bool { return e.bucket == o.bucket && e.units == o.units }
 
-// lineUp lists the buckets and then the units. It numbers the list anew if it
-// differs from that of the request before, so that a number always stands for the
-// same names.
-func (h *Holder) lineUp() {
+// lineUp lists the buckets and then the units. It reports whether the list is that
+// of the request before; if not, it gets another number.
+func (h *Holder) lineUp() bool {
 	entries := make([]entry, 0, len(h.entries))
 	for _, id := range h.order {
 		if b := h.buckets[id]; b != nil {
@@ -54,11 +53,12 @@
 			entries = append(entries, entry{units: u})
 		}
 	}
-	if !slices.EqualFunc(entries, h.entries, entry.same) {
-		h.layoutNumber++
-		h.layoutKnown = false
+	if slices.EqualFunc(entries, h.entries, entry.same) {
+		return true
 	}
+	h.layoutNumber++
 	h.entries = entries
+	return false
 }
 
 // layoutNames returns the names of the list.
--- a/grant/errors.go
+++ b/grant/errors.go
@@ -14,9 +14,9 @@
 	ErrNotLeader = errors.ConstError("not the grant owner")
 	// ErrStaleIncarnation says that a newer process of this VM has renewed.
 	ErrStaleIncarnation = errors.ConstError("a newer incarnation of this VM has renewed")
-	// ErrUnknownLayout says that the owner needs the names of the resources,
-	// which the next request contains.
-	ErrUnknownLayout = errors.ConstError("the grant owner does not know the layout of this request")
+	// ErrFullRequestNeeded says that the owner did not process the request before
+	// this one. The next request is full.
+	ErrFullRequestNeeded = errors.ConstError("the grant owner needs a full request")
 	// ErrMalformedReply says that the shares of a reply do not fit its request.
 	ErrMalformedReply = errors.ConstError("shares do not fit the request")
 )
--- a/grant/holder.go
+++ b/grant/holder.go
@@ -40,9 +40,6 @@
 
 	entries      []entry // of the most recent request
 	layoutNumber uint64  // of the list of entries
-	// layoutKnown says that an owner processed a request with this list. A request
-	// without the names is then answered, or refused by an owner that lacks them.
-	layoutKnown bool
 }
 
 // NewHolder returns a holder without grants.
@@ -181,7 +178,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.clock.Now()
-	h.layoutKnown = h.layoutKnown && h.answered
+	follows := h.answered && h.acceptedSequence == h.sequence
 	h.sequence++
 	h.sentAt, h.answered, h.refused = now, false, false
 	for _, id := range slices.Clone(h.order) {
@@ -193,22 +190,26 @@
 		Sequence:    h.sequence, AcceptedSequence: h.acceptedSequence,
 		AcceptedTerm: h.acceptedTerm, HandingBack: h.stopped, Weight: h.cfg.Weight,
 	}
-	h.describe(req, now)
+	h.describe(req, now, follows)
 	return req
 }
 
-// describe fills in the columns, and the layout unless the owner knows it.
-func (h *Holder) describe(req *apipb.RenewRequest, now clock.Instant) {
-	h.lineUp()
+// describe fills in the columns. The request is brief if it follows an accepted
+// reply to the same list; whether the owner is that of the reply, it checks itself.
+func (h *Holder) describe(req *apipb.RenewRequest, now clock.Instant, follows bool) {
+	brief := h.lineUp() && follows
 	req.LayoutNumber = h.layoutNumber
-	if !h.layoutKnown {
+	if !brief {
 		req.Layout = h.layoutNames()
 	}
 	for i := range h.entries {
 		e := &h.entries[i]
+		if !brief {
+			e.granted = portion{}
+		}
 		r := e.report(now)
 		e.held = r.held
-		writeReport(req, e.kind(), r)
+		writeReport(req, e.kind(), r, e.granted)
 	}
 }
 
@@ -220,21 +221,23 @@
 	defer h.mu.Unlock()
 	now := h.clock.Now()
 	if err := h.check(reply); err != nil {
-		h.refused = h.refused || err == ErrNotLeader || err == ErrUnknownLayout
+		h.refused = h.refused || err == ErrNotLeader || err == ErrFullRequestNeeded
 		return err
 	}
 	shares, ok := readShares(reply, h.entries)
 	if !ok {
 		return ErrMalformedReply
 	}
-	h.answered, h.layoutKnown, h.term = true, true, reply.GetTerm()
+	h.answered, h.term = true, reply.GetTerm()
 	leaseEnd := h.sentAt.Add(time.Duration(reply.GetLeaseMs()) * time.Millisecond)
 	if !now.Before(leaseEnd) {
 		return ErrLeaseOver
 	}
 	h.acceptedSequence, h.acceptedTerm = reply.GetSequence(), reply.GetTerm()
-	for i, e := range h.entries {
-		e.apply(now, shares[i], leaseEnd)
+	for i := range h.entries {
+		e := &h.entries[i]
+		e.granted = shares[i]
+		e.apply(now, e.granted, leaseEnd)
 	}
 	return nil
 }
@@ -249,8 +252,8 @@
 		return ErrNotLeader
 	case reply.GetStaleIncarnation():
 		return ErrStaleIncarnation
-	case reply.GetUnknownLayout():
-		return ErrUnknownLayout
+	case reply.GetFullRequestNeeded():
+		return ErrFullRequestNeeded
 	}
 	return nil
 }
--- a/grant/layout.go
+++ b/grant/layout.go
@@ -2,9 +2,8 @@
 
 import "pistachiomount.example/pistachiomount/apipb"
 
-// layout is the list of resources that the renewals of a member follow. Names
-// are sent only until the owner has processed one request with them, as they make
-// up two thirds of a request.
+// layout is the list of resources that the renewals of a member follow. Their
+// names are two thirds of a full request and are not repeated in brief ones.
 type layout struct {
 	number    uint64 // 0: none is known
 	positions []position
@@ -15,16 +14,19 @@
 	id      ResourceID
 	kind    apipb.ResourceKind
 	holding *holding
+	// granted is the share in the last reply, which a brief request refers to. It
+	// differs from what the holding counts after a lease lapsed.
+	granted portion
 }
 
-// learn replaces the layout by the one in the request, if there is one. It
-// reports whether the layout that the request follows is known.
-func (l *layout) learn(req *apipb.RenewRequest) bool {
-	number := req.GetLayoutNumber()
-	if number != 0 && req.GetLayout() != nil && number != l.number {
-		l.replace(number, req.GetLayout())
+// learn takes over the layout of a full request.
+func (l *layout) learn(req *apipb.RenewRequest) {
+	if req.GetLayoutNumber() != l.number {
+		l.replace(req.GetLayoutNumber(), req.GetLayout())
+	}
+	for i := range l.positions {
+		l.positions[i].granted = portion{}
 	}
-	return number != 0 && number == l.number
 }
 
 func (l *layout) replace(number uint64, names *apipb.Layout) {
--- a/grant/owner.go
+++ b/grant/owner.go
@@ -131,22 +131,38 @@
 		o.order = append(o.order, m)
 		o.latest[key.vm] = key.incarnation
 	}
-	var ok bool
-	if ok = m.layout.learn(req); ok {
-		o.reports, ok = readReports(req, &m.layout, o.reports[:0])
-	}
-	if !ok {
-		reply.UnknownLayout = true
+	if !o.read(m, req) {
+		reply.FullRequestNeeded = true
 		return nil
 	}
 	m.live, m.handingBack = true, req.GetHandingBack()
 	return m
 }
 
+// read decodes the reports. It returns false if the request is malformed, or brief
+// and does not follow the last reply of this owner.
+func (o *Owner) read(m *member, req *apipb.RenewRequest) (ok bool) {
+	switch {
+	case req.GetLayoutNumber() == 0:
+		return false
+	case req.GetLayout() != nil:
+		m.layout.learn(req)
+	case req.GetLayoutNumber() != m.layout.number || !o.acknowledged(m, req):
+		return false
+	}
+	o.reports, ok = readReports(req, &m.layout, o.reports[:0])
+	return ok
+}
+
+// acknowledged reports whether the last reply is in force at the holder.
+func (o *Owner) acknowledged(m *member, req *apipb.RenewRequest) bool {
+	return req.GetAcceptedTerm() == o.cfg.Term && req.GetAcceptedSequence() == m.sequence
+}
+
 // settle updates the ledger to what the holder reports as held.
 func (o *Owner) settle(m *member, req *apipb.RenewRequest, now clock.Instant) {
 	facts := reportFacts{
-		acknowledged: req.GetAcceptedTerm() == o.cfg.Term && req.GetAcceptedSequence() == m.sequence,
+		acknowledged: o.acknowledged(m, req),
 		trusted:      o.waiting(now) && req.GetAcceptedTerm() < o.cfg.Term,
 		sequence:     req.GetSequence(),
 		weight:       amount(req.GetWeight()),
@@ -193,6 +209,7 @@
 			next.rate, next.depth = roundDown(next.rate), roundDown(next.depth)
 			h.change(func() { h.issued = next })
 		}
+		at.granted = next
 		writeShare(reply, at.kind, o.reports[i].held, next)
 	}
 }
--- a/grant/report.go
+++ b/grant/report.go
@@ -17,20 +17,24 @@
 }
 
 // writeReport adds the next position to the columns of a request. What is held
-// came from a float32 and is written exactly.
-func writeReport(req *apipb.RenewRequest, kind apipb.ResourceKind, r report) {
-	listed := r != report{}
-	req.Runs = appendRun(req.Runs, listed)
+// came from a float32 and is written exactly, unless it equals known.
+func writeReport(req *apipb.RenewRequest, kind apipb.ResourceKind, r report, known portion) {
+	units := kind == apipb.ResourceKind_RESOURCE_KIND_UNITS
+	held, use := r.held != known, r.used > 0 || r.demand > 0
+	req.HeldRuns, req.UseRuns = appendRun(req.HeldRuns, held), appendRun(req.UseRuns, use)
 	switch {
-	case !listed:
-	case kind == apipb.ResourceKind_RESOURCE_KIND_UNITS:
+	case held && units:
 		req.HeldUnits = append(req.HeldUnits, r.held.units)
+	case held:
+		req.HeldRate = append(req.HeldRate, float32(r.held.rate))
+		req.HeldDepth = append(req.HeldDepth, float32(r.held.depth))
+	}
+	switch {
+	case use && units:
 		req.UsedUnits = append(req.UsedUnits, r.used)
 		wanted := min(math.Ceil(r.demand*wantedScale), math.MaxUint32)
 		req.WantedUnits = append(req.WantedUnits, uint32(wanted))
-	default:
-		req.HeldRate = append(req.HeldRate, float32(r.held.rate))
-		req.HeldDepth = append(req.HeldDepth, float32(r.held.depth))
+	case use:
 		req.Demand = append(req.Demand, float32(r.demand))
 	}
 }
@@ -38,24 +42,28 @@
 // readReports appends one report for each position of the layout. It returns
 // false if the columns do not fit the layout.
 func readReports(req *apipb.RenewRequest, l *layout, reports []report) ([]report, bool) {
-	in := newRunReader(req.GetRuns())
-	rate, depth, demand := column(req.GetHeldRate()), column(req.GetHeldDepth()), column(req.GetDemand())
-	held, used, wanted := column(req.GetHeldUnits()), column(req.GetUsedUnits()), column(req.GetWantedUnits())
+	holds, uses := newRunReader(req.GetHeldRuns()), newRunReader(req.GetUseRuns())
+	rate, depth, units := column(req.GetHeldRate()), column(req.GetHeldDepth()), column(req.GetHeldUnits())
+	demand, used, wanted := column(req.GetDemand()), column(req.GetUsedUnits()), column(req.GetWantedUnits())
 	for i := range l.positions {
-		var r report
-		switch {
-		case !in.next():
-		case l.positions[i].kind == apipb.ResourceKind_RESOURCE_KIND_UNITS:
-			r.held.units, r.used = held.next(), used.next()
-			r.demand = float64(wanted.next()) / wantedScale
-		default:
+		isUnits := l.positions[i].kind == apipb.ResourceKind_RESOURCE_KIND_UNITS
+		r := report{held: l.positions[i].granted}
+		switch held := holds.next(); {
+		case held && isUnits:
+			r.held.units = units.next()
+		case held:
 			r.held.rate, r.held.depth = amount(float64(rate.next())), amount(float64(depth.next()))
+		}
+		switch use := uses.next(); {
+		case use && isUnits:
+			r.used, r.demand = used.next(), float64(wanted.next())/wantedScale
+		case use:
 			r.demand = amount(float64(demand.next()))
 		}
 		reports = append(reports, r)
 	}
-	return reports, in.done() && rate.done() && depth.done() && demand.done() &&
-		held.done() && used.done() && wanted.done()
+	return reports, holds.done() && uses.done() && rate.done() && depth.done() && units.done() &&
+		demand.done() && used.done() && wanted.done()
 }
 
 // writeShare adds the next position to the columns of a reply. A share that
--- a/grant/sim_test.go
+++ b/grant/sim_test.go
@@ -66,6 +66,8 @@
 	stall func() time.Duration
 	speed func() float64
 	sent  int
+	// observe sees each message that is sent.
+	observe func(simMessage)
 }
 
 func newSimWorld(seed uint64, cfg OwnerConfig, caps []Cap) *simWorld {
@@ -74,6 +76,8 @@
 		delays: func() []time.Duration { return []time.Duration{0} },
 		stall:  func() time.Duration { return 0 },
 		speed:  func() float64 { return 1 },
+
+		observe: func(simMessage) {},
 	}
 }
 
@@ -104,6 +108,7 @@
 }
 
 func (w *simWorld) send(m simMessage) {
+	w.observe(m)
 	for _, d := range w.delays() {
 		m.at = w.now + d
 		w.messages = append(w.messages, m)
