--- a/grant/brief_test.go
+++ b/grant/brief_test.go
@@ -60,9 +60,17 @@
 	req.AcceptedSequence-- // another reply than the last one
 	is.Equal(h.Accept(second.Renew(req, true)), ErrFullRequestNeeded)
 	is.Equal(second.Usage()[0].Rate, 100.0)
+	is.NoErr(exchange(h, second))
 	req = h.BuildRequest()
-	req.HeldRate = req.HeldRate[1:] // malformed
+	req.LayoutNumber++ // a list that this owner never saw
 	is.Equal(h.Accept(second.Renew(req, true)), ErrFullRequestNeeded)
+
+	is.NoErr(exchange(h, second))
+	brief := h.BuildRequest()
+	malformed := h.BuildRequest()
+	malformed.HeldRate = malformed.HeldRate[1:]
+	is.True(second.Renew(malformed, true).GetFullRequestNeeded())
+	is.True(second.Renew(brief, true).GetFullRequestNeeded())
 	is.Equal(second.Usage()[0].Rate, 100.0)
 	is.NoErr(exchange(h, second))
 }
