--- a/grant/holder.go
+++ b/grant/holder.go
@@ -37,6 +37,10 @@
 	acceptedSequence uint64
 	acceptedTerm     uint64
 	stopped          bool
+
+	subleases    []*sublease // of a Region
+	entries      []entry     // of the most recent request
+	layoutNumber uint64      // of the list of entries
 }
 
 // NewHolder returns a holder without grants.
@@ -45,6 +49,8 @@
 		cfg: cfg, clock: c,
 		buckets: map[ResourceID]*Bucket{},
 		units:   map[ResourceID]*Units{},
+
+		layoutNumber: 1,
 	}
 }
 
@@ -164,7 +170,7 @@
 			return true
 		}
 	}
-	return false
+	return slices.ContainsFunc(h.subleases, func(s *sublease) bool { return s.wantsRenewal(now) })
 }
 
 // BuildRequest returns the next renewal. The lease of its reply counts from this
@@ -173,33 +179,39 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.clock.Now()
+	follows := h.answered && h.acceptedSequence == h.sequence
 	h.sequence++
 	h.sentAt, h.answered, h.refused = now, false, false
 	for _, id := range slices.Clone(h.order) {
 		h.prune(id)
 	}
-	return &apipb.RenewRequest{
+	req := &apipb.RenewRequest{
 		Environment: h.cfg.Environment,
 		Vm:          &apipb.Vm{Name: h.cfg.VM, Incarnation: h.cfg.Incarnation},
 		Sequence:    h.sequence, AcceptedSequence: h.acceptedSequence,
-		AcceptedTerm: h.acceptedTerm, Needs: h.needs(now), HandingBack: h.stopped,
+		AcceptedTerm: h.acceptedTerm, HandingBack: h.stopped, Weight: h.cfg.Weight,
 	}
+	h.describe(req, now, follows)
+	return req
 }
 
-func (h *Holder) needs(now clock.Instant) []*apipb.Need {
-	needs := make([]*apipb.Need, 0, len(h.order))
-	for _, id := range h.order {
-		if b := h.buckets[id]; b != nil {
-			needs = append(needs, b.report(now, h.sequence))
-		}
-		if u := h.units[id]; u != nil {
-			needs = append(needs, u.report(now, h.sequence))
-		}
+// describe fills in the columns. The request is brief if it follows an accepted
+// reply to the same list; whether the owner is that of the reply, it checks itself.
+func (h *Holder) describe(req *apipb.RenewRequest, now clock.Instant, follows bool) {
+	brief := h.lineUp() && follows
+	req.LayoutNumber = h.layoutNumber
+	if !brief {
+		req.Layout = h.layoutNames()
 	}
-	for _, n := range needs {
-		n.Weight = h.cfg.Weight
+	for i := range h.entries {
+		e := &h.entries[i]
+		if !brief {
+			e.granted = portion{}
+		}
+		r := e.report(now)
+		e.held = r.held
+		writeReport(req, e.kind(), r, e.granted)
 	}
-	return needs
 }
 
 // Accept puts the shares of a reply in force. It rejects replies that do not
@@ -210,17 +222,23 @@
 	defer h.mu.Unlock()
 	now := h.clock.Now()
 	if err := h.check(reply); err != nil {
-		h.refused = h.refused || err == ErrNotLeader
+		h.refused = h.refused || err == ErrNotLeader || err == ErrFullRequestNeeded
 		return err
 	}
+	shares, ok := readShares(reply, h.entries)
+	if !ok {
+		return ErrMalformedReply
+	}
 	h.answered, h.term = true, reply.GetTerm()
 	leaseEnd := h.sentAt.Add(time.Duration(reply.GetLeaseMs()) * time.Millisecond)
 	if !now.Before(leaseEnd) {
 		return ErrLeaseOver
 	}
 	h.acceptedSequence, h.acceptedTerm = reply.GetSequence(), reply.GetTerm()
-	for _, share := range reply.GetShares() {
-		h.apply(now, share, leaseEnd)
+	for i := range h.entries {
+		e := &h.entries[i]
+		e.granted = shares[i]
+		e.apply(now, e.granted, leaseEnd)
 	}
 	return nil
 }
@@ -235,19 +253,8 @@
 		return ErrNotLeader
 	case reply.GetStaleIncarnation():
 		return ErrStaleIncarnation
+	case reply.GetFullRequestNeeded():
+		return ErrFullRequestNeeded
 	}
 	return nil
 }
-
-func (h *Holder) apply(now clock.Instant, share *apipb.Share, leaseEnd clock.Instant) {
-	id := ResourceID(share.GetResource())
-	if share.GetKind() == apipb.ResourceKind_RESOURCE_KIND_UNITS {
-		if u := h.units[id]; u != nil {
-			u.apply(now, h.sequence, share, leaseEnd)
-		}
-		return
-	}
-	if b := h.buckets[id]; b != nil {
-		b.apply(now, h.sequence, share, leaseEnd)
-	}
-}
