Send fleet changes instead of lists; close a gap at the change of owners

A request that waited through an election could let a new owner confirm shares that had lapsed at the holder, and that the earlier owner may have granted to others. Refusals of a daemon that does not lead carried no sequence, so holders retried late. The tests of package control follow the new form of renewals, built by a real holder.

--- a/control/leader_test.go
+++ b/control/leader_test.go
@@ -9,18 +9,43 @@
 
 	"pistachiomount.example/pistachiomount/apipb"
 	"pistachiomount.example/pistachiomount/clock"
+	"pistachiomount.example/pistachiomount/grant"
 	"pistachiomount.example/pistachiomount/store"
 )
 
 // customer is one of the example document.
 const customer = "customer/catedral-primada"
 
+// renewal returns the request with the sequence of a holder that wants the
+// customer's rate and has had no answer yet.
 func renewal(sequence uint64) *apipb.RenewRequest {
-	return &apipb.RenewRequest{
-		Environment: trial, Sequence: sequence,
-		Vm:    &apipb.Vm{Name: "entry-1", Incarnation: 1, State: apipb.VmState_VM_STATE_SERVING},
-		Needs: []*apipb.Need{{Resource: customer, Demand: 100, Weight: 1}},
+	holder := holderOf(&clock.Manual{}, "entry-1", customer)
+	request := requestOf(holder, "entry-1")
+	for request.Sequence < sequence {
+		request = requestOf(holder, "entry-1")
 	}
+	return request
+}
+
+// holderOf returns a holder with some demand for each of the rates.
+func holderOf(clk clock.Clock, vm string, rates ...grant.ResourceID) *grant.Holder {
+	holder := grant.NewHolder(grant.HolderConfig{Environment: trial, VM: vm, Incarnation: 1}, clk)
+	demand(holder, rates)
+	return holder
+}
+
+func demand(holder *grant.Holder, rates []grant.ResourceID) {
+	for _, id := range rates {
+		for range 10 {
+			holder.Bucket(id).TryTake(1)
+		}
+	}
+}
+
+func requestOf(holder *grant.Holder, vm string) *apipb.RenewRequest {
+	request := holder.BuildRequest()
+	request.Vm = &apipb.Vm{Name: vm, Incarnation: 1, State: apipb.VmState_VM_STATE_SERVING}
+	return request
 }
 
 // Guards against a leader whose process was paused beyond its lease and that
@@ -42,7 +67,7 @@
 				reply, err := old.service().Renew(b.ctx, renewal(2+i))
 				is.NoErr(err)
 				is.True(reply.NotLeader)
-				is.Equal(len(reply.Shares), 0)
+				is.Equal(len(reply.Runs), 0) // no share
 			})
 		}
 		wg.Wait()
@@ -70,8 +95,9 @@
 			o := newOwnership(&Config{Clock: &clock.Manual{}, Log: quietLog()})
 			o.setFirstTerm(c.first)
 			for _, env := range []apipb.Environment{trial, apipb.Environment_ENVIRONMENT_PRODUCTION} {
-				reply := o.tenure(c.term, env, version).owner.Renew(renewal(1), true)
-				is.Equal(reply.Shares[0].Rate == 0, c.waits)
+				holder := holderOf(&clock.Manual{}, "entry-1", customer)
+				is.NoErr(holder.Accept(o.tenure(c.term, env, version).owner.Renew(requestOf(holder, "entry-1"), true)))
+				is.Equal(holder.Bucket(customer).Depth() == 0, c.waits)
 			}
 		})
 	}
--- a/control/measure_memory_test.go
+++ b/control/measure_memory_test.go
@@ -65,9 +65,8 @@
 			owner := grant.NewOwner(grant.OwnerConfig{Term: 2, NoPredecessor: true}, &clock.Manual{})
 			owner.SetCaps(capsFor(resources))
 			for i := range holders {
-				r := renewal(1)
-				r.Vm.Name, r.Needs = fmt.Sprint(i), needsFor(resources)
-				owner.Renew(r, true)
+				vm := fmt.Sprint(i)
+				owner.Renew(requestOf(holderOf(&clock.Manual{}, vm, namesFor(resources)...), vm), true)
 			}
 			return owner
 		}) / holders
--- a/control/measure_renewal_test.go
+++ b/control/measure_renewal_test.go
@@ -20,19 +20,18 @@
 	clk := &clock.Manual{}
 	owner := grant.NewOwner(grant.OwnerConfig{Term: 2, NoPredecessor: true}, clk)
 	owner.SetCaps(capsFor(resources))
-	r := renewal(0)
-	r.Needs = needsFor(resources)
-	var got *apipb.RenewReply
+	holder := holderOf(clk, "entry-1", namesFor(resources)...)
 	for range 5 {
 		clk.Advance(time.Second)
-		r.Sequence++
-		got = owner.Renew(r, true)
-		r.AcceptedSequence, r.AcceptedTerm = r.Sequence, 2
-		for i, s := range got.Shares {
-			r.Needs[i].HeldRate, r.Needs[i].HeldDepth = s.Rate, s.Depth
+		demand(holder, namesFor(resources))
+		sent := requestOf(holder, "entry-1")
+		got := owner.Renew(sent, true)
+		if err := holder.Accept(got); err != nil {
+			panic(err) // nothing is lost or late here
 		}
+		request, reply = proto.Size(sent), proto.Size(got)
 	}
-	return proto.Size(r), proto.Size(got)
+	return request, reply
 }
 
 func resourceName(i int) grant.ResourceID { return grant.CustomerID(fmt.Sprintf("customer-%04d", i)) }
@@ -45,12 +44,12 @@
 	return caps
 }
 
-func needsFor(n int) []*apipb.Need {
-	needs := make([]*apipb.Need, n)
-	for i := range needs {
-		needs[i] = &apipb.Need{Resource: string(resourceName(i)), Demand: 10.7, Weight: 1}
+func namesFor(n int) []grant.ResourceID {
+	names := make([]grant.ResourceID, n)
+	for i := range names {
+		names[i] = resourceName(i)
 	}
-	return needs
+	return names
 }
 
 // Guards against renewals whose size grows faster than the number of resources.
@@ -181,13 +180,13 @@
 			clk := &clock.Manual{}
 			owner := grant.NewOwner(grant.OwnerConfig{Term: 2, NoPredecessor: true}, clk)
 			owner.SetCaps(capsFor(resources))
-			r := renewal(0)
-			r.Needs = needsFor(resources)
+			holder := holderOf(clk, "entry-1", namesFor(resources)...)
 			b.ReportAllocs()
 			for b.Loop() {
 				clk.Advance(time.Second)
-				r.Sequence++
-				owner.Renew(r, true)
+				if err := holder.Accept(owner.Renew(requestOf(holder, "entry-1"), true)); err != nil {
+					b.Fatal(err)
+				}
 			}
 			request, reply := renewalOf(resources)
 			b.ReportMetric(float64(request+reply), "message-B/op")
--- a/control/ownership.go
+++ b/control/ownership.go
@@ -85,11 +85,11 @@
 		return nil, errors.Trace(err)
 	}
 	if !l.valid || request.GetVm().GetName() == "" {
-		return &apipb.RenewReply{NotLeader: true, LeaderAddress: l.leader, Term: l.term}, nil
+		return &apipb.RenewReply{NotLeader: true, LeaderAddress: l.leader, Term: l.term, Sequence: request.Sequence}, nil
 	}
 	t := o.tenure(l.term, request.Environment, l.version)
 	if t == nil {
-		return &apipb.RenewReply{NotLeader: true, LeaderAddress: l.leader, Term: l.term}, nil
+		return &apipb.RenewReply{NotLeader: true, LeaderAddress: l.leader, Term: l.term, Sequence: request.Sequence}, nil
 	}
 	if err := t.fleet.Heartbeat(request.Vm); err != nil {
 		return &apipb.RenewReply{Term: l.term, Sequence: request.Sequence, StaleIncarnation: true}, nil
@@ -99,14 +99,18 @@
 	return reply, nil
 }
 
-// addFleet adds the fleet list if the caller lacks it. A list that is not
+// addFleet adds what the caller lacks of the fleet list: the changes since its
+// version, or the whole list if the caller lacks it. A list that is not
 // complete yet must not replace one of an earlier leader.
 func (t *tenure) addFleet(reply *apipb.RenewReply, have uint64) {
 	t.fleet.Expire()
-	vms, version := t.fleet.List()
+	if changes, version, ok := t.fleet.Changes(have); ok {
+		reply.FleetVersion, reply.Fleet, reply.FleetChanges = version, changes, true
+		return
+	}
 	reply.FleetVersion = have
-	if version != have && (have == 0 || t.fleet.Complete()) {
-		reply.FleetVersion, reply.Fleet = version, vms
+	if have == 0 || t.fleet.Complete() {
+		reply.Fleet, reply.FleetVersion = t.fleet.List()
 	}
 }
 
--- a/entry/grants_test.go
+++ b/entry/grants_test.go
@@ -15,12 +15,18 @@
 // needsOf returns the resources that the next renewal asks for, and how many
 // units it reports in use.
 func needsOf(h *grant.Holder, part string) (names []string, used uint32) {
-	for _, n := range h.BuildRequest().Needs {
-		if strings.Contains(n.Resource, part) {
-			names = append(names, n.Resource)
-			used += n.UsedUnits
+	brief := h.BuildRequest()
+	_ = h.Accept(&apipb.RenewReply{Sequence: brief.Sequence, Term: brief.AcceptedTerm, FullRequestNeeded: true})
+	request := h.BuildRequest() // full, with the names
+	layout := request.Layout
+	for _, name := range append(layout.GetRates(), layout.GetUnits()...) {
+		if strings.Contains(name, part) {
+			names = append(names, name)
 		}
 	}
+	for _, n := range request.UsedUnits {
+		used += n
+	}
 	return names, used
 }
 
--- a/entry/renewer.go
+++ b/entry/renewer.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -29,6 +31,7 @@
 	// earlier one void.
 	turn         chan struct{}
 	fleetVersion uint64
+	fleet        map[string]*apipb.Vm
 	failing      bool
 	failed       atomic.Uint64 // renewals
 }
@@ -110,8 +113,7 @@
 	}
 	r.onRenewed()
 	if reply.FleetVersion != r.fleetVersion {
-		r.fleetVersion = reply.FleetVersion
-		r.onFleet(reply.FleetVersion, reply.Fleet)
+		r.takeFleet(reply)
 	}
 	return nil
 }
@@ -126,3 +128,22 @@
 		r.controls.setLeader(reply.LeaderAddress)
 	}
 }
+
+// takeFleet applies the changes of a reply to the fleet list, or replaces it.
+func (r *renewer) takeFleet(reply *apipb.RenewReply) {
+	if r.fleet == nil || !reply.FleetChanges {
+		r.fleet = make(map[string]*apipb.Vm, len(reply.Fleet))
+	}
+	for _, vm := range reply.Fleet {
+		r.fleet[vm.Name] = vm
+		if vm.State == apipb.VmState_VM_STATE_STOPPED {
+			delete(r.fleet, vm.Name)
+		}
+	}
+	r.fleetVersion = reply.FleetVersion
+	list := make([]*apipb.Vm, 0, len(r.fleet))
+	for _, name := range slices.Sorted(maps.Keys(r.fleet)) {
+		list = append(list, r.fleet[name])
+	}
+	r.onFleet(reply.FleetVersion, list)
+}
--- a/grant/bucket.go
+++ b/grant/bucket.go
@@ -17,17 +17,18 @@
 	clock    clock.Clock
 	resource ResourceID
 
-	mu       sync.Mutex
-	rate     float64
-	depth    float64
-	tokens   float64
-	filled   clock.Instant // time up to which tokens have accrued
-	leaseEnd clock.Instant
-	leased   bool
-	epoch    uint64 // counts the times the bucket was emptied by expiry
-	demand   meter
-	early    earlyTrigger
-	closed   bool
+	mu           sync.Mutex
+	rate         float64
+	depth        float64
+	tokens       float64
+	filled       clock.Instant // time up to which tokens have accrued
+	leaseEnd     clock.Instant
+	leased       bool
+	epoch        uint64 // counts the times the bucket was emptied by expiry
+	demand       meter
+	early        earlyTrigger
+	closed       bool
+	heldInReport bool // the last request reported a share as held
 }
 
 // Reservation is an amount taken in advance.
@@ -148,15 +149,20 @@
 	defer b.mu.Unlock()
 	b.expire(now)
 	b.early.asked(now, b.rate)
+	b.heldInReport = b.leased
 	return report{held: portion{rate: b.rate, depth: b.depth}, demand: b.demand.roll(now)}
 }
 
 // apply puts a share in force. Depth that is new to the bucket starts empty.
-func (b *Bucket) apply(now clock.Instant, share portion, leaseEnd clock.Instant) {
+//
+// A new owner confirms what the request reported. If that lapsed on the way, the
+// earlier owner may have granted it to others before the election, so it does
+// not come into force; the next request reports nothing as held.
+func (b *Bucket) apply(now clock.Instant, share portion, leaseEnd clock.Instant, newOwner bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.expire(now)
-	if b.closed {
+	if b.closed || newOwner && b.heldInReport && !b.leased {
 		return
 	}
 	b.fill(now)
--- a/grant/directed_test.go
+++ b/grant/directed_test.go
@@ -250,3 +250,27 @@
 		is.True(served[i] > 40) // all that want one get one in turns
 	}
 }
+
+// Guards against grants that a new owner confirms although they lapsed while the
+// request waited for the end of the election: the earlier owner may have given
+// them to another holder in between.
+func TestNewOwnerRevivesNothingThatLapsed(t *testing.T) {
+	is := is.New(t)
+	var c clock.Manual
+	first, second := directedOwner(&c, 1), directedOwner(&c, 2)
+	h, bucket, units := directedHolder(&c, "a")
+	for range 2 {
+		bucket.TryTake(1)
+		units.TryAcquire()
+		is.NoErr(exchange(h, first))
+	}
+	is.True(bucket.Depth() > 0)
+	c.Advance(DefaultLease - 10*time.Millisecond)
+	is.Equal(exchange(h, second), ErrFullRequestNeeded)
+	request := h.BuildRequest()
+	c.Advance(100 * time.Millisecond) // the lease ends, the request still waits
+	is.NoErr(h.Accept(second.Renew(request, true)))
+	is.Equal(bucket.Depth(), 0.0)
+	is.True(!units.TryAcquire())
+	is.NoErr(exchange(h, second)) // what is granted now is not in force elsewhere
+}
--- a/grant/entry.go
+++ b/grant/entry.go
@@ -10,7 +10,7 @@
 // leased is what a Holder has of one resource: a Bucket, Units or a sublease.
 type leased interface {
 	report(now clock.Instant) report
-	apply(now clock.Instant, share portion, leaseEnd clock.Instant)
+	apply(now clock.Instant, share portion, leaseEnd clock.Instant, newOwner bool)
 	name() (ResourceID, apipb.ResourceKind)
 }
 
--- a/grant/holder.go
+++ b/grant/holder.go
@@ -234,11 +234,12 @@
 	if !now.Before(leaseEnd) {
 		return ErrLeaseOver
 	}
+	newOwner := reply.GetTerm() != h.acceptedTerm
 	h.acceptedSequence, h.acceptedTerm = reply.GetSequence(), reply.GetTerm()
 	for i := range h.entries {
 		e := &h.entries[i]
 		e.granted = shares[i]
-		e.apply(now, e.granted, leaseEnd)
+		e.apply(now, e.granted, leaseEnd, newOwner)
 	}
 	return nil
 }
--- a/grant/sublease.go
+++ b/grant/sublease.go
@@ -44,7 +44,7 @@
 }
 
 // apply makes a share of the leader the cap of the region.
-func (s *sublease) apply(_ clock.Instant, share portion, leaseEnd clock.Instant) {
+func (s *sublease) apply(_ clock.Instant, share portion, leaseEnd clock.Instant, _ bool) {
 	s.owner.mu.Lock()
 	defer s.owner.mu.Unlock()
 	before := s.granted()
--- a/grant/units.go
+++ b/grant/units.go
@@ -12,17 +12,18 @@
 	clock    clock.Clock
 	resource ResourceID
 
-	mu       sync.Mutex
-	granted  uint32
-	used     uint32
-	peak     uint32 // largest use since the last report
-	refused  bool   // a unit was refused since the last report
-	want     float64
-	reported clock.Instant
-	leaseEnd clock.Instant
-	leased   bool
-	early    earlyTrigger
-	closed   bool
+	mu           sync.Mutex
+	granted      uint32
+	used         uint32
+	peak         uint32 // largest use since the last report
+	refused      bool   // a unit was refused since the last report
+	want         float64
+	reported     clock.Instant
+	leaseEnd     clock.Instant
+	leased       bool
+	early        earlyTrigger
+	closed       bool
+	heldInReport bool // the last request reported units as held
 }
 
 func newUnits(c clock.Clock, id ResourceID) *Units {
@@ -79,6 +80,7 @@
 	defer u.mu.Unlock()
 	u.expire(now)
 	u.early.asked(now, float64(u.granted))
+	u.heldInReport = u.leased
 	return report{held: portion{units: u.granted}, used: u.used, demand: u.rollDemand(now)}
 }
 
@@ -98,11 +100,12 @@
 	return u.want
 }
 
-func (u *Units) apply(now clock.Instant, share portion, leaseEnd clock.Instant) {
+// apply puts a share in force, with the exception that Bucket.apply explains.
+func (u *Units) apply(now clock.Instant, share portion, leaseEnd clock.Instant, newOwner bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.expire(now)
-	if u.closed {
+	if u.closed || newOwner && u.heldInReport && !u.leased {
 		return
 	}
 	u.early.answered(float64(share.units), float64(u.granted))
--- a/membership/fleet.go
+++ b/membership/fleet.go
@@ -33,6 +33,8 @@
 	renewed  clock.Instant
 	present  bool
 	versions published
+	// changedAt is the version of the list that brought the last change.
+	changedAt uint64
 }
 
 // published is the part of a VM whose change makes a new version of the list.
@@ -56,6 +58,8 @@
 	members map[string]*member
 	leaving map[string]bool // by the platform's list
 	list    []*apipb.Vm     // cached for the version, nil when outdated
+	// forgotten is the newest change that Changes can no longer report.
+	forgotten uint64
 }
 
 // NewFleet returns the empty list of a leader of the given term. Versions of a
@@ -113,6 +117,7 @@
 	if now != m.versions {
 		m.versions = now
 		f.version++
+		m.changedAt = f.version
 		f.list = nil
 	}
 }
@@ -156,6 +161,7 @@
 		}
 		if !m.present && age >= incarnationMemory {
 			delete(f.members, name)
+			f.forgotten = max(f.forgotten, m.changedAt)
 		}
 	}
 	slices.Sort(expired)
@@ -205,6 +211,29 @@
 	return out
 }
 
+// Changes returns the VMs that changed since the caller's version, in order of
+// their names, with those that are gone in state STOPPED. ok is false if the
+// version is of another leader or too old; the whole list is needed then.
+func (f *Fleet) Changes(have uint64) (vms []*apipb.Vm, version uint64, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if have>>32 != f.version>>32 || have > f.version || have < f.forgotten {
+		return nil, f.version, false
+	}
+	for _, name := range slices.Sorted(maps.Keys(f.members)) {
+		m := f.members[name]
+		if m.changedAt <= have {
+			continue
+		}
+		vm := &apipb.Vm{Name: name, Incarnation: m.vm.GetIncarnation(), State: apipb.VmState_VM_STATE_STOPPED}
+		if m.present {
+			vm = f.entry(m.vm)
+		}
+		vms = append(vms, vm)
+	}
+	return vms, f.version, true
+}
+
 func (f *Fleet) entry(vm *apipb.Vm) *apipb.Vm {
 	out := proto.CloneOf(vm)
 	out.State = f.effective(vm)
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -179,3 +179,47 @@
 	f.Expire()
 	is.Equal(len(f.Statements()), 0)
 }
+
+// Guards against a holder that follows the changes and ends up with another list
+// than one that fetches it whole.
+func TestChangesLeadToTheList(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var clk clock.Manual
+		f := membership.NewFleet(3, &clk)
+		known, have := map[string]apipb.VmState{}, uint64(0)
+		for range rapid.IntRange(1, 40).Draw(rt, "steps") {
+			clk.Advance(time.Duration(rapid.IntRange(0, 2000).Draw(rt, "ms")) * time.Millisecond)
+			name := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(rt, "vm")
+			state := rapid.SampledFrom([]apipb.VmState{starting, serving, leaving, stopped}).Draw(rt, "state")
+			_ = f.Heartbeat(vm(name, rapid.Uint64Range(1, 3).Draw(rt, "incarnation"), state)) // stale ones are refused
+			f.Expire()
+			if rapid.Bool().Draw(rt, "far") {
+				clk.Advance(25 * time.Hour) // gone VMs are forgotten
+				f.Expire()
+			}
+			if rapid.Bool().Draw(rt, "fetch") {
+				have = follow(f, known, have)
+			}
+		}
+		follow(f, known, have)
+		if got, want := fmt.Sprint(known), fmt.Sprint(states(f)); got != want {
+			rt.Fatalf("followed %s, listed %s", got, want)
+		}
+	})
+}
+
+// follow brings the known states up to date as an entry daemon does.
+func follow(f *membership.Fleet, known map[string]apipb.VmState, have uint64) uint64 {
+	changes, version, ok := f.Changes(have)
+	if !ok {
+		clear(known)
+		changes, version = f.List()
+	}
+	for _, v := range changes {
+		known[v.GetName()] = v.GetState()
+		if v.GetState() == stopped {
+			delete(known, v.GetName())
+		}
+	}
+	return version
+}
