--- a/entry/applying.go
+++ b/entry/applying.go
@@ -100,10 +100,18 @@
 		d.cfg.Log.WithError(err).Error("steering keeps its former upstreams")
 		return
 	}
+	// Slots at an upstream that gets no new work allow no turn: a request with such
+	// a turn would be refused instead of waiting for a slot elsewhere.
+	drained := map[string]bool{}
+	for _, drain := range v.index.Document().Drains {
+		drained[drain.Upstream] = true
+	}
 	byService := map[string][]string{}
 	d.listed = map[string]bool{}
 	for _, u := range list {
-		byService[u.Service] = append(byService[u.Service], u.ID)
+		if u.State == steering.UpstreamLive && !drained[u.ID] {
+			byService[u.Service] = append(byService[u.Service], u.ID)
+		}
 		d.listed[u.ID] = true
 	}
 	d.queue.setUpstreams(byService)
