--- a/control/consensus_service.go
+++ b/control/consensus_service.go
@@ -28,14 +28,13 @@
 
 // PeerStatus tells which cluster this daemon belongs to.
 func (s *consensusService) PeerStatus(ctx context.Context, _ *apipb.PeerStatusRequest) (*apipb.PeerStatusReply, error) {
-	reply := &apipb.PeerStatusReply{MemberId: s.daemon.memberID}
+	reply := &apipb.PeerStatusReply{MemberId: s.daemon.memberID, ClusterId: s.daemon.clusterID()}
 	engine, err := s.daemon.running()
 	if err != nil {
 		return reply, nil
 	}
 	return reply, engine.do(ctx, func() {
 		status := engine.node.Status()
-		reply.ClusterId = engine.cfg.ClusterID
 		reply.LeaderId, reply.Term, reply.Commit = status.Leader, status.Term, status.Commit
 		reply.Members = status.Members.GetMembers()
 	})
@@ -59,5 +58,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return (&commander{engine: engine, peers: s.daemon.peers}).runForwarded(ctx, request)
+	return (&commander{engine: engine, forward: s.daemon.forward}).runForwarded(ctx, request)
 }
--- a/control/daemon.go
+++ b/control/daemon.go
@@ -15,6 +15,7 @@
 	"pistachiomount.example/pistachiomount/apipb"
 	"pistachiomount.example/pistachiomount/consensus"
 	"pistachiomount.example/pistachiomount/document"
+	"pistachiomount.example/pistachiomount/telemetry"
 	"pistachiomount.example/pistachiomount/transport"
 	"pistachiomount.example/pistachiomount/wal"
 )
@@ -35,12 +36,19 @@
 	memberID  uint64
 	self      *apipb.Member
 	peers     *transport.Peers
+	forward   forwarder
 	ownership *ownership
+	observer  *observer
 
 	mu      sync.Mutex
 	engine  *Engine
 	joined  chan uint64 // cluster id from an operator's init
 	initing bool
+	// forming is the id of the cluster that an init is about to form, or 0. Peers
+	// see it, so that two daemons initialised at once do not form two clusters.
+	forming uint64
+	// loaded is what the log held when it was opened.
+	loaded consensus.Persisted
 	// bootstrap is the state of a cluster that this process formed; the log
 	// hands out only what it found when it was opened.
 	bootstrap *consensus.Persisted
@@ -59,32 +67,52 @@
 		peers:    transport.NewPeers(cfg.Security),
 		joined:   make(chan uint64, 1),
 	}
+	if d.loaded, err = log.Load(); err != nil {
+		_ = log.Close()
+		return nil, errors.Annotatef(err, "data folder %s", cfg.DataDir)
+	}
 	d.self = &apipb.Member{
 		Id: d.memberID, Name: cfg.Name, Region: cfg.Region, FailureDomain: cfg.FailureDomain,
-		RpcAddress: cfg.RPCListener.Addr().String(), HttpAddress: cfg.HTTPListener.Addr().String(),
+		RpcAddress: rpcAddress(cfg), HttpAddress: cfg.HTTPListener.Addr().String(),
 	}
 	if cfg.Quarantine == 0 {
 		d.cfg.Quarantine = document.MaxDeadlineMS * time.Millisecond
 	}
+	if d.observer, err = newObserver(cfg.Meter); err != nil {
+		_ = log.Close()
+		return nil, errors.Annotate(err, "metrics")
+	}
+	d.forward = forwardOver(d.peers)
 	d.ownership = newOwnership(&d.cfg)
 	return d, nil
 }
 
+func rpcAddress(cfg Config) string {
+	if cfg.AdvertiseRPC != "" {
+		return cfg.AdvertiseRPC
+	}
+	return cfg.RPCListener.Addr().String()
+}
+
 // Run serves until the context ends, then hands over leadership and stops.
 func (d *Daemon) Run(ctx context.Context) error {
 	defer func() { _ = d.log.Close() }()
 	defer d.peers.Close()
+	unregister, err := registerGauges(d.cfg.Meter, d)
+	if err != nil {
+		return errors.Annotate(err, "metrics")
+	}
+	defer func() { _ = unregister() }()
 	serveCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
 	var wg sync.WaitGroup
 	defer wg.Wait()
+	defer stop() // before the wait, which would not end otherwise
 	failed := make(chan error, 3)
 	wg.Go(func() { failed <- d.serveRPC(serveCtx) })
 	wg.Go(func() { failed <- d.serveHTTP(serveCtx) })
 	wg.Go(func() { failed <- d.runMember(serveCtx) })
 	select {
 	case err := <-failed:
-		stop()
 		return errors.Trace(err)
 	case <-ctx.Done():
 	}
@@ -109,8 +137,11 @@
 	clusterID := d.log.Identity().ClusterID
 	if clusterID == 0 {
 		id, err := d.awaitCluster(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
 		if err != nil {
-			return nil // the context ended
+			return errors.Trace(err)
 		}
 		clusterID = id
 	} else {
@@ -154,69 +185,14 @@
 	case id := <-d.joined:
 		return id, nil
 	case id := <-found:
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		if d.initing {
-			return <-d.joined, nil
-		}
-		return id, errors.Trace(d.log.SetCluster(id))
+		return d.belongTo(id)
 	}
 }
 
-// initialise forms a new cluster with this daemon as its only voter. Others join
-// it by themselves.
-func (d *Daemon) initialise(ctx context.Context) (uint64, error) {
-	if err := d.newJoiner().checkUninitialised(ctx); err != nil {
-		return 0, errors.Trace(err)
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.engine != nil || d.initing || d.log.Identity().ClusterID != 0 {
-		return 0, errors.Trace(ErrAlreadyInitialised)
-	}
-	persisted, err := consensus.Bootstrap([]*apipb.Member{d.self})
-	if err != nil {
-		return 0, errors.Trace(err)
-	}
-	if err := d.log.SaveSnapshot(persisted.Snapshot); err != nil {
-		return 0, errors.Trace(err)
-	}
-	if err := d.log.Save(persisted.HardState, nil); err != nil {
-		return 0, errors.Trace(err)
-	}
-	id := rand.Uint64() | 1
-	if err := d.log.SetCluster(id); err != nil {
-		return 0, errors.Trace(err)
-	}
-	d.initing = true
-	d.bootstrap = &persisted
-	d.ownership.firstTerm.Store(persisted.HardState.Term + 1)
-	d.joined <- id
-	return id, nil
-}
-
-// persisted returns the state that the engine continues from.
-func (d *Daemon) persisted() (consensus.Persisted, error) {
-	loaded, err := d.log.Load()
-	if err != nil {
-		return consensus.Persisted{}, errors.Annotate(err, "load log")
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.bootstrap != nil {
-		return *d.bootstrap, nil
-	}
-	return loaded, nil
-}
-
 func (d *Daemon) startEngine(clusterID uint64) (*Engine, *Outboxes, error) {
-	persisted, err := d.persisted()
-	if err != nil {
-		return nil, nil, errors.Trace(err)
-	}
 	outboxes := NewOutboxes(clusterID, d.self, d.peers, d.cfg.Log)
 	engine, err := NewEngine(EngineConfig{
-		ClusterID: clusterID, Self: d.self, Persisted: persisted, Storage: d.log,
+		ClusterID: clusterID, Self: d.self, Persisted: d.persisted(), Storage: &observedStorage{d.log, d.observer, d.cfg.Clock},
 		Sender: outboxes, Clock: d.cfg.Clock, Log: d.cfg.Log, Seed: rand.Uint64(),
 	})
 	if err != nil {
@@ -250,16 +226,22 @@
 	return errors.Annotate(server.Serve(ctx, d.cfg.RPCListener), "serve rpc")
 }
 
-func (d *Daemon) serveHTTP(ctx context.Context) error {
+// handler returns the operators' HTTP interface.
+func (d *Daemon) handler() http.Handler {
 	mux := flow.New()
 	api := &operatorAPI{daemon: d, auth: operatorAuth{tokens: d.cfg.OperatorTokens}}
 	api.routes(mux)
 	for pattern, handler := range d.cfg.Handlers {
 		mux.Handle(pattern, handler, http.MethodGet)
 	}
+	return mux
+}
+
+func (d *Daemon) serveHTTP(ctx context.Context) error {
 	server := &http.Server{
-		Handler: mux, ReadTimeout: httpReadTimeout, WriteTimeout: httpWriteTimeout,
+		Handler: d.handler(), ReadTimeout: httpReadTimeout, WriteTimeout: httpWriteTimeout,
 		IdleTimeout: httpIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: telemetry.ServerLog(d.cfg.Log),
 	}
 	stopped := make(chan struct{})
 	go func() {
