--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -79,7 +79,7 @@
 "$bin/pmctl" promote examples/bancas.yaml
 for _ in $(seq 200); do
   serving=$("$bin/pmctl" --output json status | grep -c '"state": "serving"' || true)
-  [ "$serving" = 6 ] && break
+  [ "$serving" = 6 ] && curl -sf "http://$entry/v1/lookup?service=records" >/dev/null && break
   sleep 0.1
 done
 "$bin/pmctl" status
@@ -98,8 +98,9 @@
     sed -n "/^  \"$1\": {\$/,/^  }/p" "$dir/summary.json" | sed -n 's/^    "\(.*\)": \([0-9]*\.\{0,1\}[0-9]\{0,1\}\).*/\1 \2/p' | paste -sd' '
   }
   refused=$(object rejections)
-  printf 'requests %s, answered %s, refused: %s; latency in ms: %s\n' \
-    "$(value requests)" "$(value ok)" "${refused:-none}" "$(object latency_ms)"
+  statuses=$(object statuses)
+  printf 'requests %s, answered %s, statuses: %s; refused: %s; latency in ms: %s\n' \
+    "$(value requests)" "$(value ok)" "$statuses" "${refused:-none}" "$(object latency_ms)"
 }
 callers 6s
 
