--- a/consensus/scenario_test.go
+++ b/consensus/scenario_test.go
@@ -12,6 +12,15 @@
 // testSeed makes scenarios repeatable; they hold for any seed.
 const testSeed = 42
 
+// newGroup returns a group of three with a leader that holds its lease.
+func newGroup(t *testing.T) (*is.I, *sim, *simMember) {
+	t.Helper()
+	s := newSim(t, testSeed, 3)
+	l := s.mustLead()
+	s.run(5)
+	return is.New(t), s, l
+}
+
 func isolate(s *sim, ids ...uint64) {
 	s.blocked = func(from, to uint64) bool {
 		for _, id := range ids {
@@ -34,18 +43,21 @@
 	return nil
 }
 
-func replaceChange(id, replaces uint64) *apipb.MemberChange {
-	return &apipb.MemberChange{
-		Type: apipb.MemberChangeType_MEMBER_CHANGE_TYPE_REPLACE, Member: &apipb.Member{Id: id}, ReplacesId: replaces,
-	}
+const (
+	addType     = apipb.MemberChangeType_MEMBER_CHANGE_TYPE_ADD_LEARNER
+	promoteType = apipb.MemberChangeType_MEMBER_CHANGE_TYPE_PROMOTE
+	removeType  = apipb.MemberChangeType_MEMBER_CHANGE_TYPE_REMOVE
+	replaceType = apipb.MemberChangeType_MEMBER_CHANGE_TYPE_REPLACE
+)
+
+func changeOf(t apipb.MemberChangeType, id, replaces uint64) *apipb.MemberChange {
+	return &apipb.MemberChange{Type: t, Member: &apipb.Member{Id: id}, ReplacesId: replaces}
 }
 
 // Guards against a member that returns from a long partition raising the term or
 // deposing the leader.
 func TestReturningMemberDoesNotDisturb(t *testing.T) {
-	is := is.New(t)
-	s := newSim(t, testSeed, 3)
-	l := s.mustLead()
+	is, s, l := newGroup(t)
 	term, f := l.node.term, follower(s, l)
 	isolate(s, f.id)
 	for range 50 {
@@ -62,10 +74,7 @@
 
 // Guards against a leader that is cut off and goes on believing that it leads.
 func TestIsolatedLeaderStepsDown(t *testing.T) {
-	is := is.New(t)
-	s := newSim(t, testSeed, 3)
-	l := s.mustLead()
-	s.run(5)
+	is, s, l := newGroup(t)
 	is.True(l.node.Status().LeaseValid)
 	isolate(s, l.id)
 	s.read(l)
@@ -80,10 +89,7 @@
 // Guards against a vote that breaks the promise to a leader: after the member
 // moved to the candidate's term without a vote, and right after a restart.
 func TestVoteWaitsForTheLeadersLease(t *testing.T) {
-	is := is.New(t)
-	s := newSim(t, testSeed, 3)
-	l := s.mustLead()
-	s.run(5)
+	is, s, l := newGroup(t)
 	f := follower(s, l)
 	vote := &apipb.ConsensusMessage{
 		Type: apipb.MessageType_MESSAGE_TYPE_VOTE, From: 6 - l.id - f.id, To: f.id, Term: l.node.term + 1,
@@ -135,9 +141,7 @@
 
 // Guards against reads at a follower that no leader confirmed.
 func TestFollowerReads(t *testing.T) {
-	is := is.New(t)
-	s := newSim(t, testSeed, 3)
-	l := s.mustLead()
+	is, s, l := newGroup(t)
 	f := follower(s, l)
 	s.run(3)
 	is.NoErr(s.propose(l))
@@ -155,15 +159,12 @@
 // Guards against a group that stops at the second loss right after the repair of
 // the first: the replacement must not leave a lost voter in the quorum.
 func TestSecondLossRightAfterRepair(t *testing.T) {
-	is := is.New(t)
-	s := newSim(t, testSeed, 3)
-	l := s.mustLead()
+	is, s, l := newGroup(t)
 	lost := follower(s, l)
 	s.crash(lost)
-	f := &faults{sim: s}
-	f.join(l)
+	(&faults{s}).join(l, 4)
 	s.run(30)
-	is.NoErr(s.change(l, replaceChange(4, lost.id)))
+	is.NoErr(s.change(l, changeOf(replaceType, 4, lost.id)))
 	s.run(5)
 	is.Equal(len(voterIDs(l.node.members.current())), 3)
 	is.True(isVoter(l.node.members.current(), 4))
@@ -180,11 +181,9 @@
 // voter sets of a replacement.
 func TestReplacementNeedsBothQuorums(t *testing.T) {
 	is := is.New(t)
-	p, err := Bootstrap([]*apipb.Member{{Id: 1}, {Id: 2}, {Id: 3}})
-	is.NoErr(err)
-	set, err := addLearner(p.Snapshot.Meta.Members, &apipb.Member{Id: 4})
+	set, err := addLearner(logOf(t, 0, 2).Snapshot.Meta.Members, &apipb.Member{Id: 4})
 	is.NoErr(err)
-	joint, err := applyChange(set, replaceChange(4, 3))
+	joint, err := applyChange(set, changeOf(replaceType, 4, 3))
 	is.NoErr(err)
 	for _, c := range []struct {
 		votes map[uint64]bool
@@ -204,29 +203,22 @@
 
 // Guards against a voter without the log, and against overlapping changes.
 func TestMemberChangesAreChecked(t *testing.T) {
-	is := is.New(t)
-	s := newSim(t, testSeed, 3)
-	l := s.mustLead()
+	is, s, l := newGroup(t)
 	isolate(s, 4)
-	f := &faults{sim: s}
-	f.join(l)
-	promote := &apipb.MemberChange{Type: apipb.MemberChangeType_MEMBER_CHANGE_TYPE_PROMOTE, Member: &apipb.Member{Id: 4}}
+	(&faults{s}).join(l, 4)
+	promote := changeOf(promoteType, 4, 0)
 	is.True(errors.Is(s.change(l, promote), ErrChangePending))
 	s.run(20)
 	is.True(errors.Is(s.change(l, promote), ErrNotCaughtUp))
-	is.True(errors.Is(s.change(l, replaceChange(4, follower(s, l).id)), ErrNotCaughtUp))
-	is.True(errors.Is(s.change(l, replaceChange(4, 4)), ErrMemberChange))
-	is.True(errors.Is(s.change(l, &apipb.MemberChange{
-		Type: apipb.MemberChangeType_MEMBER_CHANGE_TYPE_REMOVE, Member: &apipb.Member{Id: l.id},
-	}), ErrMemberChange))
+	is.True(errors.Is(s.change(l, changeOf(replaceType, 4, follower(s, l).id)), ErrNotCaughtUp))
+	is.True(errors.Is(s.change(l, changeOf(replaceType, 4, 4)), ErrMemberChange))
+	is.True(errors.Is(s.change(l, changeOf(removeType, l.id, 0)), ErrMemberChange))
 	unblock(s)
 	s.run(20)
 	is.NoErr(s.change(l, promote))
 	s.run(5)
 	is.Equal(s.members[4].node.role(), RoleFollower)
-	is.NoErr(s.change(l, &apipb.MemberChange{
-		Type: apipb.MemberChangeType_MEMBER_CHANGE_TYPE_REMOVE, Member: &apipb.Member{Id: 4},
-	}))
+	is.NoErr(s.change(l, changeOf(removeType, 4, 0)))
 	s.run(100)
 	is.Equal(s.leader(), l)
 	is.Equal(findMember(l.node.members.current(), 4), (*apipb.Member)(nil))
@@ -234,10 +226,7 @@
 
 // Guards against disturbance by a member that was removed or never added.
 func TestUnknownMemberDoesNotDisturb(t *testing.T) {
-	is := is.New(t)
-	s := newSim(t, testSeed, 3)
-	l := s.mustLead()
-	s.run(5)
+	is, s, l := newGroup(t)
 	term := l.node.term
 	for ty := range apipb.MessageType_name {
 		for _, id := range s.order {
@@ -257,10 +246,7 @@
 
 // Guards against a transfer that leaves two leases, or none for good.
 func TestLeadershipTransfer(t *testing.T) {
-	is := is.New(t)
-	s := newSim(t, testSeed, 3)
-	l := s.mustLead()
-	s.run(5)
+	is, s, l := newGroup(t)
 	f := follower(s, l)
 	is.NoErr(l.node.TransferLeadership(f.id))
 	is.True(!l.node.Status().LeaseValid)
@@ -284,10 +270,7 @@
 
 // Guards against a proposal that is accepted where it cannot be committed.
 func TestProposeOnFollowerNamesLeader(t *testing.T) {
-	is := is.New(t)
-	s := newSim(t, testSeed, 3)
-	l := s.mustLead()
-	s.run(5)
+	is, s, l := newGroup(t)
 	var nl *NotLeaderError
 	is.True(errors.As(s.propose(follower(s, l)), &nl))
 	is.Equal(nl.Leader, l.id)
--- a/control/control_service.go
+++ b/control/control_service.go
@@ -18,7 +18,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return (&commander{engine: engine, peers: s.daemon.peers}).run(ctx, command)
+	return (&commander{engine: engine, forward: s.daemon.forward}).run(ctx, command)
 }
 
 // Watch answers a poll for the document in force.
@@ -45,7 +45,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return s.daemon.ownership.renew(ctx, engine, request)
+	reply, err := s.daemon.ownership.renew(ctx, engine, request)
+	s.daemon.observer.renewal(request.Environment, reply, err)
+	return reply, err
 }
 
 // Claim records that a non-idempotent request is about to run.
--- a/entry/renewer.go
+++ b/entry/renewer.go
@@ -24,6 +24,9 @@
 	// onRenewed is called after each accepted renewal.
 	onRenewed func()
 
+	// turn is held by one renewal at a time: a later one makes the reply to an
+	// earlier one void.
+	turn         chan struct{}
 	fleetVersion uint64
 	failing      bool
 }
@@ -55,10 +58,29 @@
 	r.failing = err != nil
 }
 
+// insistTries is how often a planned stop tries to reach the leader: once more
+// than it takes to learn of a new one from a daemon that is none.
+const insistTries = 4
+
+// insist renews until it succeeds or the tries are used up.
+func (r *renewer) insist(ctx context.Context) error {
+	var err error
+	for range insistTries {
+		if err = r.renew(ctx); err == nil {
+			return nil
+		}
+		pause(ctx, retryPause)
+	}
+	return errors.Trace(err)
+}
+
 // renew asks the leader once. An error makes the next renewal ask another.
 func (r *renewer) renew(ctx context.Context) error {
+	r.turn <- struct{}{}
+	defer func() { <-r.turn }()
 	client, address, err := r.controls.leaderClient()
 	if err != nil {
+		r.controls.leaveLeader(address)
 		return errors.Trace(err)
 	}
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
@@ -68,14 +90,12 @@
 	request.HaveFleetVersion = r.fleetVersion
 	reply, err := client.Renew(ctx, request)
 	if err != nil {
-		r.controls.setLeader("")
-		r.controls.rotate(address)
+		r.controls.leaveLeader(address)
 		return errors.Trace(err)
 	}
-	if reply.NotLeader {
-		r.controls.setLeader(reply.LeaderAddress)
-	}
-	if err := r.holder.Accept(reply); err != nil {
+	err = r.holder.Accept(reply)
+	r.follow(address, reply, err)
+	if err != nil {
 		return errors.Trace(err)
 	}
 	r.onRenewed()
@@ -85,3 +105,14 @@
 	}
 	return nil
 }
+
+// follow turns to the leader that a reply names. A daemon that knows none, or
+// that leads an earlier term, is left for another.
+func (r *renewer) follow(address string, reply *apipb.RenewReply, err error) {
+	switch {
+	case errors.Is(err, grant.ErrLowerTerm), reply.NotLeader && reply.LeaderAddress == "":
+		r.controls.leaveLeader(address)
+	case reply.NotLeader:
+		r.controls.setLeader(reply.LeaderAddress)
+	}
+}
