--- a/grant/holding.go
+++ b/grant/holding.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 
-	"pistachiomount.example/pistachiomount/apipb"
 	"pistachiomount.example/pistachiomount/clock"
 )
 
@@ -21,6 +20,7 @@
 	member                 *member
 	pool                   *pool
 	poolIndex, memberIndex int
+	removed                bool
 
 	sequence uint64  // of the request that reported it last
 	held     portion // in force when that request was sent
@@ -62,8 +62,7 @@
 // reportFacts is what the owner knows about a request as a whole.
 type reportFacts struct {
 	sequence uint64
-	// acknowledged says that the last reply is in force at the holder.
-	acknowledged bool
+	weight   float64
 	// trusted says that grants of an earlier term may be reported.
 	trusted     bool
 	quarantined func(*holding) bool
@@ -72,43 +71,33 @@
 // settle records a report. The holder sent it after all replies issued before,
 // and accepts only the reply to it from now on; so what was issued but is not
 // reported as held can never come into force.
-func (h *holding) settle(need *apipb.Need, facts reportFacts) {
-	reported := portion{
-		rate: amount(need.GetHeldRate()), depth: amount(need.GetHeldDepth()), units: need.GetHeldUnits(),
-	}
+func (h *holding) settle(r report, facts reportFacts) {
 	h.change(func() {
-		h.held = h.inForce(reported, facts)
+		h.held = h.inForce(r.held, facts)
 		h.issued = portion{}
-		h.used = need.GetUsedUnits()
+		h.used = r.used
 		// Without a grant in force the units in use are exactly those reported.
 		// Otherwise the request was sent before the lease lapsed and the units
 		// may have been taken after that.
-		if h.quarantine > 0 && (reported.units == 0 || !facts.quarantined(h)) {
+		if h.quarantine > 0 && (r.held.units == 0 || !facts.quarantined(h)) {
 			h.quarantine = 0
 		}
 	})
 	h.sequence = facts.sequence
-	h.setDemand(amount(need.GetDemand()), amount(need.GetWeight()))
+	h.setDemand(r.demand, facts.weight)
 }
 
 // inForce limits a report to what this owner knows that the holder can have. A
-// decrease counts from its acknowledgement on.
+// decrease counts from its acknowledgement on; a region acknowledges it only when
+// its holders have.
 func (h *holding) inForce(reported portion, facts reportFacts) portion {
 	if facts.trusted {
 		return reported
 	}
-	known := h.issued
-	if !facts.acknowledged {
-		known = portion{
-			rate:  max(h.held.rate, h.issued.rate),
-			depth: max(h.held.depth, h.issued.depth),
-			units: max(h.held.units, h.issued.units),
-		}
-	}
 	return portion{
-		rate:  min(reported.rate, known.rate),
-		depth: min(reported.depth, known.depth),
-		units: min(reported.units, known.units),
+		rate:  min(reported.rate, max(h.held.rate, h.issued.rate)),
+		depth: min(reported.depth, max(h.held.depth, h.issued.depth)),
+		units: min(reported.units, max(h.held.units, h.issued.units)),
 	}
 }
 
