Refuse requests plainly while a VM starts; give latencies usable buckets

Cause: a starting VM answered route_unknown or over_rate before it had a document and grants, and the histogram of request times had bounds meant for milliseconds. Ruled out: closing the listener until the VM serves, since look-ups and readiness are answered there. Conclusion: 503 view_stale with not_run until the VM serves.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -15,6 +15,7 @@
 	"pistachiomount.example/pistachiomount/apipb"
 	"pistachiomount.example/pistachiomount/forward"
 	"pistachiomount.example/pistachiomount/forward/pool"
+	"pistachiomount.example/pistachiomount/forward/reject"
 	"pistachiomount.example/pistachiomount/grant"
 	"pistachiomount.example/pistachiomount/membership"
 	"pistachiomount.example/pistachiomount/platform"
@@ -184,7 +185,7 @@
 func (d *Daemon) callerServer() *http.Server {
 	mux := flow.New()
 	mux.HandleFunc("/v1/lookup", d.serveLookup, http.MethodGet)
-	mux.Handle("/...", d.forwarder)
+	mux.Handle("/...", d.onceStarted(d.forwarder))
 	return &http.Server{
 		Handler: d.counted(mux), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes,
@@ -194,6 +195,18 @@
 	}
 }
 
+// onceStarted refuses requests while the VM is starting: it may not know the
+// routes yet and holds no grants, so any other refusal would mislead.
+func (d *Daemon) onceStarted(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if d.lifecycle.State() == apipb.VmState_VM_STATE_STARTING {
+			reject.New(reject.ViewStale, "this VM is starting").After(retryPause).Write(w)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // counted keeps the number of requests under way.
 func (d *Daemon) counted(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/entry/observer.go
+++ b/entry/observer.go
@@ -26,7 +26,9 @@
 	if o.attempts, err = meter.Int64Counter("pm_attempts", metric.WithDescription("Attempts at upstreams, retries and hedges included.")); err != nil {
 		return nil, errors.Trace(err)
 	}
-	if o.latency, err = meter.Float64Histogram("pm_request_duration", metric.WithUnit("s"), metric.WithDescription("Time from arrival to the end of the answer.")); err != nil {
+	if o.latency, err = meter.Float64Histogram("pm_request_duration", metric.WithUnit("s"),
+		metric.WithDescription("Time from arrival to the end of the answer."),
+		metric.WithExplicitBucketBoundaries(0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 30)); err != nil {
 		return nil, errors.Trace(err)
 	}
 	_, err = meter.Float64ObservableGauge("pm_view_age", metric.WithUnit("s"),
