--- a/e2e/forwarder_test.go
+++ b/e2e/forwarder_test.go
@@ -5,6 +5,7 @@
 	"maps"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -39,6 +40,7 @@
 	client   net.Conn
 	upstream net.Conn
 	from     func() *process
+	owner    atomic.Pointer[process]
 	silent   bool // guarded by f.mu
 	answered int
 }
@@ -115,7 +117,15 @@
 		return
 	}
 	l.upstream = upstream
-	l.from = sync.OnceValue(func() *process { return ownerOf(client.RemoteAddr()) })
+	l.from = func() *process {
+		// Not kept while it is not known: a read of the socket table can miss it.
+		if known := l.owner.Load(); known != nil {
+			return known
+		}
+		found := ownerOf(client.RemoteAddr())
+		l.owner.Store(found)
+		return found
+	}
 	f.mu.Lock()
 	f.links[l] = true
 	f.mu.Unlock()
