--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -51,6 +51,7 @@
 	err      error
 	sent     bool // bytes of the request may have left
 	whole    bool // buf holds the complete answer
+	ended    bool // the answer was read to its end, so the upstream has finished
 	hedge    bool
 	closed   bool
 }
@@ -191,6 +192,7 @@
 	}
 	n, err := a.resp.Body.Read(p)
 	a.meter.passed(n)
+	a.ended = a.ended || err == io.EOF
 	return n, err
 }
 
@@ -230,7 +232,7 @@
 	if !a.sent {
 		cfg.Regions.Refund(a.region, a.x.who.service, a.taken)
 	}
-	cfg.Slots.Release(a.upstream.Name)
+	a.releaseSlot()
 	cfg.Chooser.Report(a.x.query, a.upstream, report)
 	a.endSpan()
 }
--- /dev/null
+++ b/forward/slot_hold_test.go
@@ -0,0 +1,23 @@
+package forward
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a slot that is given back while the upstream may still be
+// running the request, and against slots held after it has finished.
+func TestSlotIsHeldWhileTheUpstreamMayRun(t *testing.T) {
+	is := is.New(t)
+	x := &exchange{deadline: time.Now().Add(time.Hour)}
+	is.Equal((&attempt{x: x}).slotHold(), time.Duration(0)) // nothing was sent
+	is.Equal((&attempt{x: x, sent: true, ended: true}).slotHold(), time.Duration(0))
+	is.Equal((&attempt{x: x, sent: true, err: errNotWanted}).slotHold(), cancelGrace)
+	silent := &attempt{x: x, sent: true, err: errAttemptTimeout}
+	is.True(silent.slotHold() > time.Hour-time.Minute) // it may not hear of the cancellation
+	x.deadline = time.Now().Add(-time.Second)
+	is.Equal((&attempt{x: x, sent: true, err: context.DeadlineExceeded}).slotHold(), cancelGrace)
+}
