--- a/entry/gauges_test.go
+++ b/entry/gauges_test.go
@@ -71,6 +71,7 @@
 	is.Equal(w.Code, 200)
 	var got steeringStatus
 	is.NoErr(json.NewDecoder(w.Body).Decode(&got))
+	is.True(len(got.Regions) > 0)
 	is.Equal(len(got.Upstreams), 2)
 	is.Equal(got.Upstreams[0].ID, "u1")
 	is.Equal(string(got.Upstreams[0].Use), "drained")
--- a/entry/steering_status.go
+++ b/entry/steering_status.go
@@ -9,10 +9,22 @@
 
 // steeringStatus is the answer of GET /v1/steering.
 type steeringStatus struct {
+	Regions   []regionStatus   `json:"regions"`
 	Drains    []drainStatus    `json:"drains"`
 	Upstreams []upstreamStatus `json:"upstreams"`
 }
 
+type regionStatus struct {
+	Service string `json:"service"`
+	Region  string `json:"region"`
+	// Share is the fraction of this VM's requests of the service.
+	Share float64 `json:"share"`
+	// Headroom is the part of the capacity that the predicted load leaves free;
+	// it is left out while no load has been measured.
+	Headroom *float64 `json:"headroom,omitempty"`
+	Stale    bool     `json:"stale"`
+}
+
 type drainStatus struct {
 	Service     string  `json:"service"`
 	Region      string  `json:"region"`
@@ -37,7 +49,15 @@
 
 // serveSteering answers an operator who follows a drain or looks for an upstream.
 func (d *Daemon) serveSteering(w http.ResponseWriter, _ *http.Request) {
-	out := steeringStatus{Drains: []drainStatus{}, Upstreams: []upstreamStatus{}}
+	out := steeringStatus{Regions: []regionStatus{}, Drains: []drainStatus{}, Upstreams: []upstreamStatus{}}
+	for _, s := range d.steerer.Status() {
+		region := regionStatus{Service: s.Service, Region: s.Region, Share: s.Share, Stale: s.Stale}
+		if s.Reported {
+			headroom := max(0, 1-s.Load)
+			region.Headroom = &headroom
+		}
+		out.Regions = append(out.Regions, region)
+	}
 	for _, s := range d.steerer.Drains() {
 		out.Drains = append(out.Drains, drainStatus{
 			Service: s.Service, Region: s.Region, Upstream: s.Upstream, ShareBefore: s.ShareBefore,
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -72,6 +72,7 @@
   done
 done
 entry=$(address entry-0-1 callers)
+admin=$(address entry-0-1 admin)
 
 step "document: trial, then production"
 "$bin/pmctl" validate examples/bancas.yaml
@@ -103,6 +104,9 @@
     "$(value requests)" "$(value ok)" "$statuses" "${refused:-none}" "$(object latency_ms)"
 }
 callers 6s
+echo "headroom by region, as the first entry VM sees it:"
+curl -s "http://$admin/v1/steering" | tr '{' '\n' |
+  sed -n 's/.*"service":"records","region":"\([a-z]*\)".*"headroom":\([0-9.]*\).*/  \1 \2/p'
 
 step "a key is revoked"
 other=$(printf other | sha256sum | cut -d' ' -f1)
@@ -124,7 +128,20 @@
 "$bin/pmctl" apply "$dir/3.yaml"
 "$bin/pmctl" promote "$dir/3.yaml"
 sed -i '/belen/d; s/"rate": 40},/"rate": 40}]/' "$dir/customers.json"
+(
+  began=$(date +%s%N)
+  for _ in $(seq 300); do
+    # A share below 1% of a service counts as drained.
+    curl -s "http://$admin/v1/steering" | tr '{' '\n' |
+      sed -n 's/.*"region":"cali","share_before":.*"share_now":\([^,]*\),.*/\1/p' |
+      awk '{n++; if ($1 >= 0.01) more = 1} END {exit !n || more}' && break
+    sleep 0.1
+  done
+  echo "drain time as the first entry VM sees it: $((($(date +%s%N) - began) / 1000000)) ms"
+) &
+drain=$!
 callers 10s
+wait "$drain"
 
 step "status at the end"
 "$bin/pmctl" status
