Rename package platform to inventory

The client of the stand-in's lists is something else, so it is named for what it reads. No change of behaviour; package tests of inventory, control and entry pass.

--- a/cmd/pm-control/options.go
+++ b/cmd/pm-control/options.go
@@ -12,7 +12,7 @@
 	"pistachiomount.example/pistachiomount/apipb"
 	"pistachiomount.example/pistachiomount/clock"
 	"pistachiomount.example/pistachiomount/control"
-	"pistachiomount.example/pistachiomount/platform"
+	"pistachiomount.example/pistachiomount/inventory"
 	"pistachiomount.example/pistachiomount/settings"
 	"pistachiomount.example/pistachiomount/telemetry"
 	"pistachiomount.example/pistachiomount/transport"
@@ -110,9 +110,9 @@
 		if !address.IsValid() {
 			continue
 		}
-		client := platform.NewClient(platform.ClientConfig{Address: address, Clock: clk, Logger: observed.Logger})
+		client := inventory.NewClient(inventory.ClientConfig{Address: address, Clock: clk, Logger: observed.Logger})
 		lists := &platformLists{}
-		poller := platform.NewPoller(platform.PollerConfig{
+		poller := inventory.NewPoller(inventory.PollerConfig{
 			Client: client, Period: platformPeriod, Logger: observed.Logger, OnUpstreams: lists.setUpstreams, OnVMs: lists.setVMs,
 		})
 		go poller.Run(ctx)
--- a/control/caps.go
+++ b/control/caps.go
@@ -4,7 +4,7 @@
 	"pistachiomount.example/pistachiomount/apipb"
 	"pistachiomount.example/pistachiomount/document"
 	"pistachiomount.example/pistachiomount/grant"
-	"pistachiomount.example/pistachiomount/platform"
+	"pistachiomount.example/pistachiomount/inventory"
 )
 
 const (
@@ -18,7 +18,7 @@
 )
 
 // capsOf returns every limit that a document and the list of upstreams set.
-func capsOf(doc *document.Document, upstreams []platform.Upstream) []grant.Cap {
+func capsOf(doc *document.Document, upstreams []inventory.Upstream) []grant.Cap {
 	caps := make([]grant.Cap, 0, len(doc.Links)+len(doc.Customers)+2*len(upstreams)+8*len(doc.Services))
 	for _, l := range doc.Links {
 		limit := float64(l.BytesPerSecond)
--- a/control/measure_renewal_test.go
+++ b/control/measure_renewal_test.go
@@ -11,7 +11,7 @@
 	"pistachiomount.example/pistachiomount/clock"
 	"pistachiomount.example/pistachiomount/document"
 	"pistachiomount.example/pistachiomount/grant"
-	"pistachiomount.example/pistachiomount/platform"
+	"pistachiomount.example/pistachiomount/inventory"
 )
 
 // renewalOf returns an owner and a holder of the number of resources, and the
@@ -74,10 +74,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	var upstreams []platform.Upstream
+	var upstreams []inventory.Upstream
 	for i := range bancasUpstreams {
 		service := doc.Services[i%2].Name
-		upstreams = append(upstreams, platform.Upstream{ID: fmt.Sprintf("%s-%d", service, i), Service: service})
+		upstreams = append(upstreams, inventory.Upstream{ID: fmt.Sprintf("%s-%d", service, i), Service: service})
 	}
 	clk, caps := &clock.Manual{}, capsOf(doc, upstreams)
 	owner := grant.NewOwner(grant.OwnerConfig{Term: 2, NoPredecessor: true}, clk)
--- a/control/ownership.go
+++ b/control/ownership.go
@@ -13,8 +13,8 @@
 	"pistachiomount.example/pistachiomount/consensus"
 	"pistachiomount.example/pistachiomount/document"
 	"pistachiomount.example/pistachiomount/grant"
+	"pistachiomount.example/pistachiomount/inventory"
 	"pistachiomount.example/pistachiomount/membership"
-	"pistachiomount.example/pistachiomount/platform"
 	"pistachiomount.example/pistachiomount/store"
 )
 
@@ -41,7 +41,7 @@
 	owner     *grant.Owner
 	fleet     *membership.Fleet
 	revision  uint64
-	upstreams []platform.Upstream
+	upstreams []inventory.Upstream
 	checked   clock.Instant
 	checkedOK bool
 	decoder   document.Decoder
@@ -163,7 +163,7 @@
 	t.owner.SetCaps(capsOf(doc, upstreams))
 }
 
-func (o *ownership) upstreams(env apipb.Environment) []platform.Upstream {
+func (o *ownership) upstreams(env apipb.Environment) []inventory.Upstream {
 	lists, ok := o.cfg.Platforms[env]
 	if !ok {
 		return nil
@@ -179,7 +179,7 @@
 	}
 	var vms []membership.VM
 	for _, vm := range lists.VMs() {
-		vms = append(vms, membership.VM{Name: vm.Name, Leaving: vm.State == platform.Leaving})
+		vms = append(vms, membership.VM{Name: vm.Name, Leaving: vm.State == inventory.Leaving})
 	}
 	return vms
 }
--- a/control/platform_lists.go
+++ b/control/platform_lists.go
@@ -1,10 +1,10 @@
 package control
 
-import "pistachiomount.example/pistachiomount/platform"
+import "pistachiomount.example/pistachiomount/inventory"
 
 // PlatformLists gives the platform's current lists for an environment. A list
 // that was not fetched yet is empty.
 type PlatformLists interface {
-	Upstreams() []platform.Upstream
-	VMs() []platform.VM
+	Upstreams() []inventory.Upstream
+	VMs() []inventory.VM
 }
--- a/e2e/records_test.go
+++ b/e2e/records_test.go
@@ -7,7 +7,7 @@
 	"strings"
 	"testing"
 
-	"pistachiomount.example/pistachiomount/platform"
+	"pistachiomount.example/pistachiomount/inventory"
 	"pistachiomount.example/pistachiomount/standin"
 )
 
@@ -75,9 +75,9 @@
 }
 
 // listedUpstreams returns the platform's list.
-func (in *installation) listedUpstreams() []platform.Upstream {
+func (in *installation) listedUpstreams() []inventory.Upstream {
 	in.t.Helper()
-	var list []platform.Upstream
+	var list []inventory.Upstream
 	exchangeJSON(in.t, http.MethodGet, in.platform.address("http")+"/v1/upstreams", nil, &list)
 	return list
 }
--- a/entry/applying.go
+++ b/entry/applying.go
@@ -7,7 +7,7 @@
 	"pistachiomount.example/pistachiomount/apipb"
 	"pistachiomount.example/pistachiomount/document"
 	"pistachiomount.example/pistachiomount/forward"
-	"pistachiomount.example/pistachiomount/platform"
+	"pistachiomount.example/pistachiomount/inventory"
 	"pistachiomount.example/pistachiomount/steering"
 )
 
@@ -138,14 +138,14 @@
 
 // runPlatform follows the platform's list of upstreams.
 func (d *Daemon) runPlatform(ctx context.Context) {
-	client := platform.NewClient(platform.ClientConfig{Address: d.cfg.Platform, Clock: d.cfg.Clock, Logger: d.cfg.Log})
+	client := inventory.NewClient(inventory.ClientConfig{Address: d.cfg.Platform, Clock: d.cfg.Clock, Logger: d.cfg.Log})
 	defer client.Close()
-	platform.NewPoller(platform.PollerConfig{
+	inventory.NewPoller(inventory.PollerConfig{
 		Client: client, Period: platformPeriod, Logger: d.cfg.Log, OnUpstreams: d.setUpstreams,
 	}).Run(ctx)
 }
 
-func (d *Daemon) setUpstreams(list platform.List[platform.Upstream]) {
+func (d *Daemon) setUpstreams(list inventory.List[inventory.Upstream]) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.upstreams = list.Entries
@@ -154,14 +154,14 @@
 
 // runProbe asks the upstreams for their load.
 func (d *Daemon) runProbe(ctx context.Context) {
-	d.probe.Run(ctx, probePeriod, func() []platform.Upstream {
+	d.probe.Run(ctx, probePeriod, func() []inventory.Upstream {
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		return d.upstreams
 	})
 }
 
-func (d *Daemon) takeLoad(report platform.LoadReport) {
+func (d *Daemon) takeLoad(report inventory.LoadReport) {
 	d.takeProbe(report)
 	if report.HasLoad {
 		d.steerer.ReportLoad(steering.LoadReport{
@@ -172,7 +172,7 @@
 
 // takeProbe lets an upstream return that had announced that it leaves and now
 // answers as a healthy one.
-func (d *Daemon) takeProbe(report platform.LoadReport) {
+func (d *Daemon) takeProbe(report inventory.LoadReport) {
 	if target, ok := d.probing.remove(report.UpstreamID); ok {
 		target.Probed(report.Healthy && !report.Leaving)
 	}
--- a/entry/applying_test.go
+++ b/entry/applying_test.go
@@ -12,7 +12,7 @@
 	"pistachiomount.example/pistachiomount/apipb"
 	"pistachiomount.example/pistachiomount/clock"
 	"pistachiomount.example/pistachiomount/grant"
-	"pistachiomount.example/pistachiomount/platform"
+	"pistachiomount.example/pistachiomount/inventory"
 )
 
 // Guards against turns for slots at upstreams that get no new work: requests
@@ -21,12 +21,12 @@
 	is := is.New(t)
 	d := steered(t)
 	is.Equal(*d.queue.service("records").upstreams.Load(), []string{"u2"}) // the document drains u1
-	list := []platform.Upstream{
+	list := []inventory.Upstream{
 		{ID: "u1", Service: "records", Region: "cali", FailureDomain: "cali-1"},
-		{ID: "u2", Service: "records", Region: "cali", FailureDomain: "cali-2", State: platform.Leaving},
+		{ID: "u2", Service: "records", Region: "cali", FailureDomain: "cali-2", State: inventory.Leaving},
 		{ID: "u3", Service: "records", Region: "cali", FailureDomain: "cali-2"},
 	}
-	d.setUpstreams(platform.List[platform.Upstream]{Entries: list})
+	d.setUpstreams(inventory.List[inventory.Upstream]{Entries: list})
 	is.Equal(*d.queue.service("records").upstreams.Load(), []string{"u3"})
 	is.True(d.listed["u2"]) // what is in use there is not forgotten
 }
@@ -47,7 +47,7 @@
 	d := newTestDaemon(t, clk, &fakeDialer{}, "a")
 	defer d.pool.CloseIdle()
 	put(t, d, example(t, 1, "deadline_ms: 2000", "deadline_ms: 30000"), 1)
-	d.setUpstreams(platform.List[platform.Upstream]{Entries: []platform.Upstream{{
+	d.setUpstreams(inventory.List[inventory.Upstream]{Entries: []inventory.Upstream{{
 		ID: "u", Service: "records", Region: "bogota", FailureDomain: "bogota-1",
 		Address: netip.MustParseAddrPort(upstream.Listener.Addr().String()),
 	}}})
--- a/entry/bench_test.go
+++ b/entry/bench_test.go
@@ -12,7 +12,7 @@
 
 	"pistachiomount.example/pistachiomount/apipb"
 	"pistachiomount.example/pistachiomount/document"
-	"pistachiomount.example/pistachiomount/platform"
+	"pistachiomount.example/pistachiomount/inventory"
 )
 
 // sized returns the example document with that many customers and client blocks
@@ -34,12 +34,12 @@
 	return out.Bytes()
 }
 
-func upstreamsOf(n int) platform.List[platform.Upstream] {
-	var list platform.List[platform.Upstream]
+func upstreamsOf(n int) inventory.List[inventory.Upstream] {
+	var list inventory.List[inventory.Upstream]
 	regions, services := []string{"bogota", "medellin", "cali"}, []string{"records", "billing"}
 	for i := range n {
 		region := regions[i%3]
-		list.Entries = append(list.Entries, platform.Upstream{
+		list.Entries = append(list.Entries, inventory.Upstream{
 			ID: fmt.Sprintf("upstream-%d", i), Service: services[i%2], Region: region, FailureDomain: region + "-1",
 		})
 	}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -17,8 +17,8 @@
 	"pistachiomount.example/pistachiomount/forward/pool"
 	"pistachiomount.example/pistachiomount/forward/reject"
 	"pistachiomount.example/pistachiomount/grant"
+	"pistachiomount.example/pistachiomount/inventory"
 	"pistachiomount.example/pistachiomount/membership"
-	"pistachiomount.example/pistachiomount/platform"
 	"pistachiomount.example/pistachiomount/steering"
 	"pistachiomount.example/pistachiomount/telemetry"
 	"pistachiomount.example/pistachiomount/transport"
@@ -54,11 +54,11 @@
 	forwarder   *forward.Handler
 	lookups     *lookups
 	lifecycle   *membership.Lifecycle
-	probe       *platform.LoadProbe
+	probe       *inventory.LoadProbe
 	jobs        *jobRunner
 
 	mu        sync.Mutex // guards the lists below and their hand-over to steering
-	upstreams []platform.Upstream
+	upstreams []inventory.Upstream
 	listed    map[string]bool // ids of the upstreams handed to steering
 	inFlight  atomic.Int64
 	probing   cowMap[string, *steering.Target] // whose next report decides on their return
@@ -90,7 +90,7 @@
 		incarnation: d.incarnation, clock: cfg.Clock, log: cfg.Log, onChange: d.applyView,
 	}
 	d.renewer = &renewer{controls: d.controls, holder: d.holder, log: cfg.Log, describe: d.describe, onFleet: d.lookups.setFleet, onRenewed: d.serveWhenReady, turn: make(chan struct{}, 1)}
-	d.probe = platform.NewLoadProbe(platform.LoadProbeConfig{Clock: cfg.Clock, OnReport: d.takeLoad})
+	d.probe = inventory.NewLoadProbe(inventory.LoadProbeConfig{Clock: cfg.Clock, OnReport: d.takeLoad})
 	d.pool = pool.NewSet(pool.Options{Permits: connGrants{d.grants}})
 	observer, err := newObserver(cfg.Meter, d)
 	if err != nil {
--- a/entry/gauges_test.go
+++ b/entry/gauges_test.go
@@ -11,14 +11,14 @@
 	"go.opentelemetry.io/otel/sdk/metric/metricdata"
 
 	"pistachiomount.example/pistachiomount/clock"
-	"pistachiomount.example/pistachiomount/platform"
+	"pistachiomount.example/pistachiomount/inventory"
 )
 
 // steered returns a daemon with two upstreams, of which the document drains one.
 func steered(t *testing.T) *Daemon {
 	d := newTestDaemon(t, &clock.Manual{}, &fakeDialer{}, "a")
 	put(t, d, append(example(t, 1), "drains:\n  - upstream: u1\n"...), 1)
-	d.setUpstreams(platform.List[platform.Upstream]{Entries: []platform.Upstream{
+	d.setUpstreams(inventory.List[inventory.Upstream]{Entries: []inventory.Upstream{
 		{ID: "u1", Service: "records", Region: "cali", FailureDomain: "cali-1"},
 		{ID: "u2", Service: "records", Region: "cali", FailureDomain: "cali-2"},
 	}})
--- a/entry/grants_test.go
+++ b/entry/grants_test.go
@@ -9,7 +9,7 @@
 	"pistachiomount.example/pistachiomount/apipb"
 	"pistachiomount.example/pistachiomount/clock"
 	"pistachiomount.example/pistachiomount/grant"
-	"pistachiomount.example/pistachiomount/platform"
+	"pistachiomount.example/pistachiomount/inventory"
 )
 
 // needsOf returns the resources that the next renewal asks for, and how many
@@ -72,11 +72,11 @@
 		d.applyView(v)
 	}
 	list := func(ids ...string) {
-		var entries []platform.Upstream
+		var entries []inventory.Upstream
 		for _, id := range ids {
-			entries = append(entries, platform.Upstream{ID: id, Service: "records", Region: "cali", FailureDomain: "cali-1"})
+			entries = append(entries, inventory.Upstream{ID: id, Service: "records", Region: "cali", FailureDomain: "cali-1"})
 		}
-		d.setUpstreams(platform.List[platform.Upstream]{Entries: entries})
+		d.setUpstreams(inventory.List[inventory.Upstream]{Entries: entries})
 	}
 	held := func(part string) int {
 		names, _ := needsOf(d.holder, part)
--- a/entry/leave_test.go
+++ b/entry/leave_test.go
@@ -16,8 +16,8 @@
 	"pistachiomount.example/pistachiomount/apipb"
 	"pistachiomount.example/pistachiomount/document"
 	"pistachiomount.example/pistachiomount/grant"
+	"pistachiomount.example/pistachiomount/inventory"
 	"pistachiomount.example/pistachiomount/lookup"
-	"pistachiomount.example/pistachiomount/platform"
 )
 
 // memoryListener accepts in-memory connections, which virtual time covers.
@@ -158,7 +158,7 @@
 		is.NoErr(d.renewer.renew(t.Context()))
 		is.Equal(d.lifecycle.State(), apipb.VmState_VM_STATE_STARTING) // no document yet
 		put(t, d, example(t, 1), 1)
-		d.setUpstreams(platform.List[platform.Upstream]{Entries: []platform.Upstream{
+		d.setUpstreams(inventory.List[inventory.Upstream]{Entries: []inventory.Upstream{
 			{ID: "u", Service: "records", Region: "cali", FailureDomain: "cali-1"},
 		}})
 		is.NoErr(d.renewer.renew(t.Context()))
--- a/entry/steering_config.go
+++ b/entry/steering_config.go
@@ -2,7 +2,7 @@
 
 import (
 	"pistachiomount.example/pistachiomount/document"
-	"pistachiomount.example/pistachiomount/platform"
+	"pistachiomount.example/pistachiomount/inventory"
 	"pistachiomount.example/pistachiomount/steering"
 )
 
@@ -40,7 +40,7 @@
 }
 
 // steeringUpstreams returns the upstreams of the document's services.
-func steeringUpstreams(list []platform.Upstream, index *document.Index) []steering.Upstream {
+func steeringUpstreams(list []inventory.Upstream, index *document.Index) []steering.Upstream {
 	upstreams := make([]steering.Upstream, 0, len(list))
 	for _, u := range list {
 		service := index.Service(u.Service)
@@ -48,7 +48,7 @@
 			continue
 		}
 		state := steering.UpstreamLive
-		if u.State == platform.Leaving {
+		if u.State == inventory.Leaving {
 			state = steering.UpstreamLeaving
 		}
 		upstreams = append(upstreams, steering.Upstream{
--- a/platform/client_test.go
+++ b/inventory/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package inventory_test
 
 import (
 	"context"
@@ -17,7 +17,7 @@
 	"go.uber.org/goleak"
 
 	"pistachiomount.example/pistachiomount/clock"
-	"pistachiomount.example/pistachiomount/platform"
+	"pistachiomount.example/pistachiomount/inventory"
 	"pistachiomount.example/pistachiomount/settings"
 )
 
@@ -48,9 +48,9 @@
 	return settings.Address{AddrPort: netip.MustParseAddrPort(server.Listener.Addr().String())}
 }
 
-func newClient(t *testing.T, text *atomic.Value, c clock.Clock) *platform.Client {
+func newClient(t *testing.T, text *atomic.Value, c clock.Clock) *inventory.Client {
 	t.Helper()
-	client := platform.NewClient(platform.ClientConfig{
+	client := inventory.NewClient(inventory.ClientConfig{
 		Address: serve(t, text), Clock: c, Logger: quietLogger(), MaxBytes: 2000,
 	})
 	t.Cleanup(client.Close)
@@ -88,10 +88,10 @@
 	is.NoErr(err)
 	c.Advance(7 * time.Second)
 	failures := map[string]error{
-		"":                               platform.ErrUnavailable,
-		"{}":                             platform.ErrMalformed,
-		"[7]":                            platform.ErrMalformed,
-		strings.Repeat(" ", 2000) + "[]": platform.ErrTooLarge,
+		"":                               inventory.ErrUnavailable,
+		"{}":                             inventory.ErrMalformed,
+		"[7]":                            inventory.ErrMalformed,
+		strings.Repeat(" ", 2000) + "[]": inventory.ErrTooLarge,
 	}
 	for body, want := range failures {
 		text.Store(body)
@@ -107,10 +107,10 @@
 	is := is.New(t)
 	var text atomic.Value
 	text.Store("[" + goodVM + "]")
-	var lists []platform.List[platform.VM]
-	poller := platform.NewPoller(platform.PollerConfig{
+	var lists []inventory.List[inventory.VM]
+	poller := inventory.NewPoller(inventory.PollerConfig{
 		Client: newClient(t, &text, &clock.Manual{}), Period: time.Hour, Logger: quietLogger(),
-		OnVMs: func(l platform.List[platform.VM]) { lists = append(lists, l) },
+		OnVMs: func(l inventory.List[inventory.VM]) { lists = append(lists, l) },
 	})
 	poller.Poll(context.Background())
 	poller.Poll(context.Background())
@@ -118,7 +118,7 @@
 	text.Store("[" + strings.ReplaceAll(goodVM, "live", "leaving") + "]")
 	poller.Poll(context.Background())
 	is.Equal(len(lists), 2)
-	is.Equal(lists[1].Entries[0].State, platform.Leaving)
+	is.Equal(lists[1].Entries[0].State, inventory.Leaving)
 	text.Store("")
 	poller.Poll(context.Background())
 	is.Equal(len(lists), 2)
--- a/platform/load_probe_test.go
+++ b/inventory/load_probe_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package inventory_test
 
 import (
 	"context"
@@ -14,24 +14,24 @@
 	"github.com/matryer/is"
 
 	"pistachiomount.example/pistachiomount/clock"
-	"pistachiomount.example/pistachiomount/platform"
+	"pistachiomount.example/pistachiomount/inventory"
 )
 
-func upstreamWith(t *testing.T, handler http.HandlerFunc) platform.Upstream {
+func upstreamWith(t *testing.T, handler http.HandlerFunc) inventory.Upstream {
 	t.Helper()
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
-	return platform.Upstream{ID: t.Name(), Address: netip.MustParseAddrPort(server.Listener.Addr().String())}
+	return inventory.Upstream{ID: t.Name(), Address: netip.MustParseAddrPort(server.Listener.Addr().String())}
 }
 
-func probe(t *testing.T, handler http.HandlerFunc) platform.LoadReport {
+func probe(t *testing.T, handler http.HandlerFunc) inventory.LoadReport {
 	t.Helper()
-	var report platform.LoadReport
-	p := platform.NewLoadProbe(platform.LoadProbeConfig{
-		Clock: &clock.Manual{}, OnReport: func(r platform.LoadReport) { report = r },
+	var report inventory.LoadReport
+	p := inventory.NewLoadProbe(inventory.LoadProbeConfig{
+		Clock: &clock.Manual{}, OnReport: func(r inventory.LoadReport) { report = r },
 	})
 	defer p.Close()
-	p.Probe(context.Background(), []platform.Upstream{upstreamWith(t, handler)})
+	p.Probe(context.Background(), []inventory.Upstream{upstreamWith(t, handler)})
 	return report
 }
 
@@ -44,7 +44,7 @@
 	})
 	is.NoErr(report.Err)
 	is.True(report.Healthy && report.HasLoad && !report.Leaving)
-	is.Equal(report.Load, platform.Load{InFlight: 2, Slots: 5})
+	is.Equal(report.Load, inventory.Load{InFlight: 2, Slots: 5})
 }
 
 // Guards against a draining upstream, or an impossible load, taken for a good one.
@@ -91,12 +91,12 @@
 		}
 	}()
 	var reports atomic.Int64
-	p := platform.NewLoadProbe(platform.LoadProbeConfig{
+	p := inventory.NewLoadProbe(inventory.LoadProbeConfig{
 		Clock: &clock.Manual{}, Concurrency: bound, Timeout: time.Minute,
-		OnReport: func(platform.LoadReport) { reports.Add(1) },
+		OnReport: func(inventory.LoadReport) { reports.Add(1) },
 	})
 	defer p.Close()
-	p.Probe(context.Background(), slices.Repeat([]platform.Upstream{upstream}, probes))
+	p.Probe(context.Background(), slices.Repeat([]inventory.Upstream{upstream}, probes))
 	is.Equal(reports.Load(), int64(probes))
 	is.Equal(highest.Load(), int64(bound))
 }
--- a/platform/poller.go
+++ b/inventory/poller.go
@@ -1,4 +1,4 @@
-package platform
+package inventory
 
 import (
 	"context"
--- a/platform/state.go
+++ b/inventory/state.go
@@ -1,4 +1,4 @@
-package platform
+package inventory
 
 // State says whether the platform is about to remove a VM or an upstream.
 type State string
--- a/standin/behaviour.go
+++ b/standin/behaviour.go
@@ -5,7 +5,7 @@
 
 	"github.com/juju/errors"
 
-	"pistachiomount.example/pistachiomount/platform"
+	"pistachiomount.example/pistachiomount/inventory"
 )
 
 // maxDelay bounds service times and delays, so that they do not overflow.
@@ -19,7 +19,7 @@
 	// Unhealthy makes GET /healthz answer 503, whatever the mode.
 	Unhealthy bool `json:"unhealthy,omitempty"`
 	// Load replaces the true load in answers of GET /load.
-	Load *platform.Load `json:"load,omitempty"`
+	Load *inventory.Load `json:"load,omitempty"`
 
 	// lastSilent is the newest connection that ModeSilentOpen silences.
 	lastSilent uint64
--- a/standin/fleet.go
+++ b/standin/fleet.go
@@ -9,7 +9,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
-	"pistachiomount.example/pistachiomount/platform"
+	"pistachiomount.example/pistachiomount/inventory"
 )
 
 // Fleet runs many upstreams in one process. It is an http.Handler for their
@@ -51,8 +51,8 @@
 }
 
 // Entries returns the entries for the platform's list.
-func (f *Fleet) Entries() []platform.Upstream {
-	entries := make([]platform.Upstream, len(f.servers))
+func (f *Fleet) Entries() []inventory.Upstream {
+	entries := make([]inventory.Upstream, len(f.servers))
 	for i, server := range f.servers {
 		entries[i] = server.Entry()
 	}
--- a/standin/lists.go
+++ b/standin/lists.go
@@ -6,7 +6,7 @@
 
 	"github.com/juju/errors"
 
-	"pistachiomount.example/pistachiomount/platform"
+	"pistachiomount.example/pistachiomount/inventory"
 )
 
 // maxListed bounds each list of the platform stand-in.
@@ -14,8 +14,8 @@
 
 // Lists are what the platform publishes.
 type Lists struct {
-	VMs       []platform.VM       `json:"vms"`
-	Upstreams []platform.Upstream `json:"upstreams"`
+	VMs       []inventory.VM       `json:"vms"`
+	Upstreams []inventory.Upstream `json:"upstreams"`
 }
 
 // LoadLists reads lists from a JSON file.
@@ -41,8 +41,8 @@
 	return checkEntries(l.Upstreams, upstreamKey)
 }
 
-func vmKey(v platform.VM) string             { return v.Name }
-func upstreamKey(u platform.Upstream) string { return u.ID }
+func vmKey(v inventory.VM) string             { return v.Name }
+func upstreamKey(u inventory.Upstream) string { return u.ID }
 
 func checkEntries[T interface{ Validate() error }](entries []T, key func(T) string) error {
 	seen := make(map[string]bool, len(entries))
--- a/standin/platform_routes.go
+++ b/standin/platform_routes.go
@@ -6,7 +6,7 @@
 	"github.com/alexedwards/flow"
 	"github.com/juju/errors"
 
-	"pistachiomount.example/pistachiomount/platform"
+	"pistachiomount.example/pistachiomount/inventory"
 )
 
 func (p *Platform) routes() http.Handler {
@@ -71,39 +71,39 @@
 }
 
 func putVMs(r *http.Request) (func(*Lists) error, error) {
-	var entries []platform.VM
+	var entries []inventory.VM
 	err := decodeBody(r, &entries)
 	return func(l *Lists) error { l.VMs = entries; return nil }, err
 }
 
 func putUpstreams(r *http.Request) (func(*Lists) error, error) {
-	var entries []platform.Upstream
+	var entries []inventory.Upstream
 	err := decodeBody(r, &entries)
 	return func(l *Lists) error { l.Upstreams = entries; return nil }, err
 }
 
 func postVM(r *http.Request) (func(*Lists) error, error) {
-	var vm platform.VM
+	var vm inventory.VM
 	err := decodeBody(r, &vm)
 	return func(l *Lists) error { l.VMs = withEntry(l.VMs, vmKey, vm); return nil }, err
 }
 
 func postUpstream(r *http.Request) (func(*Lists) error, error) {
-	var upstream platform.Upstream
+	var upstream inventory.Upstream
 	err := decodeBody(r, &upstream)
 	return func(l *Lists) error { l.Upstreams = withEntry(l.Upstreams, upstreamKey, upstream); return nil }, err
 }
 
 // stateChange is the body of PATCH requests.
 type stateChange struct {
-	State platform.State `json:"state"`
+	State inventory.State `json:"state"`
 }
 
 func patchVM(r *http.Request) (func(*Lists) error, error) {
 	var body stateChange
 	name, err := r.PathValue("name"), decodeBody(r, &body)
 	return func(l *Lists) (err error) {
-		l.VMs, err = withChange(l.VMs, vmKey, name, func(v *platform.VM) { v.State = body.State })
+		l.VMs, err = withChange(l.VMs, vmKey, name, func(v *inventory.VM) { v.State = body.State })
 		return err
 	}, err
 }
@@ -112,7 +112,7 @@
 	var body stateChange
 	id, err := r.PathValue("id"), decodeBody(r, &body)
 	return func(l *Lists) (err error) {
-		l.Upstreams, err = withChange(l.Upstreams, upstreamKey, id, func(u *platform.Upstream) { u.State = body.State })
+		l.Upstreams, err = withChange(l.Upstreams, upstreamKey, id, func(u *inventory.Upstream) { u.State = body.State })
 		return err
 	}, err
 }
--- a/standin/platform_test.go
+++ b/standin/platform_test.go
@@ -13,15 +13,15 @@
 	"github.com/sirupsen/logrus/hooks/test"
 
 	"pistachiomount.example/pistachiomount/clock"
-	"pistachiomount.example/pistachiomount/platform"
+	"pistachiomount.example/pistachiomount/inventory"
 	"pistachiomount.example/pistachiomount/settings"
 	"pistachiomount.example/pistachiomount/standin"
 )
 
-func listedUpstream(id string) platform.Upstream {
-	return platform.Upstream{
+func listedUpstream(id string) inventory.Upstream {
+	return inventory.Upstream{
 		ID: id, Service: "records", Address: netip.MustParseAddrPort("127.0.0.1:9000"),
-		Region: "bogota", FailureDomain: "a", State: platform.Live,
+		Region: "bogota", FailureDomain: "a", State: inventory.Live,
 	}
 }
 
@@ -35,29 +35,29 @@
 func TestPlatformChangesBecomeVisibleAfterLag(t *testing.T) {
 	is := is.New(t)
 	c := &clock.Manual{}
-	p, err := standin.NewPlatform(c, standin.Lists{Upstreams: []platform.Upstream{listedUpstream("u-1")}}, standin.PlatformOptions{LagMS: 5000})
+	p, err := standin.NewPlatform(c, standin.Lists{Upstreams: []inventory.Upstream{listedUpstream("u-1")}}, standin.PlatformOptions{LagMS: 5000})
 	is.NoErr(err)
 	is.Equal(do(p, "PATCH", "/v1/upstreams/u-1", `{"state":"leaving"}`).Code, 204)
 	c.Advance(4 * time.Second)
-	is.Equal(p.Lists().Upstreams[0].State, platform.Live)
+	is.Equal(p.Lists().Upstreams[0].State, inventory.Live)
 	is.Equal(do(p, "POST", "/v1/upstreams", `{"id":"u-2","service":"records","address":"127.0.0.1:9001","region":"bogota","failure_domain":"a","state":"live"}`).Code, 204)
 	c.Advance(time.Second)
 	is.Equal(len(p.Lists().Upstreams), 1)
-	is.Equal(p.Lists().Upstreams[0].State, platform.Leaving)
+	is.Equal(p.Lists().Upstreams[0].State, inventory.Leaving)
 	c.Advance(4 * time.Second)
 	is.Equal(len(p.Lists().Upstreams), 2)
-	is.Equal(p.Lists().Upstreams[0].State, platform.Leaving)
+	is.Equal(p.Lists().Upstreams[0].State, inventory.Leaving)
 }
 
 func TestPlatformRefusesBadChanges(t *testing.T) {
 	is := is.New(t)
-	p, err := standin.NewPlatform(&clock.Manual{}, standin.Lists{Upstreams: []platform.Upstream{listedUpstream("u-1")}}, standin.PlatformOptions{})
+	p, err := standin.NewPlatform(&clock.Manual{}, standin.Lists{Upstreams: []inventory.Upstream{listedUpstream("u-1")}}, standin.PlatformOptions{})
 	is.NoErr(err)
 	is.Equal(do(p, "PATCH", "/v1/upstreams/u-9", `{"state":"leaving"}`).Code, 404)
 	is.Equal(do(p, "PATCH", "/v1/upstreams/u-1", `{"state":"gone"}`).Code, 400)
 	is.Equal(do(p, "PUT", "/v1/vms", `[{"name":"vm-1"}]`).Code, 400)
 	is.Equal(do(p, "PUT", "/standin", `{"lag":1}`).Code, 400)
-	is.Equal(p.Lists().Upstreams[0].State, platform.Live)
+	is.Equal(p.Lists().Upstreams[0].State, inventory.Live)
 	is.Equal(do(p, "PUT", "/v1/upstreams", `[]`).Code, 204)
 	is.Equal(strings.TrimSpace(do(p, "GET", "/v1/upstreams", "").Body.String()), "[]")
 }
@@ -65,19 +65,19 @@
 // Guards against a stand-in whose lists the platform client cannot read.
 func TestClientReadsPlatform(t *testing.T) {
 	is := is.New(t)
-	p, err := standin.NewPlatform(&clock.Manual{}, standin.Lists{Upstreams: []platform.Upstream{listedUpstream("u-1")}}, standin.PlatformOptions{})
+	p, err := standin.NewPlatform(&clock.Manual{}, standin.Lists{Upstreams: []inventory.Upstream{listedUpstream("u-1")}}, standin.PlatformOptions{})
 	is.NoErr(err)
 	server := httptest.NewServer(p)
 	defer server.Close()
 	logger, _ := test.NewNullLogger()
-	client := platform.NewClient(platform.ClientConfig{
+	client := inventory.NewClient(inventory.ClientConfig{
 		Address: settings.Address{AddrPort: netip.MustParseAddrPort(server.Listener.Addr().String())},
 		Clock:   &clock.Manual{}, Logger: logger,
 	})
 	defer client.Close()
 	list, err := client.FetchUpstreams(context.Background())
 	is.NoErr(err)
-	is.Equal(list.Entries, []platform.Upstream{listedUpstream("u-1")})
+	is.Equal(list.Entries, []inventory.Upstream{listedUpstream("u-1")})
 	is.Equal(do(p, "PUT", "/standin", `{"failing":true}`).Code, 204)
 	_, err = client.FetchUpstreams(context.Background())
 	is.True(err != nil)
--- a/standin/register.go
+++ b/standin/register.go
@@ -9,7 +9,7 @@
 
 	"github.com/juju/errors"
 
-	"pistachiomount.example/pistachiomount/platform"
+	"pistachiomount.example/pistachiomount/inventory"
 	"pistachiomount.example/pistachiomount/settings"
 )
 
@@ -17,7 +17,7 @@
 const registerTimeout = 5 * time.Second
 
 // Register adds upstreams to the lists of a platform stand-in.
-func Register(ctx context.Context, address settings.Address, upstreams []platform.Upstream) error {
+func Register(ctx context.Context, address settings.Address, upstreams []inventory.Upstream) error {
 	client := &http.Client{Transport: &http.Transport{}, Timeout: registerTimeout}
 	defer client.CloseIdleConnections()
 	for _, upstream := range upstreams {
@@ -28,7 +28,7 @@
 	return nil
 }
 
-func registerOne(ctx context.Context, client *http.Client, address settings.Address, upstream platform.Upstream) error {
+func registerOne(ctx context.Context, client *http.Client, address settings.Address, upstream inventory.Upstream) error {
 	data, err := json.Marshal(upstream)
 	if err != nil {
 		return errors.Trace(err)
--- a/standin/upstream_handler.go
+++ b/standin/upstream_handler.go
@@ -7,7 +7,7 @@
 
 	"github.com/alexedwards/flow"
 
-	"pistachiomount.example/pistachiomount/platform"
+	"pistachiomount.example/pistachiomount/inventory"
 )
 
 // ServeHTTP answers control requests under /standin, GET /healthz, GET /load,
@@ -87,9 +87,9 @@
 	writeJSON(w, status, map[string]string{"status": text})
 }
 
-func (u *Upstream) load(b *Behaviour) platform.Load {
+func (u *Upstream) load(b *Behaviour) inventory.Load {
 	if b.Load != nil {
 		return *b.Load
 	}
-	return platform.Load{InFlight: u.recorder.running(), Slots: u.config.Slots}
+	return inventory.Load{InFlight: u.recorder.running(), Slots: u.config.Slots}
 }
--- a/standin/upstream_server.go
+++ b/standin/upstream_server.go
@@ -11,7 +11,7 @@
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
-	"pistachiomount.example/pistachiomount/platform"
+	"pistachiomount.example/pistachiomount/inventory"
 	"pistachiomount.example/pistachiomount/settings"
 	"pistachiomount.example/pistachiomount/telemetry"
 )
@@ -56,11 +56,11 @@
 }
 
 // Entry returns the entry for the platform's list.
-func (s *UpstreamServer) Entry() platform.Upstream {
+func (s *UpstreamServer) Entry() inventory.Upstream {
 	c := s.upstream.config
-	return platform.Upstream{
+	return inventory.Upstream{
 		ID: c.ID, Service: c.Service, Address: s.Address(),
-		Region: c.Region, FailureDomain: c.FailureDomain, State: platform.Live,
+		Region: c.Region, FailureDomain: c.FailureDomain, State: inventory.Live,
 	}
 }
 
--- a/standin/upstream_test.go
+++ b/standin/upstream_test.go
@@ -20,7 +20,7 @@
 	"go.uber.org/goleak"
 
 	"pistachiomount.example/pistachiomount/clock"
-	"pistachiomount.example/pistachiomount/platform"
+	"pistachiomount.example/pistachiomount/inventory"
 	"pistachiomount.example/pistachiomount/settings"
 	"pistachiomount.example/pistachiomount/standin"
 )
@@ -317,7 +317,7 @@
 	address := settings.Address{AddrPort: netip.MustParseAddrPort(server.Listener.Addr().String())}
 	is.NoErr(standin.Register(context.Background(), address, fleet.Entries()))
 	is.Equal(p.Lists().Upstreams, fleet.Entries())
-	is.Equal(p.Lists().Upstreams[0].State, platform.Live)
+	is.Equal(p.Lists().Upstreams[0].State, inventory.Live)
 
 	is.Equal(do(fleet, "PUT", "/upstreams/u-9/standin", `{"mode":"refuse"}`).Code, 404)
 	is.Equal(do(fleet, "PUT", "/upstreams/u-1/standin", `{"mode":"refuse"}`).Code, 204)
