--- a/clock/system.go
+++ b/clock/system.go
@@ -21,6 +21,8 @@
 // System reads the clocks of the operating system.
 type System struct {
 	origin time.Time
+	// steady leaves the wall clock out of instants.
+	steady bool
 	sample atomic.Pointer[bootSample]
 }
 
@@ -36,13 +38,25 @@
 	return &System{origin: time.Now()}
 }
 
+// NewSteady returns a clock without the time of day: both of its other readings
+// serve in its place. It is for VMs whose time of day jumps by seconds, which
+// would end every lease and start elections. Suspension is seen by the boot-time
+// clock.
+func NewSteady() *System {
+	return &System{origin: time.Now(), steady: true}
+}
+
 // Now returns the current instant. Where the boot-time clock cannot be read,
 // its reading equals the monotonic one.
 func (s *System) Now() Instant {
 	now := time.Now()
 	mono := now.Sub(s.origin)
 	wall := time.Duration(now.UnixNano())
-	return Instant{Mono: mono, Boot: s.boot(mono, wall), Wall: wall}
+	boot := s.boot(mono, wall)
+	if s.steady {
+		wall = boot
+	}
+	return Instant{Mono: mono, Boot: boot, Wall: wall}
 }
 
 func (s *System) boot(mono, wall time.Duration) time.Duration {
--- /dev/null
+++ b/cmd/pistachiomount/gateway_role.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"context"
+
+	"github.com/juju/errors"
+
+	"pistachiomount.example/pistachiomount/clock"
+	"pistachiomount.example/pistachiomount/gateway"
+	"pistachiomount.example/pistachiomount/gateway/budget"
+	"pistachiomount.example/pistachiomount/platform"
+)
+
+// gatewayRole serves callers.
+type gatewayRole struct {
+	role
+}
+
+func (r *gatewayRole) run(ctx context.Context) error {
+	s, observed, err := r.start("gateway")
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer func() { _ = observed.Shutdown(context.WithoutCancel(ctx)) }()
+	log := observed.Logger
+	callers, err := listen(ctx, s.CallerAddress, "callers", log)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	g := gateway.New(gateway.Config{
+		VM: s.VM, Region: s.Region, FailureDomain: s.FailureDomain, Address: s.CallerAddress, Listener: callers,
+		Controls: peers(s), Security: trusted(log), Lister: platform.NewListClient(s, log),
+		Clock: clock.NewSteady(), Log: log, Meter: observed.MeterProvider.Meter("gateway"),
+		Names: platform.CallerNames(), Upstream: platform.UpstreamNames(),
+		Retries: budget.Limits{
+			Ratio: s.Bounds.RetryRatio * budgetShare, Window: s.Bounds.RetryWindow, Slack: s.Bounds.RetrySlack * budgetShare,
+		},
+		StopTime: s.Bounds.StopTime, ListRate: s.ListRate, MaxViewAge: s.Bounds.Contact / 2,
+	})
+	readiness, err := listen(ctx, s.ReadinessAddress, "readiness", log)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	checks := serveHTTP(readiness, platform.ReadinessHandler(g.Ready), log)
+	defer func() { _ = checks.Close() }()
+	directory, err := listen(ctx, s.DirectoryAddress, "directory", log)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	lookups := serveHTTP(directory, platform.DirectoryHandler(g, gateway.DirectoryTTL), log)
+	defer func() { _ = lookups.Close() }()
+	return errors.Trace(g.Run(ctx))
+}
+
+// budgetShare is the part of the retry budget that is used: VMs that do not know of
+// each other yet share it out among too few.
+const budgetShare = 0.7
--- a/control/caps.go
+++ b/control/caps.go
@@ -1,10 +1,14 @@
 package control
 
 import (
+	"github.com/juju/errors"
+	"google.golang.org/protobuf/proto"
+
 	"pistachiomount.example/pistachiomount/apipb"
 	"pistachiomount.example/pistachiomount/document"
 	"pistachiomount.example/pistachiomount/grant"
 	"pistachiomount.example/pistachiomount/inventory"
+	"pistachiomount.example/pistachiomount/plan"
 )
 
 const (
@@ -48,6 +52,29 @@
 	return caps
 }
 
+// capsOfPlan returns the limits of a routing state: the rates of its customers.
+// Slots of upstreams are no caps there; an upstream that is full says so itself.
+func capsOfPlan(raw []byte) ([]grant.Cap, error) {
+	state := &apipb.RoutingState{}
+	if err := proto.Unmarshal(raw, state); err != nil {
+		return nil, errors.Annotate(err, "routing state")
+	}
+	p, err := plan.Decode(state.Plan)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	var caps []grant.Cap
+	for _, c := range p.Customers {
+		if c.Rate > 0 {
+			caps = append(caps, grant.Cap{
+				Resource: grant.CustomerID(c.Name), Kind: apipb.ResourceKind_RESOURCE_KIND_RATE,
+				Rate: c.Rate, Burst: c.Burst,
+			})
+		}
+	}
+	return caps, nil
+}
+
 func regionCaps(s *document.Service) []grant.Cap {
 	caps := make([]grant.Cap, 0, len(s.RegionCapacity))
 	for region, limit := range s.RegionCapacity {
--- a/control/config.go
+++ b/control/config.go
@@ -50,4 +50,13 @@
 	// Quarantine is how long units of a lost holder stay unused; 0 means the
 	// longest route deadline that a document may set.
 	Quarantine time.Duration
+	// Form lets this daemon form the cluster by itself when it has no state and no
+	// peer that answers belongs to one. At most one daemon of an installation may
+	// have it set, and only at the very first start.
+	Form bool
+	// MinVoters is how many voters the group must have before a routing plan or an
+	// evacuation is accepted; below it the loss of one disk could lose it.
+	MinVoters int
+	// GrantLease is the validity of grants; 0 means grant.DefaultLease.
+	GrantLease time.Duration
 }
--- a/control/daemon.go
+++ b/control/daemon.go
@@ -153,6 +153,7 @@
 	}
 	defer outboxes.Close()
 	go engine.keepMembers(ctx)
+	go d.newJoiner().stayIn(ctx, engine)
 	return errors.Trace(engine.Run(ctx))
 }
 
@@ -173,6 +174,9 @@
 	d.cfg.Log.Info("no cluster yet: waiting for a peer's cluster or for init")
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	if d.cfg.Form {
+		go d.formByItself(ctx)
+	}
 	found := make(chan uint64, 1)
 	go func() {
 		if id, err := d.newJoiner().discover(ctx); err == nil {
--- a/control/engine.go
+++ b/control/engine.go
@@ -47,7 +47,10 @@
 	contacts map[uint64]*apipb.Member
 	// memberChange and memberChangeTerm tell the last member change proposed here.
 	memberChange, memberChangeTerm uint64
-	changed                        chan struct{} // closed and replaced when the state changes
+	// leading and leadingSince tell since when this daemon has led without a break.
+	leading      bool
+	leadingSince clock.Instant
+	changed      chan struct{} // closed and replaced when the state changes
 }
 
 // inboxSize bounds what waits for the loop. Senders beyond it block, and their
--- a/control/errors.go
+++ b/control/errors.go
@@ -26,6 +26,8 @@
 	ErrNameInUse = errors.ConstError("a running member has this name")
 	// ErrJoining: the change that takes the daemon in is not committed yet; ask again.
 	ErrJoining = errors.ConstError("the member is being taken in")
+	// ErrForming: the group has too few voters for a change to be safe yet.
+	ErrForming = errors.ConstError("the group is forming: too few control daemons vote yet")
 	// ErrStorage: the log cannot be written; the daemon must stop.
 	ErrStorage = errors.ConstError("the log cannot be written")
 )
--- a/control/forming.go
+++ b/control/forming.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -30,6 +31,48 @@
 	return id, errors.Trace(d.form(id))
 }
 
+// formByItself forms the cluster unless a peer that answers belongs to one. A
+// peer that does not answer is no obstacle, because Config.Form is set only at
+// the very first start and on one daemon.
+func (d *Daemon) formByItself(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := d.formUnlessFound(ctx)
+		if err == nil {
+			return
+		}
+		d.cfg.Log.WithError(err).Warn("cluster not formed")
+		if errors.Is(err, ErrAlreadyInitialised) {
+			return
+		}
+		wait(ctx, joinInterval)
+	}
+}
+
+func (d *Daemon) formUnlessFound(ctx context.Context) error {
+	id := rand.Uint64() | 1
+	if err := d.beginForming(id); err != nil {
+		return errors.Trace(err)
+	}
+	checkErr := d.newJoiner().checkUninitialised(ctx)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.forming = 0
+	if checkErr != nil && !errors.Is(checkErr, ErrPeerUnreachable) {
+		return errors.Trace(checkErr)
+	}
+	if d.log.Identity().ClusterID != 0 {
+		return errors.Trace(ErrAlreadyInitialised)
+	}
+	return errors.Trace(d.form(id))
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
 func (d *Daemon) beginForming(id uint64) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/control/joiner.go
+++ b/control/joiner.go
@@ -46,6 +46,33 @@
 	}
 }
 
+// stayIn joins the group again when this daemon was removed from it while it was
+// away: a member that is silent may have lost its place to another.
+func (j *joiner) stayIn(ctx context.Context, engine *Engine) {
+	for ctx.Err() == nil {
+		wait(ctx, rejoinInterval)
+		var apart bool
+		var members []string
+		if engine.do(ctx, func() {
+			status := engine.node.Status()
+			apart = engine.member(j.self.Id) == nil || status.Leader == 0
+			for _, m := range status.Members.GetMembers() {
+				members = append(members, m.RpcAddress)
+			}
+		}) != nil || !apart {
+			continue
+		}
+		for _, address := range append(members, j.addrs...) {
+			if address == j.self.RpcAddress {
+				continue
+			}
+			if _, ok := j.join(ctx, address); ok {
+				break
+			}
+		}
+	}
+}
+
 // join asks the daemon at the address and, where it names one, the leader.
 func (j *joiner) join(ctx context.Context, address string) (uint64, bool) {
 	reply, err := j.ask(ctx, address)
--- a/control/member_keeper.go
+++ b/control/member_keeper.go
@@ -31,7 +31,8 @@
 // is added up to MaxVoters.
 func (e *Engine) promoteOne() {
 	status := e.node.Status()
-	if status.Role != consensus.RoleLeader || len(status.Members.GetOutgoingVoters()) > 0 {
+	e.noteLeading(status.Role == consensus.RoleLeader)
+	if !e.leading || len(status.Members.GetOutgoingVoters()) > 0 {
 		return
 	}
 	for _, progress := range e.node.Progress() {
@@ -39,7 +40,7 @@
 		if learner == nil || learner.Voter || !progress.CaughtUp {
 			continue
 		}
-		change := promotion(learner, status.Members)
+		change := promotion(learner, status.Members, e.silent)
 		if change == nil {
 			continue
 		}
@@ -51,22 +52,52 @@
 	}
 }
 
+// noteLeading records the begin of each time that this daemon leads.
+func (e *Engine) noteLeading(leads bool) {
+	if leads && !e.leading {
+		e.leadingSince = e.cfg.Clock.Now()
+	}
+	e.leading = leads
+}
+
+// silent reports whether nothing was heard of a member for memberActiveFor while
+// this daemon led.
+func (e *Engine) silent(m *apipb.Member) bool {
+	now := e.cfg.Clock.Now()
+	if m.Id == e.cfg.Self.Id || now.ElapsedSince(e.leadingSince) < memberActiveFor {
+		return false
+	}
+	heard, ok := e.heard[m.Id]
+	return !ok || now.ElapsedSince(heard) >= memberActiveFor
+}
+
 // promotion returns the change that makes the learner a voter, or nil if it is
-// to stay a learner.
-func promotion(learner *apipb.Member, members *apipb.MemberSet) *apipb.MemberChange {
+// to stay a learner. In a full group it takes the place of a voter that is
+// silent: a VM that was removed for good must not count against the majority.
+func promotion(learner *apipb.Member, members *apipb.MemberSet, silent func(*apipb.Member) bool) *apipb.MemberChange {
 	voters := 0
+	var lost *apipb.Member
 	for _, m := range members.GetMembers() {
 		if !m.Voter {
 			continue
 		}
 		voters++
+		if silent(m) {
+			lost = m
+		}
 		if m.Name == learner.Name {
 			return &apipb.MemberChange{
 				Type: apipb.MemberChangeType_MEMBER_CHANGE_TYPE_REPLACE, Member: learner, ReplacesId: m.Id,
 			}
 		}
 	}
-	if voters >= MaxVoters {
+	switch {
+	case voters < MaxVoters:
+	case lost != nil:
+		return &apipb.MemberChange{
+			Type: apipb.MemberChangeType_MEMBER_CHANGE_TYPE_REPLACE, Member: learner, ReplacesId: lost.Id,
+		}
+	default:
 		return nil
 	}
 	return &apipb.MemberChange{Type: apipb.MemberChangeType_MEMBER_CHANGE_TYPE_PROMOTE, Member: learner}
@@ -103,7 +134,9 @@
 		if m.Name != member.Name {
 			continue
 		}
-		if heard, ok := e.heard[m.Id]; m.Id == e.cfg.Self.Id || ok && now.ElapsedSince(heard) < memberActiveFor {
+		// A daemon at the same address took the place of the one known, whose port is bound again.
+		sameAddress := m.RpcAddress == member.RpcAddress
+		if heard, ok := e.heard[m.Id]; m.Id == e.cfg.Self.Id || ok && !sameAddress && now.ElapsedSince(heard) < memberActiveFor {
 			return errors.Annotatef(ErrNameInUse, "name %q", member.Name)
 		}
 		if !m.Voter { // a learner whose disk was lost before it was promoted
--- a/control/ownership.go
+++ b/control/ownership.go
@@ -137,7 +137,7 @@
 
 func (o *ownership) begin(term uint64) *tenure {
 	owner := grant.NewOwner(grant.OwnerConfig{
-		Term: term, Quarantine: o.cfg.Quarantine, NoPredecessor: term == o.firstTerm,
+		Term: term, Quarantine: o.cfg.Quarantine, Lease: o.cfg.GrantLease, NoPredecessor: term == o.firstTerm,
 	}, o.cfg.Clock)
 	return &tenure{owner: owner, fleet: membership.NewFleet(term, o.cfg.Clock)}
 }
@@ -154,13 +154,24 @@
 	if t.revision == version.Revision && slices.Equal(t.upstreams, upstreams) {
 		return
 	}
-	doc, _, err := t.decoder.Decode(version.Raw)
+	caps, err := t.caps(env, version, upstreams)
 	if err != nil {
 		o.cfg.Log.WithError(err).Error("the document in force cannot be decoded")
 		return
 	}
 	t.revision, t.upstreams = version.Revision, upstreams
-	t.owner.SetCaps(capsOf(doc, upstreams))
+	t.owner.SetCaps(caps)
+}
+
+func (t *tenure) caps(env apipb.Environment, version *store.Version, upstreams []inventory.Upstream) ([]grant.Cap, error) {
+	if env == apipb.Environment_ENVIRONMENT_PLAN {
+		return capsOfPlan(version.Raw)
+	}
+	doc, _, err := t.decoder.Decode(version.Raw)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	return capsOf(doc, upstreams), nil
 }
 
 func (o *ownership) upstreams(env apipb.Environment) []inventory.Upstream {
--- a/control/timing.go
+++ b/control/timing.go
@@ -30,6 +30,9 @@
 	memberCheckInterval = 500 * time.Millisecond
 	// joinInterval is how often a daemon without a cluster asks its peers.
 	joinInterval = 500 * time.Millisecond
+	// rejoinInterval is how often a member looks whether it still belongs to the
+	// group. It exceeds an election, during which no leader is known either.
+	rejoinInterval = 2 * time.Second
 	// peerTimeout bounds one call to another control daemon.
 	peerTimeout = 2 * time.Second
 	// transferTimeout bounds handing over leadership at a planned stop.
--- /dev/null
+++ b/gateway/attempt.go
@@ -0,0 +1,171 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"pistachiomount.example/pistachiomount/gateway/egress"
+	"pistachiomount.example/pistachiomount/gateway/ingress"
+	"pistachiomount.example/pistachiomount/gateway/placement"
+	"pistachiomount.example/pistachiomount/inventory"
+	"pistachiomount.example/pistachiomount/plan"
+)
+
+// attempt is one request of a caller on its way to an upstream.
+type attempt struct {
+	gateway  *Gateway
+	request  *ingress.Request
+	route    *plan.Route
+	customer *plan.Customer
+	service  *service
+	query    placement.Query
+	// deadline is when the caller must have an answer.
+	deadline time.Time
+
+	sends, dials int
+	// mayHaveRun is set once an upstream may have run the request.
+	mayHaveRun bool
+	lastErr    error
+}
+
+// run offers the request to upstreams until one answers or there is nothing left
+// to try.
+func (a *attempt) run(ctx context.Context) *ingress.Response {
+	a.service.retries.Request(time.Now())
+	for {
+		chosen, refusal := a.place(ctx)
+		if refusal != nil {
+			return refusal
+		}
+		reply := a.offer(ctx, chosen)
+		if ctx.Err() != nil {
+			closeRest(reply)
+			return &ingress.Response{Abort: true}
+		}
+		if response := a.judge(chosen, reply); response != nil {
+			return response
+		}
+	}
+}
+
+// place finds an upstream with room.
+func (a *attempt) place(ctx context.Context) (inventory.Upstream, *ingress.Response) {
+	now := time.Now()
+	if a.deadline.Sub(now) < minLeft {
+		return inventory.Upstream{}, a.giveUp(ReasonTimeout)
+	}
+	chosen, verdict := a.service.turns.acquire(ctx, a.query, a.holdUntil(now))
+	switch {
+	case ctx.Err() != nil:
+		if verdict == placement.Placed {
+			a.service.turns.done(chosen.ID, placement.Outcome{})
+		}
+		return inventory.Upstream{}, &ingress.Response{Abort: true}
+	case verdict == placement.None:
+		return inventory.Upstream{}, a.giveUp(ReasonNoUpstream)
+	case verdict == placement.Full:
+		return inventory.Upstream{}, a.giveUp(ReasonNoRoom)
+	case a.sends > 0 && !a.service.retries.TryRepeat(time.Now()):
+		a.service.turns.done(chosen.ID, placement.Outcome{})
+		return inventory.Upstream{}, a.giveUp(ReasonRetryBudget)
+	}
+	return chosen, nil
+}
+
+// holdUntil bounds the wait for room.
+func (a *attempt) holdUntil(now time.Time) time.Time {
+	hold := max(time.Duration(float64(a.route.Target)*holdShare), minHold)
+	until := a.request.Received.Add(hold)
+	if until.After(a.deadline) {
+		return a.deadline
+	}
+	if until.Before(now) {
+		return now
+	}
+	return until
+}
+
+func (a *attempt) offer(ctx context.Context, chosen inventory.Upstream) *egress.Reply {
+	call := &egress.Call{
+		Upstream: chosen.ID, Address: chosen.Address.String(), Method: a.request.Method, Target: a.request.Target,
+		Host: a.request.Host, Header: a.request.Header, Body: a.request.Body, Rest: a.request.Rest,
+		Length: a.request.Length, Deadline: a.deadline,
+	}
+	if a.customer != nil {
+		call.Customer = a.customer.Name
+	}
+	sent := time.Now()
+	reply := a.gateway.pool.Do(ctx, call)
+	outcome := placement.Outcome{
+		Sent: sent, Unreachable: reply.Unreachable, Gone: reply.Misdirected,
+		Refused: reply.Outcome == egress.NotRun && !reply.Unreachable && !reply.Misdirected,
+		Running: reply.Load.Running, Waiting: reply.Load.Waiting, Reported: reply.Reported,
+	}
+	if ctx.Err() == nil {
+		outcome.Failed = reply.Outcome == egress.Unknown || reply.Outcome == egress.Answered && reply.Status >= http.StatusInternalServerError
+	}
+	if reply.Outcome == egress.Answered && reply.Status < http.StatusInternalServerError {
+		outcome.Took = a.gateway.usual.compare(a.route.Name, time.Since(sent))
+	}
+	if outcome.Unreachable || outcome.Gone {
+		a.gateway.pool.Forget(chosen.ID)
+	}
+	a.service.turns.done(chosen.ID, outcome)
+	return reply
+}
+
+// judge returns the answer to the caller, or nil if another upstream is tried.
+func (a *attempt) judge(chosen inventory.Upstream, reply *egress.Reply) *ingress.Response {
+	if reply.Unreachable {
+		a.dials++
+	} else {
+		a.sends++
+	}
+	a.query.Tried = append(a.query.Tried, chosen.ID)
+	a.lastErr = reply.Err
+	switch reply.Outcome {
+	case egress.Answered:
+		return answerOf(reply)
+	case egress.NotRun:
+		if a.exhausted() {
+			return a.giveUp(ReasonNoRoom)
+		}
+		return nil
+	}
+	a.mayHaveRun = true
+	if !a.route.Idempotent || a.exhausted() {
+		return a.giveUp(ReasonUpstreamLost)
+	}
+	return nil
+}
+
+// exhausted reports whether the request may not be offered to another upstream.
+func (a *attempt) exhausted() bool {
+	return a.sends >= max(a.route.MaxAttempts, 1) || a.dials >= maxDials || a.request.Rest != nil
+}
+
+// giveUp returns the final answer of a request that no upstream answered. Only one
+// that certainly did not run gets a status that promises so.
+func (a *attempt) giveUp(reason Reason) *ingress.Response {
+	a.gateway.refused(a, reason)
+	if !a.mayHaveRun {
+		return notRun(http.StatusServiceUnavailable, reason, retryAfter())
+	}
+	if time.Until(a.deadline) < minLeft {
+		return failure(http.StatusGatewayTimeout, ReasonTimeout)
+	}
+	return failure(http.StatusBadGateway, reason)
+}
+
+func answerOf(reply *egress.Reply) *ingress.Response {
+	return &ingress.Response{
+		Status: reply.Status, Header: reply.Header, Body: reply.Body, Rest: reply.Rest, Length: reply.Length,
+	}
+}
+
+func closeRest(reply *egress.Reply) {
+	if reply.Rest != nil {
+		_ = reply.Rest.Close()
+	}
+}
--- /dev/null
+++ b/gateway/config.go
@@ -0,0 +1,55 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"go.opentelemetry.io/otel/metric"
+
+	"pistachiomount.example/pistachiomount/clock"
+	"pistachiomount.example/pistachiomount/gateway/budget"
+	"pistachiomount.example/pistachiomount/gateway/egress"
+	"pistachiomount.example/pistachiomount/inventory"
+	"pistachiomount.example/pistachiomount/transport"
+)
+
+// Names are the names of the headers between callers and entry VMs.
+type Names struct {
+	RequestID string
+	Deadline  string
+	Key       string
+	// ObjectCookie is the cookie that names the object of a request.
+	ObjectCookie string
+}
+
+// Lister reads the list of upstreams.
+type Lister interface {
+	Upstreams(ctx context.Context) ([]inventory.Upstream, error)
+}
+
+// Config holds what a Gateway is made from. Its listener is bound already.
+type Config struct {
+	VM, Region, FailureDomain string
+	// Address is where callers reach this VM.
+	Address  string
+	Listener net.Listener
+	Controls []string
+	Security *transport.Security
+	Lister   Lister
+	Clock    clock.Clock
+	Log      logrus.FieldLogger
+	Meter    metric.Meter
+
+	Names    Names
+	Upstream egress.Names
+	Retries  budget.Limits
+	// StopTime is how long a planned stop may take.
+	StopTime time.Duration
+	// ListRate is how often per second all VMs together may read the list.
+	ListRate float64
+	// MaxViewAge is how old the confirmation of the plan may be before a route or a
+	// key that is not known counts as not known yet.
+	MaxViewAge time.Duration
+}
--- /dev/null
+++ b/gateway/egress/exchange.go
@@ -0,0 +1,187 @@
+package egress
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// Do sends the request once and waits for the answer. When the context ends the
+// connection is closed, which makes the upstream drop the request.
+func (p *Pool) Do(ctx context.Context, call *Call) *Reply {
+	key := poolKey{call.Upstream, call.Address}
+	dialCtx, cancel := context.WithDeadline(ctx, call.Deadline)
+	c, err := p.take(dialCtx, key)
+	cancel()
+	if err != nil {
+		return &Reply{Outcome: NotRun, Unreachable: true, Err: errors.Trace(err)}
+	}
+	stop := context.AfterFunc(ctx, func() { _ = c.nc.Close() })
+	reply := p.exchange(c, call)
+	if !stop() {
+		return &Reply{Outcome: Unknown, Err: errors.Trace(ctx.Err())}
+	}
+	p.settle(key, c, reply)
+	return reply
+}
+
+// settle keeps the connection or closes it.
+func (p *Pool) settle(key poolKey, c *upstreamConn, reply *Reply) {
+	switch {
+	case reply.Rest != nil: // closed when the rest has been read
+	case reply.Status != 0 && !c.usableUntil.IsZero() && c.br.Buffered() == 0:
+		p.put(key, c)
+	default:
+		_ = c.nc.Close()
+	}
+}
+
+func (p *Pool) exchange(c *upstreamConn, call *Call) *Reply {
+	c.usableUntil = time.Time{}
+	_ = c.nc.SetDeadline(call.Deadline)
+	sent, err := p.send(c, call)
+	if err != nil && !sent {
+		return &Reply{Outcome: NotRun, Unreachable: true, Err: errors.Annotate(ErrBroken, err.Error())}
+	}
+	// An upstream may answer before it has read a long body, so a failed write does
+	// not mean that there is no answer.
+	reply := p.receive(c, call)
+	if reply.Err != nil && err != nil {
+		reply.Err = errors.Annotate(reply.Err, err.Error())
+	}
+	if err != nil {
+		c.usableUntil = time.Time{}
+	}
+	return reply
+}
+
+// send writes the request. sent tells whether any byte may have left.
+func (p *Pool) send(c *upstreamConn, call *Call) (sent bool, err error) {
+	buf := append(p.head(call, time.Now()), call.Body...)
+	if call.Rest != nil && call.Length < 0 {
+		buf = append(p.head(call, time.Now()), chunk(call.Body)...)
+	}
+	n, err := c.nc.Write(buf)
+	if err != nil {
+		return n > 0, err
+	}
+	if call.Rest == nil {
+		return true, nil
+	}
+	return true, sendRest(c.nc, call)
+}
+
+func chunk(piece []byte) []byte {
+	out := fmt.Appendf(nil, "%x\r\n", len(piece))
+	out = append(out, piece...)
+	return append(out, "\r\n"...)
+}
+
+func sendRest(w io.Writer, call *Call) error {
+	if call.Length >= 0 {
+		_, err := io.CopyN(w, call.Rest, call.Length-int64(len(call.Body)))
+		return err
+	}
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := call.Rest.Read(buf)
+		if n > 0 {
+			if _, werr := w.Write(chunk(buf[:n])); werr != nil {
+				return werr
+			}
+		}
+		if err == io.EOF {
+			_, err = io.WriteString(w, "0\r\n\r\n")
+			return err
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// receive reads answers until the one to this request. An upstream may send an
+// extra answer to an earlier request; it belongs to no request and is skipped.
+func (p *Pool) receive(c *upstreamConn, call *Call) *Reply {
+	id := call.Header.Get(p.names.RequestID)
+	request := &http.Request{Method: call.Method}
+	for range maxStrays + 1 {
+		response, err := http.ReadResponse(c.br, request)
+		if err != nil {
+			return &Reply{Outcome: Unknown, Err: broken(err)}
+		}
+		if response.StatusCode < http.StatusOK {
+			continue // 100 Continue and its kin
+		}
+		if echoed := response.Header.Get(p.names.RequestID); echoed == id || echoed == "" {
+			return p.read(c, call, response)
+		}
+		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxBuffered)); err != nil {
+			return &Reply{Outcome: Unknown, Err: broken(err)}
+		}
+	}
+	return &Reply{Outcome: Unknown, Err: errors.Trace(ErrStray)}
+}
+
+// read turns an answer into a reply.
+func (p *Pool) read(c *upstreamConn, call *Call, response *http.Response) *Reply {
+	reply := &Reply{Status: response.StatusCode, Header: p.passed(response.Header)}
+	reply.Load, reply.Reported = parseLoad(response.Header.Get(p.names.Load))
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxBuffered+1))
+	if err != nil {
+		return &Reply{Outcome: Unknown, Err: broken(err), Load: reply.Load, Reported: reply.Reported}
+	}
+	if !call.check && response.StatusCode < http.StatusMultipleChoices && response.Header.Get(p.names.Signature) == "" {
+		return &Reply{Outcome: Unknown, Err: errors.Annotate(ErrBroken, "a success without signature"), Load: reply.Load, Reported: reply.Reported}
+	}
+	reply.Body = body
+	if len(body) > maxBuffered {
+		reply.Length, reply.Rest = response.ContentLength, &restBody{body: response.Body, conn: c}
+		return reply
+	}
+	if !response.Close && !closes(response.Header) {
+		c.keepUntil(time.Now(), response.Header)
+	}
+	p.judge(reply, response)
+	return reply
+}
+
+// judge finds answers that say that the request did not run.
+func (p *Pool) judge(reply *Reply, response *http.Response) {
+	reply.Misdirected = response.StatusCode == http.StatusMisdirectedRequest
+	if reply.Misdirected || response.Header.Get(p.names.NotRun) != "" {
+		reply.Outcome, reply.Err = NotRun, errors.Annotatef(ErrRefused, "status %d", response.StatusCode)
+	}
+}
+
+func closes(header http.Header) bool {
+	for _, value := range header["Connection"] {
+		if strings.Contains(strings.ToLower(value), "close") {
+			return true
+		}
+	}
+	return false
+}
+
+func broken(err error) error {
+	var timeout interface{ Timeout() bool }
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		return errors.Annotate(ErrTimeout, err.Error())
+	}
+	return errors.Annotate(ErrBroken, err.Error())
+}
+
+// restBody is the rest of a long answer. Its connection is not used again.
+type restBody struct {
+	body io.ReadCloser
+	conn *upstreamConn
+}
+
+func (b *restBody) Read(p []byte) (int, error) { return b.body.Read(p) }
+
+func (b *restBody) Close() error { return b.conn.nc.Close() }
--- /dev/null
+++ b/gateway/egress/headers.go
@@ -0,0 +1,109 @@
+package egress
+
+import (
+	"bytes"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// hopHeaders concern only one connection.
+var hopHeaders = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
+}
+
+func droppedHeaders(names Names) map[string]bool {
+	drop := map[string]bool{}
+	for _, name := range hopHeaders {
+		drop[name] = true
+	}
+	for _, name := range names.Dropped {
+		drop[http.CanonicalHeaderKey(name)] = true
+	}
+	for _, name := range []string{names.Deadline, names.Customer, names.Expected} {
+		drop[http.CanonicalHeaderKey(name)] = true
+	}
+	return drop
+}
+
+// connectionTokens returns the headers that the Connection header names.
+func connectionTokens(header http.Header) map[string]bool {
+	values := header["Connection"]
+	if len(values) == 0 {
+		return nil
+	}
+	tokens := map[string]bool{}
+	for _, value := range values {
+		for _, token := range strings.Split(value, ",") {
+			tokens[http.CanonicalHeaderKey(strings.TrimSpace(token))] = true
+		}
+	}
+	return tokens
+}
+
+// head returns the head of the request as bytes.
+func (p *Pool) head(call *Call, now time.Time) []byte {
+	var b bytes.Buffer
+	b.Grow(1024 + len(call.Body))
+	b.WriteString(call.Method)
+	b.WriteByte(' ')
+	b.WriteString(call.Target)
+	b.WriteString(" HTTP/1.1\r\nHost: ")
+	b.WriteString(call.Host)
+	b.WriteString("\r\n")
+	tokens := connectionTokens(call.Header)
+	for name, values := range call.Header {
+		if p.drop[name] || tokens[name] {
+			continue
+		}
+		for _, value := range values {
+			writeHeader(&b, name, value)
+		}
+	}
+	writeHeader(&b, p.names.Expected, call.Upstream)
+	if call.Customer != "" {
+		writeHeader(&b, p.names.Customer, call.Customer)
+	}
+	left := max(call.Deadline.Sub(now)-deadlineMargin, time.Millisecond)
+	writeHeader(&b, p.names.Deadline, strconv.FormatInt(left.Milliseconds(), 10))
+	switch {
+	case call.Rest != nil && call.Length < 0:
+		writeHeader(&b, "Transfer-Encoding", "chunked")
+	case call.Rest != nil:
+		writeHeader(&b, "Content-Length", strconv.FormatInt(call.Length, 10))
+	case len(call.Body) > 0 || call.Method != http.MethodGet && call.Method != http.MethodHead:
+		writeHeader(&b, "Content-Length", strconv.Itoa(len(call.Body)))
+	}
+	b.WriteString("\r\n")
+	return b.Bytes()
+}
+
+func writeHeader(b *bytes.Buffer, name, value string) {
+	b.WriteString(name)
+	b.WriteString(": ")
+	b.WriteString(value)
+	b.WriteString("\r\n")
+}
+
+// Passed returns the headers of an answer that are passed on to the caller.
+func (p *Pool) passed(header http.Header) http.Header {
+	tokens := connectionTokens(header)
+	passed := make(http.Header, len(header))
+	for name, values := range header {
+		if !isHop(name) && !tokens[name] {
+			passed[name] = values
+		}
+	}
+	return passed
+}
+
+func isHop(name string) bool {
+	for _, hop := range hopHeaders {
+		if hop == name {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/gateway/egress/health.go
@@ -0,0 +1,36 @@
+package egress
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Health is the result of a health check.
+type Health struct {
+	// Well: the upstream answers under its own id and takes requests.
+	Well bool
+	// Cold is how long it stays cold.
+	Cold time.Duration
+}
+
+// healthTimeout bounds a health check. It waits for a slot like a request.
+const healthTimeout = 2 * time.Second
+
+// Check asks an upstream for its health.
+func (p *Pool) Check(ctx context.Context, upstream, address, path string) Health {
+	reply := p.Do(ctx, &Call{
+		Upstream: upstream, Address: address, Method: http.MethodGet, Target: path, Host: address,
+		Header: http.Header{}, Deadline: time.Now().Add(healthTimeout), check: true,
+	})
+	if reply.Rest != nil {
+		_ = reply.Rest.Close()
+	}
+	well := reply.Status == http.StatusOK && reply.Header.Get(p.names.Instance) == upstream
+	health := Health{Well: well}
+	if ms, err := strconv.ParseFloat(reply.Header.Get(p.names.Cold), 64); err == nil {
+		health.Cold = time.Duration(ms * float64(time.Millisecond))
+	}
+	return health
+}
--- /dev/null
+++ b/gateway/egress/names.go
@@ -0,0 +1,24 @@
+package egress
+
+// Names are the names of the headers between entry VMs and upstreams.
+type Names struct {
+	RequestID string
+	// Deadline is the time that is left, in milliseconds.
+	Deadline string
+	// Customer is set for the upstream.
+	Customer string
+	// Expected names the upstream that is meant to run the request.
+	Expected string
+	// NotRun marks an answer to a request that the upstream did not run.
+	NotRun string
+	// Load is the upstream's report of running and waiting requests and slots.
+	Load string
+	// Signature marks an answer as the upstream's own; a success has it.
+	Signature string
+	// Instance is the id of the upstream, in answers to health checks.
+	Instance string
+	// Cold is how long the upstream stays cold, in milliseconds.
+	Cold string
+	// Dropped are headers that are not passed on.
+	Dropped []string
+}
--- /dev/null
+++ b/gateway/egress/pool.go
@@ -0,0 +1,131 @@
+package egress
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// poolKey tells upstreams apart that use the same address one after the other.
+type poolKey struct{ upstream, address string }
+
+// Pool keeps idle connections to upstreams.
+type Pool struct {
+	names  Names
+	drop   map[string]bool
+	dialer net.Dialer
+
+	mu   sync.Mutex
+	idle map[poolKey][]*upstreamConn
+	// Dialled counts the connections that were made.
+	Dialled atomic.Uint64
+}
+
+// NewPool returns an empty pool.
+func NewPool(names Names) *Pool {
+	p := &Pool{names: names, drop: droppedHeaders(names), idle: map[poolKey][]*upstreamConn{}}
+	p.dialer = net.Dialer{
+		Timeout: dialTimeout, Control: setUserTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
+		},
+	}
+	return p
+}
+
+// take returns a kept connection that is usable, or a new one.
+func (p *Pool) take(ctx context.Context, key poolKey) (*upstreamConn, error) {
+	for {
+		c := p.pop(key)
+		if c == nil {
+			break
+		}
+		if time.Now().Before(c.usableUntil) && c.quiet() {
+			return c, nil
+		}
+		_ = c.nc.Close()
+	}
+	p.Dialled.Add(1)
+	nc, err := p.dialer.DialContext(ctx, "tcp", key.address)
+	if err != nil {
+		return nil, errors.Annotate(ErrUnreachable, err.Error())
+	}
+	return newUpstreamConn(nc), nil
+}
+
+func (p *Pool) pop(key poolKey) *upstreamConn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	conns := p.idle[key]
+	if len(conns) == 0 {
+		return nil
+	}
+	c := conns[len(conns)-1]
+	p.idle[key] = conns[:len(conns)-1]
+	return c
+}
+
+// put keeps a connection for later requests.
+func (p *Pool) put(key poolKey, c *upstreamConn) {
+	c.fresh = false
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle[key]) >= maxIdlePerUpstream {
+		_ = c.nc.Close()
+		return
+	}
+	p.idle[key] = append(p.idle[key], c)
+}
+
+// Forget closes the idle connections to an upstream that is gone, or that may
+// have lost track of them.
+func (p *Pool) Forget(upstream string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for key, conns := range p.idle {
+		if key.upstream == upstream {
+			closeAll(conns)
+			delete(p.idle, key)
+		}
+	}
+}
+
+// Sweep closes the connections that are no longer usable.
+func (p *Pool) Sweep(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for key, conns := range p.idle {
+		kept := conns[:0]
+		for _, c := range conns {
+			if now.Before(c.usableUntil) {
+				kept = append(kept, c)
+			} else {
+				_ = c.nc.Close()
+			}
+		}
+		p.idle[key] = kept
+		if len(kept) == 0 {
+			delete(p.idle, key)
+		}
+	}
+}
+
+// Close closes all idle connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for key, conns := range p.idle {
+		closeAll(conns)
+		delete(p.idle, key)
+	}
+}
+
+func closeAll(conns []*upstreamConn) {
+	for _, c := range conns {
+		_ = c.nc.Close()
+	}
+}
--- /dev/null
+++ b/gateway/egress/upstream_conn.go
@@ -0,0 +1,74 @@
+package egress
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// upstreamConn is one connection to an upstream.
+type upstreamConn struct {
+	nc net.Conn
+	br *bufio.Reader
+	// usableUntil is when the upstream may close the idle connection.
+	usableUntil time.Time
+	fresh       bool
+}
+
+func newUpstreamConn(nc net.Conn) *upstreamConn {
+	return &upstreamConn{nc: nc, br: bufio.NewReaderSize(nc, 4<<10), fresh: true}
+}
+
+// quiet reports whether the idle connection is open and nothing was received:
+// bytes that nobody asked for would be taken for the next answer.
+func (c *upstreamConn) quiet() bool {
+	if c.br.Buffered() > 0 {
+		return false
+	}
+	raw, ok := c.nc.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = control.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = err == unix.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
+
+// keepUntil sets how long the connection may be kept after an answer.
+func (c *upstreamConn) keepUntil(now time.Time, header http.Header) {
+	idle := defaultIdle
+	for _, field := range strings.Split(header.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		if seconds, err := strconv.Atoi(value); err == nil && strings.EqualFold(name, "timeout") {
+			idle = time.Duration(seconds) * time.Second
+		}
+	}
+	c.usableUntil = now.Add(idle - idleMargin)
+}
+
+// setUserTimeout makes the kernel end a connection whose peer has gone silent.
+func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	var err error
+	controlErr := raw.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+	})
+	if controlErr != nil {
+		return controlErr
+	}
+	return err
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,202 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+
+	"pistachiomount.example/pistachiomount/apipb"
+	"pistachiomount.example/pistachiomount/entry"
+	"pistachiomount.example/pistachiomount/gateway/egress"
+	"pistachiomount.example/pistachiomount/gateway/ingress"
+	"pistachiomount.example/pistachiomount/gateway/placement"
+	"pistachiomount.example/pistachiomount/grant"
+	"pistachiomount.example/pistachiomount/inventory"
+	"pistachiomount.example/pistachiomount/membership"
+)
+
+// Gateway serves callers on one entry VM.
+type Gateway struct {
+	cfg       Config
+	follower  *entry.PlanFollower
+	lifecycle *membership.Lifecycle
+	server    *ingress.Server
+	pool      *egress.Pool
+	splitter  *splitter
+	usual     *usual
+
+	// services is replaced as a whole when the plan names others.
+	services atomic.Pointer[map[string]*service]
+	// mu guards the list and the hand-over of lists and views to the tables.
+	mu     sync.Mutex
+	list   []inventory.Upstream
+	listed bool
+}
+
+// New returns a gateway that Run starts.
+func New(cfg Config) *Gateway {
+	g := &Gateway{
+		cfg: cfg, lifecycle: membership.NewLifecycle(cfg.Clock), pool: egress.NewPool(cfg.Upstream),
+		splitter: newSplitter(), usual: newUsual(),
+	}
+	g.services.Store(&map[string]*service{})
+	g.server = ingress.NewServer(g, cfg.Log)
+	g.follower = entry.NewPlanFollower(entry.FollowerConfig{
+		VM: cfg.VM, Region: cfg.Region, FailureDomain: cfg.FailureDomain, Address: cfg.Address,
+		Controls: cfg.Controls, Security: cfg.Security, Clock: cfg.Clock, Log: cfg.Log,
+		State: g.lifecycle.State, Load: func() float64 { return 0 }, OnChange: g.applyView,
+	})
+	return g
+}
+
+// Run serves until the context ends, then stops without cutting a request.
+func (g *Gateway) Run(ctx context.Context) error {
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer stop()
+	wg.Go(func() { g.follower.Run(background) })
+	wg.Go(func() { g.followList(background) })
+	wg.Go(func() { g.keepHouse(background) })
+	failed := make(chan error, 1)
+	wg.Go(func() { failed <- g.server.Serve(g.cfg.Listener) })
+	select {
+	case err := <-failed:
+		return errors.Trace(err)
+	case <-ctx.Done():
+	}
+	g.leave()
+	return nil
+}
+
+// leave is the planned stop: out of the directory first, then as long as callers
+// may hold an answer that names this VM, then until every request has ended.
+func (g *Gateway) leave() {
+	limit := time.Now().Add(g.cfg.StopTime - stopMargin)
+	if err := g.lifecycle.Leave(); err != nil {
+		g.cfg.Log.WithError(err).Error("planned stop")
+	}
+	g.cfg.Log.Info("leaving")
+	g.server.Announce()
+	ctx, cancel := context.WithDeadline(context.Background(), limit)
+	defer cancel()
+	go func() {
+		if err := g.follower.Announce(ctx); err != nil {
+			g.cfg.Log.WithError(err).Warn("fleet not told that this VM leaves")
+		}
+	}()
+	pause(ctx, acceptTime)
+	g.server.StopAccepting()
+	g.server.CloseIdle()
+	for g.server.Busy() > 0 && ctx.Err() == nil {
+		pause(ctx, stopCheck)
+		g.server.CloseIdle()
+	}
+	g.server.CloseIdle()
+	if err := g.follower.HandBack(ctx); err != nil {
+		g.cfg.Log.WithError(err).Info("grants not handed back; they end with their lease")
+	}
+	g.pool.Close()
+	g.cfg.Log.WithField("busy", g.server.Busy()).Info("stopped")
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// Ready reports whether this VM takes callers: it knows a plan and upstreams, and
+// is not leaving.
+func (g *Gateway) Ready() bool { return g.lifecycle.State() == apipb.VmState_VM_STATE_SERVING }
+
+// serveWhenReady ends the start once there is a plan and a list.
+func (g *Gateway) serveWhenReady() {
+	if g.lifecycle.State() != apipb.VmState_VM_STATE_STARTING || !g.listed || g.follower.View().Index == nil {
+		return
+	}
+	if err := g.lifecycle.Serve(); err != nil {
+		g.cfg.Log.WithError(err).Error("start")
+		return
+	}
+	g.cfg.Log.Info("serving")
+}
+
+func (g *Gateway) place() placement.Place {
+	return placement.Place{Region: g.cfg.Region, FailureDomain: g.cfg.FailureDomain, VM: g.cfg.VM}
+}
+
+// service returns what is kept of a service, or nil if the plan has none.
+func (g *Gateway) service(name string) *service { return (*g.services.Load())[name] }
+
+// applyView takes over a new plan: services, limits, evacuations and customers.
+func (g *Gateway) applyView(view *entry.PlanView) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	limits := view.Index.Plan.Limits
+	g.server.SetLimits(ingress.Limits{
+		MaxHeaderBytes: limits.MaxHeaderBytes, MaxBodyBytes: limits.MaxBodyBytes,
+		HeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout,
+	})
+	services := make(map[string]*service, len(view.Index.Plan.Services))
+	fresh := map[string]bool{}
+	for _, s := range view.Index.Plan.Services {
+		kept := g.service(s.Name)
+		if kept == nil {
+			kept = newService(s.Name, g.place(), g.cfg.Retries)
+			fresh[s.Name] = true
+		}
+		services[s.Name] = kept
+		kept.turns.with(func(now time.Time, table *placement.Table) {
+			table.SetWarmup(s.Warmup, s.WarmupRate)
+			table.SetEvacuated(now, view.Evacuated)
+		})
+	}
+	g.services.Store(&services)
+	g.splitter.reset()
+	for _, c := range view.Index.Plan.Customers {
+		if c.Rate > 0 {
+			g.follower.Holder().Bucket(grant.CustomerID(c.Name)) // asks for a share before the first request
+		}
+	}
+	g.handOver(func(name string) bool { return fresh[name] })
+}
+
+// handOver gives the list to the tables. Upstreams that are new to a fresh table
+// are not new themselves.
+func (g *Gateway) handOver(fresh func(string) bool) {
+	if !g.listed {
+		return
+	}
+	byService := map[string][]inventory.Upstream{}
+	for _, u := range g.list {
+		byService[u.Service] = append(byService[u.Service], u)
+	}
+	vms := g.fleetNames()
+	for name, s := range *g.services.Load() {
+		s.retries.SetVMs(len(vms))
+		s.turns.with(func(now time.Time, table *placement.Table) {
+			table.SetFleet(vms)
+			for _, id := range table.SetUpstreams(now, byService[name], fresh(name)) {
+				g.pool.Forget(id)
+			}
+		})
+	}
+}
+
+// fleetNames returns the entry VMs that are known, this one included.
+func (g *Gateway) fleetNames() []string {
+	names := []string{g.cfg.VM}
+	for _, vm := range g.follower.Fleet() {
+		if vm.Name != g.cfg.VM {
+			names = append(names, vm.Name)
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/gateway/ingress/body.go
@@ -0,0 +1,58 @@
+package ingress
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// errBodyTooLarge says that a body without a length exceeds the limit.
+const errBodyTooLarge = errors.ConstError("the body is larger than allowed")
+
+// begunBody is a body of which the beginning was read.
+type begunBody struct {
+	begin []byte
+	rest  *restReader
+}
+
+func (b *begunBody) Read([]byte) (int, error) { return 0, io.EOF }
+
+func (b *begunBody) Close() error { return nil }
+
+// restReader reads what follows the beginning of a long body.
+type restReader struct {
+	nc   net.Conn
+	r    io.Reader
+	left int64
+}
+
+func (r *restReader) Read(p []byte) (int, error) {
+	_ = r.nc.SetReadDeadline(time.Now().Add(bodyTimeout))
+	n, err := r.r.Read(p)
+	if r.left -= int64(n); r.left < 0 {
+		return n, errBodyTooLarge
+	}
+	return n, err
+}
+
+// bodyOf returns the request as the handler gets it.
+func bodyOf(r *http.Request, length int64) *Request {
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	request := &Request{
+		Method: r.Method, Target: r.RequestURI, Path: path, Host: r.Host, Header: r.Header,
+		Length: length, Received: time.Now(),
+	}
+	if begun, ok := r.Body.(*begunBody); ok {
+		request.Body = begun.begin
+		if begun.rest != nil {
+			request.Rest = begun.rest
+		} else {
+			request.Length = int64(len(begun.begin))
+		}
+	}
+	return request
+}
--- /dev/null
+++ b/gateway/ingress/budget_reader.go
@@ -0,0 +1,28 @@
+package ingress
+
+import (
+	"io"
+
+	"github.com/juju/errors"
+)
+
+// errHeaderTooLarge says that a request head exceeds the limit.
+const errHeaderTooLarge = errors.ConstError("the request head is too large")
+
+// budgetReader bounds how much is read while a request head is parsed.
+type budgetReader struct {
+	r      io.Reader
+	left   int
+	active bool
+}
+
+func (b *budgetReader) Read(p []byte) (int, error) {
+	if b.active && b.left <= 0 {
+		return 0, errHeaderTooLarge
+	}
+	n, err := b.r.Read(p)
+	if b.active {
+		b.left -= n
+	}
+	return n, err
+}
--- /dev/null
+++ b/gateway/ingress/request.go
@@ -0,0 +1,26 @@
+package ingress
+
+import (
+	"io"
+	"net/http"
+	"time"
+)
+
+// Request is one request of a caller.
+type Request struct {
+	Method string
+	// Target is the request target as the caller sent it, with its query.
+	Target string
+	// Path is the target without its query.
+	Path   string
+	Host   string
+	Header http.Header
+	// Body is the whole body, or its beginning if Rest is set.
+	Body []byte
+	// Rest is what follows Body of a long body; it can be read once.
+	Rest io.Reader
+	// Length is the length of the whole body, -1 if it is not known.
+	Length int64
+	// Received is when the request had been read, up to a long body.
+	Received time.Time
+}
--- /dev/null
+++ b/gateway/ingress/write.go
@@ -0,0 +1,143 @@
+package ingress
+
+import (
+	"bytes"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// write sends one answer. After an error, or an answer that ends the connection,
+// nothing more is sent.
+func (c *conn) write(request *http.Request, response *Response) {
+	if response.Rest != nil {
+		defer func() { _ = response.Rest.Close() }()
+	}
+	if c.ctx.Err() != nil {
+		return
+	}
+	if response.Abort {
+		c.end()
+		return
+	}
+	closing := response.Close || request == nil || request.Close
+	if c.server.closing.Load() && c.endIf(1) {
+		closing = true // not earlier: requests behind this one are answered first
+	}
+	_ = c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if err := c.send(request, response, closing); err != nil {
+		c.cancel()
+		c.end()
+		return
+	}
+	if closing {
+		c.endIf(math.MaxInt)
+		_ = c.nc.SetReadDeadline(time.Now()) // lets the reader end
+	}
+}
+
+// end breaks the connection off.
+func (c *conn) end() {
+	c.endIf(math.MaxInt)
+	_ = c.nc.Close()
+}
+
+func (c *conn) send(request *http.Request, response *Response, closing bool) error {
+	head := request != nil && request.Method == http.MethodHead
+	var b bytes.Buffer
+	b.Grow(len(response.Body) + 512)
+	b.WriteString("HTTP/1.1 ")
+	b.WriteString(strconv.Itoa(response.Status))
+	b.WriteByte(' ')
+	b.WriteString(http.StatusText(response.Status))
+	b.WriteString("\r\n")
+	_ = response.Header.Write(&b) // a buffer does not fail
+	chunked := writeFraming(&b, response, head)
+	if closing {
+		b.WriteString("Connection: close\r\n")
+	}
+	b.WriteString("\r\n")
+	if !head && !chunked {
+		b.Write(response.Body)
+	}
+	if _, err := c.nc.Write(b.Bytes()); err != nil {
+		return err
+	}
+	if response.Rest == nil || head {
+		return nil
+	}
+	return c.sendRest(response, chunked)
+}
+
+// writeFraming writes the header that says where the body ends.
+func writeFraming(b *bytes.Buffer, response *Response, head bool) (chunked bool) {
+	switch {
+	case response.Status == http.StatusNoContent || response.Status == http.StatusNotModified:
+	case head:
+	case response.Rest != nil && response.Length < 0:
+		b.WriteString("Transfer-Encoding: chunked\r\n")
+		return true
+	default:
+		length := int64(len(response.Body))
+		if response.Rest != nil {
+			length = response.Length
+		}
+		b.WriteString("Content-Length: ")
+		b.WriteString(strconv.FormatInt(length, 10))
+		b.WriteString("\r\n")
+	}
+	return false
+}
+
+// restBuffer is how much of a long answer is passed on at once.
+const restBuffer = 32 << 10
+
+// sendRest passes on a long body. If reading it fails, the end mark is not sent.
+func (c *conn) sendRest(response *Response, chunked bool) error {
+	if chunked {
+		if err := c.sendChunk(response.Body); err != nil {
+			return err
+		}
+	}
+	buf := make([]byte, restBuffer)
+	for {
+		n, err := response.Rest.Read(buf)
+		_ = c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
+		if n > 0 {
+			if err := c.sendPiece(buf[:n], chunked); err != nil {
+				return err
+			}
+		}
+		if err == io.EOF {
+			break
+		}
+		if err != nil {
+			return err
+		}
+	}
+	if chunked {
+		_, err := io.WriteString(c.nc, "0\r\n\r\n")
+		return err
+	}
+	return nil
+}
+
+func (c *conn) sendPiece(piece []byte, chunked bool) error {
+	if chunked {
+		return c.sendChunk(piece)
+	}
+	_, err := c.nc.Write(piece)
+	return err
+}
+
+func (c *conn) sendChunk(piece []byte) error {
+	var b bytes.Buffer
+	b.WriteString(strconv.FormatInt(int64(len(piece)), 16))
+	b.WriteString("\r\n")
+	b.Write(piece)
+	b.WriteString("\r\n")
+	_, err := c.nc.Write(b.Bytes())
+	return err
+}
--- /dev/null
+++ b/gateway/keep.go
@@ -0,0 +1,89 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"pistachiomount.example/pistachiomount/entry"
+	"pistachiomount.example/pistachiomount/gateway/placement"
+	"pistachiomount.example/pistachiomount/inventory"
+)
+
+// followList reads the list of upstreams until the context ends.
+func (g *Gateway) followList(ctx context.Context) {
+	failing := false
+	for ctx.Err() == nil {
+		callCtx, cancel := context.WithTimeout(ctx, listTimeout)
+		list, err := g.cfg.Lister.Upstreams(callCtx)
+		cancel()
+		switch {
+		case err == nil:
+			g.takeList(list)
+		case !failing && ctx.Err() == nil:
+			g.cfg.Log.WithError(err).Warn("list of upstreams not read")
+		}
+		if err == nil && failing {
+			g.cfg.Log.Info("list of upstreams read again")
+		}
+		failing = err != nil
+		pause(ctx, g.listPause())
+	}
+}
+
+// listPause keeps all VMs together below the rate of the list.
+func (g *Gateway) listPause() time.Duration {
+	if g.cfg.ListRate <= 0 {
+		return listInterval
+	}
+	share := float64(len(g.fleetNames())) / (g.cfg.ListRate * listShare)
+	return max(listInterval, time.Duration(share*float64(time.Second)))
+}
+
+func (g *Gateway) takeList(list []inventory.Upstream) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	first := !g.listed
+	g.list, g.listed = list, true
+	g.handOver(func(string) bool { return first })
+	g.serveWhenReady()
+}
+
+// keepHouse probes ejected upstreams and closes idle connections.
+func (g *Gateway) keepHouse(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, housekeepingInterval)
+		g.pool.Sweep(time.Now())
+		g.mu.Lock()
+		g.serveWhenReady()
+		g.mu.Unlock()
+		view := g.follower.View()
+		if view.Index != nil {
+			g.probeEjected(ctx, view)
+		}
+	}
+}
+
+func (g *Gateway) probeEjected(ctx context.Context, view *entry.PlanView) {
+	for name, s := range *g.services.Load() {
+		described := view.Index.Service(name)
+		if described == nil {
+			continue
+		}
+		var due []inventory.Upstream
+		s.turns.with(func(now time.Time, table *placement.Table) { due = table.DueProbes(now) })
+		for _, u := range due {
+			go g.probe(ctx, s, u, described.HealthPath, described.Warmup)
+		}
+	}
+}
+
+// probe checks one ejected upstream. One that comes back without saying how long
+// it stays cold counts as cold for the whole time that its service names.
+func (g *Gateway) probe(ctx context.Context, s *service, u inventory.Upstream, path string, warmup time.Duration) {
+	health := g.pool.Check(ctx, u.ID, u.Address.String(), path)
+	cold := health.Cold
+	if cold == 0 {
+		cold = warmup
+	}
+	s.turns.with(func(now time.Time, table *placement.Table) { table.Probed(now, u.ID, health.Well, cold) })
+}
--- /dev/null
+++ b/gateway/placement/outcome.go
@@ -0,0 +1,22 @@
+package placement
+
+import "time"
+
+// Outcome is what became of a request at an upstream.
+type Outcome struct {
+	// Failed: the connection broke, or the upstream answered with an error of its own.
+	Failed bool
+	// Unreachable: no connection could be made.
+	Unreachable bool
+	// Refused: the upstream had no room.
+	Refused bool
+	// Gone: another upstream has the address.
+	Gone bool
+	// Took is how long the answer took, as a multiple of what is usual; 0 if unknown.
+	Took float64
+	// Running and Waiting are the upstream's report, if Reported.
+	Running, Waiting int
+	Reported         bool
+	// Sent is when the request was sent.
+	Sent time.Time
+}
--- /dev/null
+++ b/gateway/placement/table.go
@@ -0,0 +1,283 @@
+package placement
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"pistachiomount.example/pistachiomount/inventory"
+)
+
+// Place is where this VM is.
+type Place struct {
+	Region, FailureDomain, VM string
+}
+
+// Table holds the upstreams of one service as seen by one entry VM. It is not
+// safe for concurrent use.
+type Table struct {
+	self  Place
+	byID  map[string]*upstream
+	order []*upstream // by id
+	// closed holds the failure domains that are evacuated.
+	closed map[string]bool
+	warmup time.Duration
+	// warmupRate is the requests per second that a cold upstream takes from all VMs.
+	warmupRate float64
+	// vms are the entry VMs of the fleet, in order of their names.
+	vms []string
+}
+
+// NewTable returns a table without upstreams.
+func NewTable(self Place) *Table {
+	return &Table{self: self, byID: map[string]*upstream{}}
+}
+
+// SetWarmup sets for how long upstreams are cold and what they take then.
+func (t *Table) SetWarmup(warmup time.Duration, rate float64) { t.warmup, t.warmupRate = warmup, rate }
+
+// SetFleet sets the entry VMs that share the rate of cold upstreams.
+func (t *Table) SetFleet(vms []string) {
+	t.vms = slices.Clone(vms)
+	slices.Sort(t.vms)
+}
+
+// SetEvacuated sets the failure domains that get no requests. Upstreams of a domain
+// that is taken back may be cold.
+func (t *Table) SetEvacuated(now time.Time, domains map[string]bool) {
+	for _, u := range t.order {
+		if t.closed[u.FailureDomain] && !domains[u.FailureDomain] {
+			t.chill(now, u, t.warmup)
+		}
+	}
+	t.closed = domains
+}
+
+// SetUpstreams replaces the list. calm says that traffic has not started, so that
+// upstreams that are new to this VM are not new themselves.
+func (t *Table) SetUpstreams(now time.Time, list []inventory.Upstream, calm bool) (gone []string) {
+	listed := make(map[string]bool, len(list))
+	for _, entry := range list {
+		listed[entry.ID] = true
+		u := t.byID[entry.ID]
+		if u == nil {
+			u = newUpstream(entry)
+			t.byID[entry.ID] = u
+			if !calm && entry.Cold <= 0 {
+				entry.Cold = t.warmup
+			}
+		}
+		u.Upstream = entry
+		if entry.Cold > 0 {
+			t.chill(now, u, entry.Cold)
+		}
+	}
+	for id := range t.byID {
+		if !listed[id] {
+			delete(t.byID, id)
+			gone = append(gone, id)
+		}
+	}
+	t.order = t.order[:0]
+	for _, u := range t.byID {
+		t.order = append(t.order, u)
+	}
+	slices.SortFunc(t.order, func(a, b *upstream) int { return strings.Compare(a.ID, b.ID) })
+	return gone
+}
+
+// chill notes that an upstream is cold for a time.
+func (t *Table) chill(now time.Time, u *upstream, left time.Duration) {
+	if left <= 0 {
+		return
+	}
+	if !u.cold(now) {
+		u.coldTokens, u.coldAt = 0, now
+	}
+	if until := now.Add(left + coldMargin); until.After(u.coldUntil) {
+		u.coldUntil = until
+	}
+}
+
+// Warm notes what a health check says of how long an upstream stays cold.
+func (t *Table) Warm(now time.Time, id string, left time.Duration) {
+	u := t.byID[id]
+	if u == nil {
+		return
+	}
+	if left <= 0 {
+		u.coldUntil = now
+		return
+	}
+	t.chill(now, u, left)
+}
+
+// Pick chooses an upstream for a request and counts it there.
+func (t *Table) Pick(now time.Time, q *Query) (inventory.Upstream, Verdict) {
+	best, verdict := t.best(now, q)
+	if best == nil {
+		return inventory.Upstream{}, verdict
+	}
+	best.own++
+	if best.cold(now) {
+		best.coldTokens--
+	}
+	return best.Upstream, Placed
+}
+
+func (t *Table) best(now time.Time, q *Query) (*upstream, Verdict) {
+	var best *upstream
+	var bestOrder order
+	verdict := None
+	for _, u := range t.order {
+		if !t.eligible(now, u, q) {
+			continue
+		}
+		verdict = Full
+		if !t.room(now, u, q.Rank) {
+			continue
+		}
+		if at := t.orderOf(now, u, q); best == nil || at.before(bestOrder) {
+			best, bestOrder = u, at
+		}
+	}
+	if best == nil {
+		return nil, verdict
+	}
+	return best, Placed
+}
+
+func (t *Table) eligible(now time.Time, u *upstream, q *Query) bool {
+	return u.State == inventory.Live && !t.closed[u.FailureDomain] && q.allows(u.Region) &&
+		!u.probing && !contains(q.Tried, u.ID) && (!u.cold(now) || t.mayUseCold(u))
+}
+
+func (t *Table) room(now time.Time, u *upstream, rank int) bool {
+	if u.cold(now) && !t.hasColdToken(now, u) {
+		return false
+	}
+	return u.load(now)+1 <= float64(max(u.Slots, 1))+spare(rank)
+}
+
+// order is how well an upstream fits a request; smaller fits better.
+type order struct {
+	distance int
+	doubtful bool
+	score    uint64
+}
+
+func (t *Table) orderOf(now time.Time, u *upstream, q *Query) order {
+	at := order{distance: t.distance(u), doubtful: u.doubtful(now)}
+	if q.Object != 0 {
+		at.score = ^u.score(q.Object)
+	} else {
+		at.score = uint64(u.load(now) / float64(max(u.Slots, 1)) * 1000)
+	}
+	return at
+}
+
+func (a order) before(b order) bool {
+	switch {
+	case a.doubtful != b.doubtful:
+		return b.doubtful
+	case a.distance != b.distance:
+		return a.distance < b.distance
+	}
+	return a.score < b.score
+}
+
+// distance is 0 in the failure domain of this VM, 1 in its region, 2 beyond.
+func (t *Table) distance(u *upstream) int {
+	switch {
+	case u.FailureDomain == t.self.FailureDomain:
+		return 0
+	case u.Region == t.self.Region:
+		return 1
+	}
+	return 2
+}
+
+// mayUseCold reports whether this VM is one of the few that use a cold upstream.
+func (t *Table) mayUseCold(u *upstream) bool {
+	return t.warmupRate > 0 && t.coldRank(u) < holders
+}
+
+// coldRank is the position of this VM among those that may use a cold upstream.
+func (t *Table) coldRank(u *upstream) int {
+	rank := 0
+	mine := u.score(hashOf(t.self.VM))
+	for _, vm := range t.vms {
+		if vm != t.self.VM && u.score(hashOf(vm)) > mine {
+			rank++
+		}
+	}
+	return rank
+}
+
+// hasColdToken fills the bucket of a cold upstream. It starts empty, because
+// another VM may have used the rate until now.
+func (t *Table) hasColdToken(now time.Time, u *upstream) bool {
+	rate := t.warmupRate / holders
+	if elapsed := now.Sub(u.coldAt).Seconds(); elapsed > 0 {
+		u.coldTokens = min(1, u.coldTokens+rate*elapsed)
+		u.coldAt = now
+	}
+	return u.coldTokens >= 1
+}
+
+// Done takes a request off an upstream and takes in how it went.
+func (t *Table) Done(now time.Time, id string, o Outcome) {
+	u := t.byID[id]
+	if u == nil {
+		return
+	}
+	u.own = max(0, u.own-1)
+	u.report(now, o)
+	u.judge(now, o)
+	if o.Unreachable || o.Gone {
+		u.eject(now)
+	} else if !o.Failed {
+		u.ejection = 0
+	}
+	if o.Refused && !o.Reported {
+		u.others, u.othersAt = float64(u.Slots), now
+	}
+}
+
+// DueProbes returns the ejected upstreams whose turn it is to be probed.
+func (t *Table) DueProbes(now time.Time) []inventory.Upstream {
+	var due []inventory.Upstream
+	for _, u := range t.order {
+		if u.probing && !now.Before(u.ejectedUntil) && u.State == inventory.Live && !t.closed[u.FailureDomain] {
+			u.ejectedUntil = now.Add(maxEjection) // until the result is there
+			due = append(due, u.Upstream)
+		}
+	}
+	return due
+}
+
+// Probed takes in the result of a probe. An upstream that comes back may have
+// started anew and be cold.
+func (t *Table) Probed(now time.Time, id string, well bool, cold time.Duration) {
+	u := t.byID[id]
+	if u == nil || !u.probing {
+		return
+	}
+	if !well {
+		u.eject(now)
+		return
+	}
+	u.probing, u.bad, u.slow = false, 0, 1
+	t.chill(now, u, cold)
+}
+
+// Live returns how many upstreams could take requests.
+func (t *Table) Live() int {
+	n := 0
+	for _, u := range t.order {
+		if u.State == inventory.Live && !t.closed[u.FailureDomain] && !u.probing {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/gateway/placement/timing.go
@@ -0,0 +1,39 @@
+package placement
+
+import "time"
+
+const (
+	// othersHalfLife is how fast a report of other VMs' load loses weight. Requests
+	// take a few hundred milliseconds, so an older report says little.
+	othersHalfLife = 700 * time.Millisecond
+	// firstEjection and maxEjection bound how long an upstream that cannot be
+	// reached is left alone before it is probed.
+	firstEjection = 500 * time.Millisecond
+	maxEjection   = 4 * time.Second
+	// badShare is the share of failures from which an upstream is used only when
+	// no other has room.
+	badShare = 0.25
+	// slowRatio is the multiple of the usual time from which the same holds.
+	slowRatio = 2.0
+	// averageWeight is the weight of one request in the moving averages.
+	averageWeight = 0.15
+	// judgementTime is how long a bad judgement lasts without new requests.
+	judgementTime = 3 * time.Second
+	// coldMargin is added to the time that an upstream stays cold, since the list
+	// that tells it lags.
+	coldMargin = time.Second
+	// holders is how many VMs may use one cold upstream. Its rate is shared out
+	// among them, and each one adds a burst of one request.
+	holders = 2
+)
+
+// spareRoom is how many requests beyond its slots an upstream may get, by rank, so
+// that the most urgent kinds find room first.
+var spareRoom = [...]float64{2, 1, 0}
+
+func spare(rank int) float64 {
+	if rank < 0 {
+		rank = 0
+	}
+	return spareRoom[min(rank, len(spareRoom)-1)]
+}
--- /dev/null
+++ b/gateway/refuse.go
@@ -0,0 +1,56 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"pistachiomount.example/pistachiomount/gateway/ingress"
+)
+
+// Reason says why a request got no answer of an upstream.
+type Reason string
+
+// The reasons.
+const (
+	ReasonNoPlan       Reason = "no_plan"
+	ReasonNoRoute      Reason = "route_unknown"
+	ReasonNoKey        Reason = "key_unknown"
+	ReasonViewStale    Reason = "view_stale"
+	ReasonOverRate     Reason = "over_rate"
+	ReasonNoRoom       Reason = "over_capacity"
+	ReasonNoUpstream   Reason = "no_upstream"
+	ReasonRetryBudget  Reason = "retry_budget"
+	ReasonTimeout      Reason = "timeout"
+	ReasonUpstreamLost Reason = "upstream_lost"
+	ReasonBadRequest   Reason = "bad_request"
+	ReasonCallerGone   Reason = "caller_gone"
+)
+
+// Bounds of the time after which a refused caller is asked to come back. Spread,
+// so that callers that were refused together do not return together.
+const (
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = 400 * time.Millisecond
+)
+
+// notRun answers a request that did not run and never will.
+func notRun(status int, reason Reason, after time.Duration) *ingress.Response {
+	response := failure(status, reason)
+	response.Header.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	return response
+}
+
+// failure answers a request of which nothing is promised.
+func failure(status int, reason Reason) *ingress.Response {
+	return &ingress.Response{
+		Status: status,
+		Header: http.Header{"Content-Type": {"text/plain; charset=utf-8"}},
+		Body:   []byte(string(reason) + "\n"),
+	}
+}
+
+func retryAfter() time.Duration {
+	return minRetryAfter + rand.N(maxRetryAfter-minRetryAfter)
+}
--- /dev/null
+++ b/gateway/serve.go
@@ -0,0 +1,155 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"pistachiomount.example/pistachiomount/entry"
+	"pistachiomount.example/pistachiomount/gateway/ingress"
+	"pistachiomount.example/pistachiomount/gateway/placement"
+	"pistachiomount.example/pistachiomount/grant"
+	"pistachiomount.example/pistachiomount/plan"
+)
+
+// Serve answers one request of a caller.
+func (g *Gateway) Serve(ctx context.Context, request *ingress.Request) *ingress.Response {
+	view := g.follower.View()
+	if view.Index == nil {
+		return g.refuse(request, http.StatusServiceUnavailable, ReasonNoPlan)
+	}
+	route := view.Index.Route(request.Host, request.Path)
+	if route == nil {
+		return g.unknown(view, request, http.StatusNotFound, ReasonNoRoute)
+	}
+	customer := view.Index.Customer(request.Header.Get(g.cfg.Names.Key))
+	if route.Public {
+		customer = nil
+	} else if customer == nil && view.Index.HasCustomers() {
+		return g.unknown(view, request, http.StatusUnauthorized, ReasonNoKey)
+	}
+	a := &attempt{
+		gateway: g, request: request, route: route, customer: customer,
+		deadline: g.deadline(request, route), query: g.query(request, route, customer),
+	}
+	if a.service = g.service(g.splitter.choose(route)); a.service == nil {
+		return a.giveUp(ReasonNoUpstream)
+	}
+	return g.withinRate(ctx, a)
+}
+
+// withinRate runs the request if its customer's rate allows it. A request that was
+// offered to no upstream does not count.
+func (g *Gateway) withinRate(ctx context.Context, a *attempt) *ingress.Response {
+	if a.customer == nil || a.customer.Rate <= 0 {
+		return a.run(ctx)
+	}
+	bucket := g.follower.Holder().Bucket(grant.CustomerID(a.customer.Name))
+	reservation, ok := bucket.Reserve(1)
+	if !ok {
+		g.refused(a, ReasonOverRate)
+		return notRun(http.StatusTooManyRequests, ReasonOverRate, min(max(bucket.DelayFor(1), minRetryAfter), time.Second))
+	}
+	response := a.run(ctx)
+	if a.sends == 0 {
+		bucket.Refund(reservation, 1)
+	}
+	return response
+}
+
+// unknown answers a request whose route or key is not in the view. A view that was
+// not confirmed lately may lack what is in force elsewhere.
+func (g *Gateway) unknown(view *entry.PlanView, request *ingress.Request, status int, reason Reason) *ingress.Response {
+	age, confirmed := view.Age(g.cfg.Clock.Now())
+	if !confirmed || age > g.cfg.MaxViewAge {
+		return g.refuse(request, http.StatusServiceUnavailable, ReasonViewStale)
+	}
+	g.log(request, reason)
+	return failure(status, reason)
+}
+
+func (g *Gateway) refuse(request *ingress.Request, status int, reason Reason) *ingress.Response {
+	g.log(request, reason)
+	return notRun(status, reason, retryAfter())
+}
+
+// deadline is when the caller stops waiting or the route's timeout ends.
+func (g *Gateway) deadline(request *ingress.Request, route *plan.Route) time.Time {
+	left := route.Timeout
+	if ms, err := strconv.ParseFloat(request.Header.Get(g.cfg.Names.Deadline), 64); err == nil && ms >= 0 {
+		left = min(left, time.Duration(ms*float64(time.Millisecond)))
+	}
+	return request.Received.Add(left)
+}
+
+func (g *Gateway) query(request *ingress.Request, route *plan.Route, customer *plan.Customer) placement.Query {
+	q := placement.Query{Rank: route.Priority, Regions: route.Regions}
+	if route.Affinity {
+		if object := cookie(request.Header, g.cfg.Names.ObjectCookie); object != "" {
+			q.Object = placement.ObjectHash(route.Name + "/" + object)
+		}
+	}
+	if customer != nil {
+		if customer.Priority != nil {
+			q.Rank = *customer.Priority
+		}
+		q.Regions = both(q.Regions, customer.Regions)
+	}
+	return q
+}
+
+// noRegion is what is left of two lists that have nothing in common.
+const noRegion = ""
+
+// both returns the regions in both lists; an empty list stands for all.
+func both(a, b []string) []string {
+	if len(a) == 0 || len(b) == 0 {
+		return append(append([]string(nil), a...), b...)
+	}
+	var common []string
+	for _, region := range a {
+		for _, other := range b {
+			if region == other {
+				common = append(common, region)
+			}
+		}
+	}
+	if len(common) == 0 {
+		return []string{noRegion}
+	}
+	return common
+}
+
+func cookie(header http.Header, name string) string {
+	for _, line := range header["Cookie"] {
+		for _, pair := range strings.Split(line, ";") {
+			key, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
+			if key == name {
+				return value
+			}
+		}
+	}
+	return ""
+}
+
+// refused notes a request that got no answer of an upstream.
+func (g *Gateway) refused(a *attempt, reason Reason) {
+	entry := g.cfg.Log.WithFields(logrus.Fields{
+		"request": a.request.Header.Get(g.cfg.Names.RequestID), "route": a.route.Name, "reason": reason,
+		"sends": a.sends, "dials": a.dials, "may_have_run": a.mayHaveRun, "tried": a.query.Tried,
+	})
+	if a.lastErr != nil {
+		entry = entry.WithError(a.lastErr)
+	}
+	entry.Debug("request not answered by an upstream")
+}
+
+func (g *Gateway) log(request *ingress.Request, reason Reason) {
+	g.cfg.Log.WithFields(logrus.Fields{
+		"request": request.Header.Get(g.cfg.Names.RequestID), "host": request.Host, "path": request.Path, "reason": reason,
+	}).Debug("request refused")
+}
--- /dev/null
+++ b/gateway/timing.go
@@ -0,0 +1,36 @@
+package gateway
+
+import "time"
+
+const (
+	// listInterval is how often the list of upstreams is read. An upstream that is
+	// leaving must get nothing new a few seconds after the list shows it.
+	listInterval = time.Second
+	// listTimeout bounds reading the list.
+	listTimeout = 2 * time.Second
+	// listShare is the part of the allowed rate that is used.
+	listShare = 0.5
+	// housekeepingInterval is how often probes and idle connections are looked after.
+	housekeepingInterval = 250 * time.Millisecond
+	// holdShare is the share of a route's target time for which a request waits for
+	// room. One that cannot be placed by then would be late, so its caller is told
+	// while it still has the time to come back.
+	holdShare = 1.0 / 8
+	// minHold is the shortest wait for room.
+	minHold = 20 * time.Millisecond
+	// minLeft is the least time that must be left to offer a request to an upstream.
+	minLeft = 20 * time.Millisecond
+	// maxDials bounds how many upstreams are tried that cannot be reached.
+	maxDials = 4
+	// acceptTime is how long a stopping VM takes connections: until callers that had
+	// its address from the directory have asked again.
+	acceptTime = 2500 * time.Millisecond
+	// stopMargin is left of the time of a planned stop for handing back grants.
+	stopMargin = 500 * time.Millisecond
+	// stopCheck is how often a stopping VM looks whether requests are under way.
+	stopCheck = 50 * time.Millisecond
+	// DirectoryTTL is how long callers may keep an answer of the directory.
+	DirectoryTTL = 2 * time.Second
+	// maxDirectory bounds the addresses in an answer of the directory.
+	maxDirectory = 64
+)
--- /dev/null
+++ b/gateway/turns.go
@@ -0,0 +1,106 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"pistachiomount.example/pistachiomount/gateway/placement"
+	"pistachiomount.example/pistachiomount/inventory"
+)
+
+// turns places the requests of one service: it keeps the table and the queue of
+// package placement and carries their decisions to the waiting requests.
+type turns struct {
+	mu    sync.Mutex
+	table *placement.Table
+	queue placement.Queue
+	// waiting holds the channels of the requests in the queue.
+	waiting map[*placement.Waiter]chan inventory.Upstream
+}
+
+func newTurns(self placement.Place) *turns {
+	return &turns{table: placement.NewTable(self), waiting: map[*placement.Waiter]chan inventory.Upstream{}}
+}
+
+// acquire waits for an upstream with room until the given time. The caller gives
+// it back with done.
+func (t *turns) acquire(ctx context.Context, q placement.Query, until time.Time) (inventory.Upstream, placement.Verdict) {
+	t.mu.Lock()
+	now := time.Now()
+	chosen, verdict := inventory.Upstream{}, placement.Full
+	if !t.behind(q.Rank) {
+		chosen, verdict = t.table.Pick(now, &q)
+	}
+	if verdict != placement.Full || !now.Before(until) {
+		t.mu.Unlock()
+		return chosen, verdict
+	}
+	w := &placement.Waiter{Query: q, Arrived: now, Until: until}
+	turn := make(chan inventory.Upstream, 1)
+	t.queue.Add(w)
+	t.waiting[w] = turn
+	t.mu.Unlock()
+	return t.await(ctx, w, turn)
+}
+
+// behind reports whether a waiting request would be passed by one of this rank.
+func (t *turns) behind(rank int) bool {
+	passed := false
+	if t.queue.Len() > 0 {
+		t.queue.Each(func(w *placement.Waiter) bool {
+			passed = passed || w.Query.Rank <= rank
+			return false
+		})
+	}
+	return passed
+}
+
+func (t *turns) await(ctx context.Context, w *placement.Waiter, turn chan inventory.Upstream) (inventory.Upstream, placement.Verdict) {
+	timer := time.NewTimer(time.Until(w.Until))
+	defer timer.Stop()
+	select {
+	case chosen := <-turn:
+		return chosen, placement.Placed
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.queue.Remove(w) {
+		delete(t.waiting, w)
+		return inventory.Upstream{}, placement.Full
+	}
+	return <-turn, placement.Placed // placed just now
+}
+
+// done gives an upstream back and places what waits.
+func (t *turns) done(id string, o placement.Outcome) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	t.table.Done(now, id, o)
+	t.place(now)
+}
+
+// place gives room to waiting requests, in their order.
+func (t *turns) place(now time.Time) {
+	t.queue.Each(func(w *placement.Waiter) bool {
+		chosen, verdict := t.table.Pick(now, &w.Query)
+		if verdict != placement.Placed {
+			return false
+		}
+		t.waiting[w] <- chosen
+		delete(t.waiting, w)
+		return true
+	})
+}
+
+// with runs f on the table and places what waits.
+func (t *turns) with(f func(now time.Time, table *placement.Table)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	f(now, t.table)
+	t.place(now)
+}
--- /dev/null
+++ b/gateway/usual.go
@@ -0,0 +1,30 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+)
+
+// usualWeight is the weight of one answer in the moving average.
+const usualWeight = 0.05
+
+// usual keeps how long answers of each route usually take.
+type usual struct {
+	mu    sync.Mutex
+	times map[string]float64 // seconds, by route
+}
+
+func newUsual() *usual { return &usual{times: map[string]float64{}} }
+
+// compare takes in one answer and returns its time as a multiple of the usual one.
+func (u *usual) compare(route string, took time.Duration) float64 {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	before, known := u.times[route]
+	if !known {
+		u.times[route] = took.Seconds()
+		return 1
+	}
+	u.times[route] = before + usualWeight*(took.Seconds()-before)
+	return took.Seconds() / max(before, 0.001)
+}
--- a/inventory/upstream.go
+++ b/inventory/upstream.go
@@ -1,6 +1,9 @@
 package inventory
 
-import "net/netip"
+import (
+	"net/netip"
+	"time"
+)
 
 // Upstream is one endpoint of a service in the platform's list of upstreams.
 type Upstream struct {
@@ -10,6 +13,10 @@
 	Region        string         `json:"region"`
 	FailureDomain string         `json:"failure_domain"`
 	State         State          `json:"state"`
+	// Slots is how many requests it runs at once; 0 if the list does not tell.
+	Slots int `json:"slots,omitempty"`
+	// Cold is how much longer it was cold when the list was made.
+	Cold time.Duration `json:"-"`
 }
 
 // Validate reports the first field that is missing or malformed.
--- a/store/environment.go
+++ b/store/environment.go
@@ -136,6 +136,9 @@
 
 // InForce returns the document in force, or nil if there is none.
 func (s *Store) InForce(env apipb.Environment) *Version {
+	if env == apipb.Environment_ENVIRONMENT_PLAN {
+		return s.plans.recent
+	}
 	e := s.environments[env]
 	if e == nil || len(e.recent) == 0 {
 		return nil
@@ -145,6 +148,12 @@
 
 // Former returns a recent document by its revision, or nil if it is no longer kept.
 func (s *Store) Former(env apipb.Environment, revision uint64) *Version {
+	if env == apipb.Environment_ENVIRONMENT_PLAN {
+		if v := s.plans.recent; v != nil && v.Revision == revision {
+			return v
+		}
+		return nil
+	}
 	if e := s.environments[env]; e != nil {
 		for _, v := range e.recent {
 			if v.Revision == revision {
--- a/store/store.go
+++ b/store/store.go
@@ -18,6 +18,7 @@
 	environments map[apipb.Environment]*environment
 	claims       *claims
 	jobs         *jobs
+	plans        *plans
 }
 
 // New returns an empty store.
@@ -29,6 +30,7 @@
 		},
 		claims: newClaims(),
 		jobs:   newJobs(),
+		plans:  newPlans(),
 	}
 }
 
@@ -61,6 +63,10 @@
 		return Result{StartJob: s.jobs.start(body.StartJob, s.nowMS)}
 	case *apipb.Command_FinishJob:
 		return Result{FinishJob: s.jobs.finish(body.FinishJob, s.nowMS)}
+	case *apipb.Command_SubmitPlan:
+		return Result{Submit: s.plans.submit(body.SubmitPlan, index, s.nowMS)}
+	case *apipb.Command_SetEvacuation:
+		return Result{Evacuation: s.plans.evacuate(body.SetEvacuation, index)}
 	case *apipb.Command_SetCluster:
 		s.clusterID = body.SetCluster.ClusterId
 	}
--- a/transport/security.go
+++ b/transport/security.go
@@ -25,6 +25,9 @@
 	CertFile, KeyFile, CAFile string
 	// Insecure allows plaintext on loopback addresses.
 	Insecure bool
+	// TrustedNetwork allows plaintext on any address, for a network that only the
+	// VMs of the installation can reach. It must be chosen expressly.
+	TrustedNetwork bool
 
 	mu      sync.Mutex
 	loaded  *tls.Config
@@ -33,7 +36,7 @@
 
 // Check reports settings that cannot work.
 func (s *Security) Check() error {
-	if s.Insecure {
+	if s.plaintext() {
 		return nil
 	}
 	if s.CertFile == "" || s.KeyFile == "" || s.CAFile == "" {
@@ -43,9 +46,11 @@
 	return errors.Trace(err)
 }
 
+func (s *Security) plaintext() bool { return s.Insecure || s.TrustedNetwork }
+
 // checkAddress refuses plaintext to or on addresses beyond this machine.
 func (s *Security) checkAddress(address string) error {
-	if !s.Insecure {
+	if !s.Insecure || s.TrustedNetwork {
 		return nil
 	}
 	parsed, err := netip.ParseAddrPort(address)
@@ -111,7 +116,7 @@
 
 // serverConn wraps an accepted connection.
 func (s *Security) serverConn(conn net.Conn) (net.Conn, error) {
-	if s.Insecure {
+	if s.plaintext() {
 		return conn, nil
 	}
 	config, err := s.config()
@@ -123,7 +128,7 @@
 
 // clientConn wraps a dialled connection to the address.
 func (s *Security) clientConn(conn net.Conn, address string) (net.Conn, error) {
-	if s.Insecure {
+	if s.plaintext() {
 		return conn, nil
 	}
 	config, err := s.config()
