Keep objects at few upstreams; bound how fast load changes region

Ruled out: admission (waits were below 10 ms) and connections. A trial log showed that an upstream is fast for objects among its last 57 or so requests.

Now an object keeps to as many upstreams of a region as have memory for it, one in another region when these are full, and others only while they are little used. The load report counts the request that it answers, so one is taken off it, and it loses weight more slowly.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -86,14 +86,19 @@
 	return until
 }
 
+// customerName returns the customer's name, or "" on public routes.
+func (a *attempt) customerName() string {
+	if a.customer == nil {
+		return ""
+	}
+	return a.customer.Name
+}
+
 func (a *attempt) offer(ctx context.Context, chosen inventory.Upstream) *egress.Reply {
 	call := &egress.Call{
 		Upstream: chosen.ID, Address: chosen.Address.String(), Method: a.request.Method, Target: a.request.Target,
 		Host: a.request.Host, Header: a.request.Header, Body: a.request.Body, Rest: a.request.Rest,
-		Length: a.request.Length, Deadline: a.deadline,
-	}
-	if a.customer != nil {
-		call.Customer = a.customer.Name
+		Length: a.request.Length, Deadline: a.deadline, Customer: a.customerName(),
 	}
 	sent := time.Now()
 	reply := a.gateway.pool.Do(ctx, call)
@@ -108,6 +113,7 @@
 	if reply.Outcome == egress.Answered && reply.Status < http.StatusInternalServerError {
 		outcome.Took = a.gateway.usual.compare(a.route.Name, time.Since(sent))
 	}
+	a.gateway.offered(a, chosen, reply, time.Since(sent))
 	if outcome.Unreachable || outcome.Gone {
 		a.gateway.pool.Forget(chosen.ID)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -27,6 +27,7 @@
 	pool      *egress.Pool
 	splitter  *splitter
 	usual     *usual
+	pace      *placement.Pace
 
 	// services is replaced as a whole when the plan names others.
 	services atomic.Pointer[map[string]*service]
@@ -40,7 +41,7 @@
 func New(cfg Config) *Gateway {
 	g := &Gateway{
 		cfg: cfg, lifecycle: membership.NewLifecycle(cfg.Clock), pool: egress.NewPool(cfg.Upstream),
-		splitter: newSplitter(), usual: newUsual(),
+		splitter: newSplitter(), usual: newUsual(), pace: placement.NewPace(time.Now()),
 	}
 	g.services.Store(&map[string]*service{})
 	g.server = ingress.NewServer(g, cfg.Log)
@@ -149,7 +150,7 @@
 	for _, s := range view.Index.Plan.Services {
 		kept := g.service(s.Name)
 		if kept == nil {
-			kept = newService(s.Name, g.place(), g.cfg.Retries)
+			kept = newService(s.Name, g.place(), g.pace, g.cfg.Retries)
 			fresh[s.Name] = true
 		}
 		services[s.Name] = kept
--- /dev/null
+++ b/gateway/placement/order.go
@@ -0,0 +1,122 @@
+package placement
+
+import (
+	"slices"
+	"time"
+)
+
+// order is how well an upstream fits a request; smaller fits better.
+type order struct {
+	tier     int
+	doubtful bool
+	score    float64
+}
+
+func (a order) before(b order) bool {
+	switch {
+	case a.doubtful != b.doubtful:
+		return b.doubtful
+	case a.tier != b.tier:
+		return a.tier < b.tier
+	}
+	return a.score < b.score
+}
+
+// Tiers for a request on an object. An upstream that handled the object lately is
+// several times as fast, so each object keeps to few upstreams: going far to a warm
+// one takes less of the slots than going near to a cold one.
+const (
+	tierKept  = iota // keeps the object, in this region
+	tierAway         // keeps it in another region
+	tierNear         // does not keep it, in this region
+	tierOther        // does not keep it, in another region
+)
+
+// tierRoom is the share of an upstream's slots that may be in use when a request
+// comes whose object it does not keep for this region. A request on an object that
+// an upstream does not keep takes several times as long and displaces other
+// objects; if it did so under full load, all upstreams would end up cold for most
+// of their requests and the load would stay too high.
+var tierRoom = [...]float64{tierKept: 1, tierAway: 0.75, tierNear: 0.5, tierOther: 0.35}
+
+// tiersOf returns the upstreams that keep the object of a request with their
+// tiers, or nil for a request without one.
+func (t *Table) tiersOf(now time.Time, q *Query) map[*upstream]int {
+	if q.Object == 0 {
+		return nil
+	}
+	t.objects.note(now, q.Object)
+	var near, away []*upstream
+	for _, u := range t.order {
+		switch {
+		case !t.keeps(u):
+		case u.Region == t.self.Region:
+			near = append(near, u)
+		default:
+			away = append(away, u)
+		}
+	}
+	tiers := map[*upstream]int{}
+	byScore := func(a, b *upstream) int {
+		switch x, y := a.score(q.Object), b.score(q.Object); {
+		case x > y:
+			return -1
+		case x < y:
+			return 1
+		}
+		return 0
+	}
+	slices.SortFunc(near, byScore)
+	slices.SortFunc(away, byScore)
+	for _, u := range near[:min(t.copies(len(near)), len(near))] {
+		tiers[u] = tierKept
+	}
+	for _, u := range away[:min(1, len(away))] {
+		tiers[u] = tierAway
+	}
+	return tiers
+}
+
+// keeps reports whether an upstream counts for where objects are kept. Short
+// troubles do not move objects.
+func (t *Table) keeps(u *upstream) bool {
+	return u.usable() && !t.closed[u.FailureDomain]
+}
+
+// copies returns how many upstreams of the region keep one object: as many as they
+// have memory for, so that one that is full has a substitute that is warm.
+func (t *Table) copies(upstreams int) int {
+	objects := max(t.objects.count(), 1)
+	return min(max(upstreams*objectsKept/objects, 1), maxCopies)
+}
+
+func (t *Table) orderOf(now time.Time, u *upstream, q *Query, tiers map[*upstream]int) order {
+	at := order{doubtful: u.doubtful(now)}
+	if q.Object == 0 {
+		at.tier = t.distance(u)
+		at.score = u.load(now) / float64(max(u.Slots, 1))
+		return at
+	}
+	tier, kept := tiers[u]
+	switch {
+	case kept:
+		at.tier = tier
+	case u.Region == t.self.Region:
+		at.tier = tierNear
+	default:
+		at.tier = tierOther
+	}
+	at.score = -float64(u.score(q.Object) >> 11)
+	return at
+}
+
+// distance is 0 in the failure domain of this VM, 1 in its region, 2 beyond.
+func (t *Table) distance(u *upstream) int {
+	switch {
+	case u.FailureDomain == t.self.FailureDomain:
+		return 0
+	case u.Region == t.self.Region:
+		return 1
+	}
+	return 2
+}
--- a/gateway/placement/query.go
+++ b/gateway/placement/query.go
@@ -4,8 +4,9 @@
 type Query struct {
 	// Object is the hash of the object that it concerns, 0 for none.
 	Object uint64
-	// Rank is the urgency, 0 first.
-	Rank int
+	// Rank is the urgency, 0 first. Urgency is that of the kind of request, which
+	// decides among equal ranks.
+	Rank, Urgency int
 	// Regions bounds where it may go; empty means anywhere.
 	Regions []string
 	// Tried are the upstreams that it was offered to.
@@ -14,6 +15,17 @@
 
 func (q *Query) allows(region string) bool { return len(q.Regions) == 0 || contains(q.Regions, region) }
 
+// compare orders queries by rank, then by urgency.
+func (q *Query) compare(other *Query) int {
+	if q.Rank != other.Rank {
+		return q.Rank - other.Rank
+	}
+	return q.Urgency - other.Urgency
+}
+
+// Passes reports whether the request may not overtake the other one.
+func (q *Query) Passes(other *Query) bool { return q.compare(other) < 0 }
+
 func contains(list []string, value string) bool {
 	for _, v := range list {
 		if v == value {
--- a/gateway/placement/queue.go
+++ b/gateway/placement/queue.go
@@ -21,8 +21,8 @@
 // Add puts a request into the queue.
 func (q *Queue) Add(w *Waiter) {
 	at, _ := slices.BinarySearchFunc(q.waiting, w, func(a, b *Waiter) int {
-		if a.Query.Rank != b.Query.Rank {
-			return a.Query.Rank - b.Query.Rank
+		if order := a.Query.compare(&b.Query); order != 0 {
+			return order
 		}
 		return a.Arrived.Compare(b.Arrived)
 	})
--- a/gateway/placement/table.go
+++ b/gateway/placement/table.go
@@ -24,13 +24,15 @@
 	warmup time.Duration
 	// warmupRate is the requests per second that a cold upstream takes from all VMs.
 	warmupRate float64
+	pace       *Pace
+	objects    objects
 	// vms are the entry VMs of the fleet, in order of their names.
 	vms []string
 }
 
-// NewTable returns a table without upstreams.
-func NewTable(self Place) *Table {
-	return &Table{self: self, byID: map[string]*upstream{}}
+// NewTable returns a table without upstreams. The pace is shared by the tables of a VM.
+func NewTable(self Place, pace *Pace) *Table {
+	return &Table{self: self, byID: map[string]*upstream{}, pace: pace}
 }
 
 // SetWarmup sets for how long upstreams are cold and what they take then.
@@ -119,6 +121,9 @@
 		return inventory.Upstream{}, verdict
 	}
 	best.own++
+	if len(q.Regions) == 0 {
+		t.pace.Count(now, best.Region)
+	}
 	if best.cold(now) {
 		best.coldTokens--
 	}
@@ -129,15 +134,18 @@
 	var best *upstream
 	var bestOrder order
 	verdict := None
+	allowed := func(string) bool { return true }
+	if len(q.Regions) == 0 {
+		allowed = t.pace.Allowed(now)
+	}
+	tiers := t.tiersOf(now, q)
 	for _, u := range t.order {
 		if !t.eligible(now, u, q) {
 			continue
 		}
 		verdict = Full
-		if !t.room(now, u, q.Rank) {
-			continue
-		}
-		if at := t.orderOf(now, u, q); best == nil || at.before(bestOrder) {
+		at := t.orderOf(now, u, q, tiers)
+		if t.room(now, u, q, at.tier) && allowed(u.Region) && (best == nil || at.before(bestOrder)) {
 			best, bestOrder = u, at
 		}
 	}
@@ -148,53 +156,19 @@
 }
 
 func (t *Table) eligible(now time.Time, u *upstream, q *Query) bool {
-	return u.State == inventory.Live && !t.closed[u.FailureDomain] && q.allows(u.Region) &&
+	return u.usable() && !t.closed[u.FailureDomain] && q.allows(u.Region) &&
 		!u.probing && !contains(q.Tried, u.ID) && (!u.cold(now) || t.mayUseCold(u))
 }
 
-func (t *Table) room(now time.Time, u *upstream, rank int) bool {
+func (t *Table) room(now time.Time, u *upstream, q *Query, tier int) bool {
 	if u.cold(now) && !t.hasColdToken(now, u) {
 		return false
 	}
-	return u.load(now)+1 <= float64(max(u.Slots, 1))+spare(rank)
-}
-
-// order is how well an upstream fits a request; smaller fits better.
-type order struct {
-	distance int
-	doubtful bool
-	score    uint64
-}
-
-func (t *Table) orderOf(now time.Time, u *upstream, q *Query) order {
-	at := order{distance: t.distance(u), doubtful: u.doubtful(now)}
-	if q.Object != 0 {
-		at.score = ^u.score(q.Object)
-	} else {
-		at.score = uint64(u.load(now) / float64(max(u.Slots, 1)) * 1000)
-	}
-	return at
-}
-
-func (a order) before(b order) bool {
-	switch {
-	case a.doubtful != b.doubtful:
-		return b.doubtful
-	case a.distance != b.distance:
-		return a.distance < b.distance
-	}
-	return a.score < b.score
-}
-
-// distance is 0 in the failure domain of this VM, 1 in its region, 2 beyond.
-func (t *Table) distance(u *upstream) int {
-	switch {
-	case u.FailureDomain == t.self.FailureDomain:
-		return 0
-	case u.Region == t.self.Region:
-		return 1
+	slots := float64(max(u.Slots, 1))
+	if q.Object != 0 && tier != tierKept {
+		return u.load(now)+1 <= slots*tierRoom[tier]
 	}
-	return 2
+	return u.load(now)+1 <= slots+spare(q.Urgency)
 }
 
 // mayUseCold reports whether this VM is one of the few that use a cold upstream.
--- a/gateway/placement/timing.go
+++ b/gateway/placement/timing.go
@@ -3,9 +3,9 @@
 import "time"
 
 const (
-	// othersHalfLife is how fast a report of other VMs' load loses weight. Requests
-	// take a few hundred milliseconds, so an older report says little.
-	othersHalfLife = 700 * time.Millisecond
+	// othersHalfLife is how fast a report of other VMs' load loses weight. Load changes
+	// within seconds; an upstream that this VM does not use must look free again.
+	othersHalfLife = 3 * time.Second
 	// firstEjection and maxEjection bound how long an upstream that cannot be
 	// reached is left alone before it is probed.
 	firstEjection = 500 * time.Millisecond
@@ -27,13 +27,10 @@
 	holders = 2
 )
 
-// spareRoom is how many requests beyond its slots an upstream may get, by rank, so
-// that the most urgent kinds find room first.
-var spareRoom = [...]float64{2, 1, 0}
+// spareRoom is how many requests beyond its slots an upstream may get, by urgency,
+// so that the most urgent kinds find room first.
+var spareRoom = [...]float64{1, 0.5, 0}
 
-func spare(rank int) float64 {
-	if rank < 0 {
-		rank = 0
-	}
-	return spareRoom[min(rank, len(spareRoom)-1)]
+func spare(urgency int) float64 {
+	return spareRoom[min(max(urgency, 0), len(spareRoom)-1)]
 }
--- a/gateway/placement/upstream.go
+++ b/gateway/placement/upstream.go
@@ -36,6 +36,9 @@
 	return &upstream{Upstream: u, hash: xxhash.Sum64String(u.ID), slow: 1}
 }
 
+// usable reports whether the list offers the upstream for use.
+func (u *upstream) usable() bool { return u.State == inventory.Live }
+
 // load returns the estimated number of requests there.
 func (u *upstream) load(now time.Time) float64 {
 	age := now.Sub(u.othersAt)
@@ -67,7 +70,8 @@
 	if !o.Reported {
 		return
 	}
-	u.others = math.Max(0, float64(o.Running+o.Waiting-u.own))
+	// The report counts the request that it answers.
+	u.others = math.Max(0, float64(o.Running+o.Waiting-1-u.own))
 	u.othersAt = now
 }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -10,9 +10,11 @@
 	"github.com/sirupsen/logrus"
 
 	"pistachiomount.example/pistachiomount/entry"
+	"pistachiomount.example/pistachiomount/gateway/egress"
 	"pistachiomount.example/pistachiomount/gateway/ingress"
 	"pistachiomount.example/pistachiomount/gateway/placement"
 	"pistachiomount.example/pistachiomount/grant"
+	"pistachiomount.example/pistachiomount/inventory"
 	"pistachiomount.example/pistachiomount/plan"
 )
 
@@ -87,7 +89,7 @@
 }
 
 func (g *Gateway) query(request *ingress.Request, route *plan.Route, customer *plan.Customer) placement.Query {
-	q := placement.Query{Rank: route.Priority, Regions: route.Regions}
+	q := placement.Query{Rank: route.Priority, Urgency: route.Priority, Regions: route.Regions}
 	if route.Affinity {
 		if object := cookie(request.Header, g.cfg.Names.ObjectCookie); object != "" {
 			q.Object = placement.ObjectHash(route.Name + "/" + object)
@@ -139,7 +141,7 @@
 // refused notes a request that got no answer of an upstream.
 func (g *Gateway) refused(a *attempt, reason Reason) {
 	entry := g.cfg.Log.WithFields(logrus.Fields{
-		"request": a.request.Header.Get(g.cfg.Names.RequestID), "route": a.route.Name, "reason": reason,
+		"request": a.request.Header.Get(g.cfg.Names.RequestID), "route": a.route.Name, "reason": reason, "customer": a.customerName(),
 		"sends": a.sends, "dials": a.dials, "may_have_run": a.mayHaveRun, "tried": a.query.Tried,
 	})
 	if a.lastErr != nil {
@@ -148,6 +150,20 @@
 	entry.Debug("request not answered by an upstream")
 }
 
+// offered notes how one offer to an upstream ended.
+func (g *Gateway) offered(a *attempt, chosen inventory.Upstream, reply *egress.Reply, took time.Duration) {
+	entry := g.cfg.Log.WithFields(logrus.Fields{
+		"request": a.request.Header.Get(g.cfg.Names.RequestID), "route": a.route.Name, "rank": a.query.Rank,
+		"object": a.query.Object, "customer": a.customerName(), "upstream": chosen.ID, "domain": chosen.FailureDomain, "status": reply.Status, "took_ms": took.Milliseconds(),
+		"waited_ms": time.Since(a.request.Received).Milliseconds() - took.Milliseconds(),
+		"running":   reply.Load.Running, "waiting": reply.Load.Waiting,
+	})
+	if reply.Err != nil {
+		entry = entry.WithError(reply.Err)
+	}
+	entry.Debug("offered to an upstream")
+}
+
 func (g *Gateway) log(request *ingress.Request, reason Reason) {
 	g.cfg.Log.WithFields(logrus.Fields{
 		"request": request.Header.Get(g.cfg.Names.RequestID), "host": request.Host, "path": request.Path, "reason": reason,
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -14,6 +14,6 @@
 	retries *budget.Budget
 }
 
-func newService(name string, self placement.Place, limits budget.Limits) *service {
-	return &service{name: name, turns: newTurns(self), retries: budget.New(limits, time.Now())}
+func newService(name string, self placement.Place, pace *placement.Pace, limits budget.Limits) *service {
+	return &service{name: name, turns: newTurns(self, pace), retries: budget.New(limits, time.Now())}
 }
--- a/gateway/turns.go
+++ b/gateway/turns.go
@@ -19,8 +19,8 @@
 	waiting map[*placement.Waiter]chan inventory.Upstream
 }
 
-func newTurns(self placement.Place) *turns {
-	return &turns{table: placement.NewTable(self), waiting: map[*placement.Waiter]chan inventory.Upstream{}}
+func newTurns(self placement.Place, pace *placement.Pace) *turns {
+	return &turns{table: placement.NewTable(self, pace), waiting: map[*placement.Waiter]chan inventory.Upstream{}}
 }
 
 // acquire waits for an upstream with room until the given time. The caller gives
@@ -29,7 +29,7 @@
 	t.mu.Lock()
 	now := time.Now()
 	chosen, verdict := inventory.Upstream{}, placement.Full
-	if !t.behind(q.Rank) {
+	if !t.behind(&q) {
 		chosen, verdict = t.table.Pick(now, &q)
 	}
 	if verdict != placement.Full || !now.Before(until) {
@@ -44,12 +44,12 @@
 	return t.await(ctx, w, turn)
 }
 
-// behind reports whether a waiting request would be passed by one of this rank.
-func (t *turns) behind(rank int) bool {
+// behind reports whether the request would overtake a waiting one that goes first.
+func (t *turns) behind(q *placement.Query) bool {
 	passed := false
 	if t.queue.Len() > 0 {
 		t.queue.Each(func(w *placement.Waiter) bool {
-			passed = passed || w.Query.Rank <= rank
+			passed = passed || !q.Passes(&w.Query)
 			return false
 		})
 	}
