--- a/cmd/pistachiomount/control_role.go
+++ b/cmd/pistachiomount/control_role.go
@@ -51,5 +51,6 @@
 	api := &platform.Operator{Plans: daemon, FailureDomains: s.Regions, Log: log}
 	calls := serveHTTP(operators, api.Handler(), log)
 	defer func() { _ = calls.Close() }()
+	go watchSettings(ctx, log, func(s *platform.Settings) { daemon.SetPeers(peers(s)) })
 	return errors.Trace(daemon.Run(ctx))
 }
--- a/cmd/pistachiomount/gateway_role.go
+++ b/cmd/pistachiomount/gateway_role.go
@@ -49,6 +49,7 @@
 	}
 	lookups := serveHTTP(directory, platform.DirectoryHandler(g, gateway.DirectoryTTL), log)
 	defer func() { _ = lookups.Close() }()
+	go watchSettings(ctx, log, func(s *platform.Settings) { g.SetControls(peers(s)) })
 	return errors.Trace(g.Run(ctx))
 }
 
--- /dev/null
+++ b/cmd/pistachiomount/reload_test.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"context"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"pistachiomount.example/pistachiomount/platform"
+)
+
+const settingsText = `nodeName = "vm-1"
+ip = "10.1.0.15"
+zone = "z1"
+region = "r1"
+internalPorts = [7520,7535]
+seeds = ["10.1.0.17:8066"]
+`
+
+// Guards against SIGHUP ending the process, and against an unusable file replacing
+// the settings in force.
+func TestSettingsAreReadAgainOnSIGHUP(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "node.toml")
+	is.NoErr(os.WriteFile(path, []byte(settingsText), 0o600))
+	t.Setenv(platform.SettingsVariable, path)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	applied := make(chan *platform.Settings)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		watchSettings(ctx, log, func(s *platform.Settings) { applied <- s })
+	}()
+	time.Sleep(50 * time.Millisecond) // until the signal is caught; a later one would be caught as well
+	is.NoErr(os.WriteFile(path, []byte("seeds = ["), 0o600))
+	is.NoErr(syscall.Kill(os.Getpid(), syscall.SIGHUP))
+	time.Sleep(50 * time.Millisecond)
+	is.NoErr(os.WriteFile(path, []byte(strings.Replace(settingsText, "10.1.0.17", "10.2.0.17", 1)), 0o600))
+	is.NoErr(syscall.Kill(os.Getpid(), syscall.SIGHUP))
+	s := <-applied
+	is.Equal(peers(s), []string{"10.2.0.17:7520"})
+	cancel()
+	<-ended
+}
--- a/control/daemon.go
+++ b/control/daemon.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/alexedwards/flow"
@@ -38,7 +39,9 @@
 	peers     *transport.Peers
 	forward   forwarder
 	ownership *ownership
-	observer  *observer
+	// peerAddresses are those of the settings, which may change while it runs.
+	peerAddresses atomic.Pointer[[]string]
+	observer      *observer
 
 	mu      sync.Mutex
 	engine  *Engine
@@ -67,6 +70,7 @@
 		peers:    transport.NewPeers(cfg.Security),
 		joined:   make(chan uint64, 1),
 	}
+	d.SetPeers(cfg.Peers)
 	if d.loaded, err = log.Load(); err != nil {
 		_ = log.Close()
 		return nil, errors.Annotatef(err, "data folder %s", cfg.DataDir)
@@ -87,6 +91,11 @@
 	return d, nil
 }
 
+// SetPeers replaces the addresses of other control daemons of the settings.
+func (d *Daemon) SetPeers(addresses []string) { d.peerAddresses.Store(&addresses) }
+
+func (d *Daemon) seeds() []string { return *d.peerAddresses.Load() }
+
 func rpcAddress(cfg Config) string {
 	if cfg.AdvertiseRPC != "" {
 		return cfg.AdvertiseRPC
@@ -158,12 +167,12 @@
 }
 
 func (d *Daemon) newJoiner() *joiner {
-	return &joiner{self: d.self, addrs: d.cfg.Peers, peers: d.peers, log: d.cfg.Log}
+	return &joiner{self: d.self, addrs: d.seeds, peers: d.peers, log: d.cfg.Log}
 }
 
 // announceLater tells the group of a changed address without delaying the start.
 func (d *Daemon) announceLater(ctx context.Context) {
-	if len(d.cfg.Peers) > 0 {
+	if len(d.seeds()) > 0 {
 		go d.newJoiner().announce(ctx)
 	}
 }
--- a/control/joiner.go
+++ b/control/joiner.go
@@ -14,8 +14,9 @@
 // joiner finds the cluster of a daemon that belongs to none, and keeps the
 // group informed of this daemon's address.
 type joiner struct {
-	self  *apipb.Member
-	addrs []string
+	self *apipb.Member
+	// addrs returns the addresses of other control daemons of the settings.
+	addrs func() []string
 	peers *transport.Peers
 	log   logrus.FieldLogger
 }
@@ -26,7 +27,7 @@
 	ticker := time.NewTicker(joinInterval)
 	defer ticker.Stop()
 	for {
-		for _, address := range j.addrs {
+		for _, address := range j.addrs() {
 			if id, ok := j.join(ctx, address); ok {
 				return id, nil
 			}
@@ -62,7 +63,7 @@
 		}) != nil || !apart {
 			continue
 		}
-		for _, address := range append(members, j.addrs...) {
+		for _, address := range append(members, j.addrs()...) {
 			if address == j.self.RpcAddress {
 				continue
 			}
@@ -104,7 +105,7 @@
 // checkUninitialised makes sure that no peer belongs to a cluster. Every peer
 // must answer, since one that cannot be reached may belong to one.
 func (j *joiner) checkUninitialised(ctx context.Context) error {
-	for _, address := range j.addrs {
+	for _, address := range j.addrs() {
 		if address == j.self.RpcAddress {
 			continue
 		}
--- a/entry/controls.go
+++ b/entry/controls.go
@@ -113,6 +113,18 @@
 	c.forgetMissing(addresses)
 }
 
+// setSeeds replaces the addresses of the settings. Learned ones stay.
+func (c *controls) setSeeds(seeds []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.seeds = slices.Clone(seeds)
+	for _, a := range seeds {
+		if !slices.Contains(c.addresses, a) {
+			c.addresses = append(c.addresses, a)
+		}
+	}
+}
+
 // forgetMissing drops learned addresses that left the group.
 func (c *controls) forgetMissing(addresses []string) {
 	if len(addresses) == 0 {
--- a/entry/plan_follower.go
+++ b/entry/plan_follower.go
@@ -73,6 +73,9 @@
 	f.peers.Close()
 }
 
+// SetControls replaces the addresses of control daemons of the settings.
+func (f *PlanFollower) SetControls(addresses []string) { f.keeper.controls.setSeeds(addresses) }
+
 // View returns the current view; before the first plan its Index is nil.
 func (f *PlanFollower) View() *PlanView { return f.keeper.load() }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -113,6 +113,9 @@
 	}
 }
 
+// SetControls replaces the addresses of control daemons of the settings.
+func (g *Gateway) SetControls(addresses []string) { g.follower.SetControls(addresses) }
+
 // Ready reports whether this VM takes callers: it knows a plan and upstreams, and
 // is not leaving.
 func (g *Gateway) Ready() bool { return g.lifecycle.State() == apipb.VmState_VM_STATE_SERVING }
