End the wait of a new leader once all holders have reported

Cause: after all VMs had lost power, entry VMs were serving 0.3 s later but refused every customer for 3 s more, because a new leader issues nothing for a lease: grants of an earlier term might be in force somewhere. Ruled out: the election (1 s), the list and the plan (in force 0.25 s after the start).

The processes that may hold grants are now part of the replicated state, recorded before the first grant and removed when they have been silent for two leases. A new leader waits only for those; a later process of a VM shows that the one before holds nothing any more and frees its rates at once.

--- a/control/commander.go
+++ b/control/commander.go
@@ -94,6 +94,6 @@
 	return &apipb.ProposeReply{
 		Submit: result.Submit, Claim: result.Claim, Complete: result.Complete,
 		Enqueue: result.Enqueue, StartJob: result.StartJob, FinishJob: result.FinishJob,
-		Evacuation: result.Evacuation,
+		Evacuation: result.Evacuation, Holder: result.Holder,
 	}
 }
--- a/control/config.go
+++ b/control/config.go
@@ -57,6 +57,4 @@
 	// MinVoters is how many voters the group must have before a routing plan or an
 	// evacuation is accepted; below it the loss of one disk could lose it.
 	MinVoters int
-	// GrantLease is the validity of grants; 0 means grant.DefaultLease.
-	GrantLease time.Duration
 }
--- a/control/leader_test.go
+++ b/control/leader_test.go
@@ -96,7 +96,7 @@
 			o.setFirstTerm(c.first)
 			for _, env := range []apipb.Environment{trial, apipb.Environment_ENVIRONMENT_PRODUCTION} {
 				holder := holderOf(&clock.Manual{}, "entry-1", customer)
-				is.NoErr(holder.Accept(o.tenure(c.term, env, version).owner.Renew(requestOf(holder, "entry-1"), true)))
+				is.NoErr(holder.Accept(o.tenure(env, &leadership{term: c.term, version: version}).owner.Renew(requestOf(holder, "entry-1"), true)))
 				is.Equal(holder.Bucket(customer).Depth() == 0, c.waits)
 			}
 		})
--- a/control/measure_renewal_test.go
+++ b/control/measure_renewal_test.go
@@ -128,7 +128,7 @@
 func TestMeasureFleetList(t *testing.T) {
 	for _, vms := range []int{12, 400, 3200} {
 		o := newOwnership(&Config{Clock: &clock.Manual{}, Log: quietLog()})
-		tenure := o.tenure(2, trial, nil)
+		tenure := o.tenure(trial, &leadership{term: 2})
 		for i := range vms {
 			if err := tenure.fleet.Heartbeat(benchVM(fmt.Sprintf("entry-%04d", i))); err != nil {
 				t.Fatal(err)
@@ -148,7 +148,7 @@
 // load moves by one step must not cost every holder the whole list.
 func TestFleetListAtDesignScale(t *testing.T) {
 	clk := &clock.Manual{}
-	fleet := newOwnership(&Config{Clock: clk, Log: quietLog()}).tenure(2, trial, nil)
+	fleet := newOwnership(&Config{Clock: clk, Log: quietLog()}).tenure(trial, &leadership{term: 2})
 	beat := func(load float64) {
 		clk.Advance(grant.RenewInterval)
 		for i := range 3200 {
--- a/control/ownership.go
+++ b/control/ownership.go
@@ -45,6 +45,13 @@
 	checked   clock.Instant
 	checkedOK bool
 	decoder   document.Decoder
+
+	began clock.Instant
+	// holdersMu guards leaving, and is held for no call.
+	holdersMu sync.Mutex
+	// leaving are the processes whose removal from the holders was proposed.
+	leaving map[string]uint64
+	tidied  clock.Instant
 }
 
 // setFirstTerm notes the first term of a cluster that this process formed.
@@ -64,6 +71,8 @@
 	valid   bool
 	leader  string
 	version *store.Version
+	// holders are the processes that may hold grants; read for plans only.
+	holders map[string]uint64
 }
 
 func (e *Engine) leadership(ctx context.Context, env apipb.Environment) (leadership, error) {
@@ -74,6 +83,9 @@
 		l.valid = status.Role == consensus.RoleLeader && status.LeaseValid && status.TermCommitted && e.appliedTerm == status.Term
 		l.leader = e.leaderAddress()
 		l.version = e.store.InForce(env)
+		if env == apipb.Environment_ENVIRONMENT_PLAN {
+			l.holders = e.store.Holders()
+		}
 	})
 	return l, errors.Trace(err)
 }
@@ -87,7 +99,12 @@
 	if !l.valid || request.GetVm().GetName() == "" {
 		return &apipb.RenewReply{NotLeader: true, LeaderAddress: l.leader, Term: l.term, Sequence: request.Sequence}, nil
 	}
-	t := o.tenure(l.term, request.Environment, l.version)
+	t := o.tenure(request.Environment, &l)
+	if t != nil && request.Environment == apipb.Environment_ENVIRONMENT_PLAN {
+		if err := o.admitHolder(ctx, engine, t, &l, request.Vm); err != nil {
+			return nil, errors.Trace(err)
+		}
+	}
 	if t == nil {
 		return &apipb.RenewReply{NotLeader: true, LeaderAddress: l.leader, Term: l.term, Sequence: request.Sequence}, nil
 	}
@@ -116,30 +133,31 @@
 
 // tenure returns the ownership of the term, begun anew if the term is. A term
 // below the current one has ended.
-func (o *ownership) tenure(term uint64, env apipb.Environment, version *store.Version) *tenure {
+func (o *ownership) tenure(env apipb.Environment, l *leadership) *tenure {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if term < o.term {
+	if l.term < o.term {
 		return nil
 	}
-	if term > o.term {
-		o.term = term
+	if l.term > o.term {
+		o.term = l.term
 		o.tenures = map[apipb.Environment]*tenure{}
 	}
 	t := o.tenures[env]
 	if t == nil {
-		t = o.begin(term)
+		t = o.begin(l.term, l.holders)
 		o.tenures[env] = t
 	}
-	o.refreshCaps(t, env, version)
+	o.refreshCaps(t, env, l.version)
 	return t
 }
 
-func (o *ownership) begin(term uint64) *tenure {
+func (o *ownership) begin(term uint64, expected map[string]uint64) *tenure {
 	owner := grant.NewOwner(grant.OwnerConfig{
-		Term: term, Quarantine: o.cfg.Quarantine, Lease: o.cfg.GrantLease, NoPredecessor: term == o.firstTerm,
+		Expected: expected, OneProcess: expected != nil,
+		Term: term, Quarantine: o.cfg.Quarantine, NoPredecessor: term == o.firstTerm,
 	}, o.cfg.Clock)
-	return &tenure{owner: owner, fleet: membership.NewFleet(term, o.cfg.Clock)}
+	return &tenure{owner: owner, fleet: membership.NewFleet(term, o.cfg.Clock), began: o.cfg.Clock.Now(), leaving: map[string]uint64{}}
 }
 
 // refreshCaps sets the caps when the document or the list of upstreams changed.
--- a/grant/owner.go
+++ b/grant/owner.go
@@ -1,6 +1,7 @@
 package grant
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -18,6 +19,13 @@
 	// Quarantine is how long units of a lost holder stay unused: the longest
 	// route deadline, since an upstream may run requests until then.
 	Quarantine time.Duration
+	// Expected are the processes that may hold grants of earlier terms, as
+	// incarnations by VM; nil if that is not known. Once all of them, or later
+	// processes of their VMs, have reported, the wait after election is over.
+	Expected map[string]uint64
+	// OneProcess says that a VM runs one process at a time, so that a later one
+	// shows that the one before holds nothing any more.
+	OneProcess bool
 	// NoPredecessor says that no earlier term can have issued grants, as in an
 	// installation that was just initialised. It skips the wait after election.
 	NoPredecessor bool
@@ -36,6 +44,8 @@
 	members map[memberKey]*member
 	order   []*member
 	latest  map[string]uint64 // highest incarnation of each VM in members
+	// missing are the expected VMs that have not reported in this term.
+	missing map[string]uint64
 	swept   clock.Instant
 	reports []report // of the current request
 
@@ -56,6 +66,7 @@
 		pools:   map[ResourceID]*pool{},
 		members: map[memberKey]*member{},
 		latest:  map[string]uint64{},
+		missing: maps.Clone(cfg.Expected),
 	}
 }
 
@@ -119,6 +130,9 @@
 	reply.LeaseMs = uint32(lease / time.Millisecond)
 	o.issue(m, reply, now)
 	m.sequence, m.received = req.GetSequence(), now
+	if m.key.incarnation >= o.missing[m.key.vm] {
+		delete(o.missing, m.key.vm)
+	}
 	return reply
 }
 
@@ -140,6 +154,7 @@
 		o.members[key] = m
 		o.order = append(o.order, m)
 		o.latest[key.vm] = key.incarnation
+		o.dropEarlier(key)
 	}
 	if !o.read(m, req) {
 		reply.FullRequestNeeded = true
@@ -149,6 +164,24 @@
 	return m
 }
 
+// dropEarlier frees the rates of earlier processes of a VM that runs one at a time.
+// Units stay counted, because upstreams may still run their requests.
+func (o *Owner) dropEarlier(key memberKey) {
+	if !o.cfg.OneProcess {
+		return
+	}
+	for _, m := range o.order {
+		if m.key.vm != key.vm || m.key.incarnation >= key.incarnation {
+			continue
+		}
+		for i := len(m.order) - 1; i >= 0; i-- {
+			if m.order[i].pool.rates() {
+				m.remove(m.order[i])
+			}
+		}
+	}
+}
+
 // read decodes the reports. It returns false if the request is malformed, or brief
 // and does not follow the last reply of this owner.
 func (o *Owner) read(m *member, req *apipb.RenewRequest) (ok bool) {
--- a/store/result.go
+++ b/store/result.go
@@ -13,4 +13,5 @@
 	StartJob   *apipb.StartJobReply
 	FinishJob  *apipb.FinishJobReply
 	Evacuation *apipb.EvacuationResult
+	Holder     *apipb.HolderResult
 }
--- a/store/snapshot.go
+++ b/store/snapshot.go
@@ -12,7 +12,7 @@
 
 // Snapshot encodes the whole state.
 func (s *Store) Snapshot() ([]byte, error) {
-	message := &apipb.StoreSnapshot{ClusterId: s.clusterID, NowMs: s.nowMS, Plan: s.plans.snapshot()}
+	message := &apipb.StoreSnapshot{ClusterId: s.clusterID, NowMs: s.nowMS, Plan: s.plans.snapshot(), Holders: s.holders.snapshot()}
 	for _, env := range []apipb.Environment{
 		apipb.Environment_ENVIRONMENT_TRIAL,
 		apipb.Environment_ENVIRONMENT_PRODUCTION,
@@ -45,6 +45,7 @@
 		fresh.restoreEnvironment(e)
 	}
 	fresh.plans.restore(message.Plan)
+	fresh.holders.restore(message.Holders)
 	for _, record := range message.Claims {
 		fresh.claims.add(record)
 	}
--- a/store/store.go
+++ b/store/store.go
@@ -19,6 +19,7 @@
 	claims       *claims
 	jobs         *jobs
 	plans        *plans
+	holders      holders
 }
 
 // New returns an empty store.
@@ -28,9 +29,10 @@
 			apipb.Environment_ENVIRONMENT_TRIAL:      newEnvironment(),
 			apipb.Environment_ENVIRONMENT_PRODUCTION: newEnvironment(),
 		},
-		claims: newClaims(),
-		jobs:   newJobs(),
-		plans:  newPlans(),
+		claims:  newClaims(),
+		jobs:    newJobs(),
+		plans:   newPlans(),
+		holders: holders{},
 	}
 }
 
@@ -67,6 +69,8 @@
 		return Result{Submit: s.plans.submit(body.SubmitPlan, index, s.nowMS)}
 	case *apipb.Command_SetEvacuation:
 		return Result{Evacuation: s.plans.evacuate(body.SetEvacuation, index)}
+	case *apipb.Command_SetHolder:
+		return Result{Holder: s.holders.set(body.SetHolder)}
 	case *apipb.Command_SetCluster:
 		s.clusterID = body.SetCluster.ClusterId
 	}
