Move the shares of regions by a reference with bounded speed

Now a reference share for each region follows the regions that requests would choose, at 0.045 a second, and starts from the slots of the regions. An outage lifts it.

Also: an upstream that has not reported to a VM counts as used by the neighbours up to their part, so that a start of all VMs does not fill the upstreams' queues.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -41,7 +41,7 @@
 func New(cfg Config) *Gateway {
 	g := &Gateway{
 		cfg: cfg, lifecycle: membership.NewLifecycle(cfg.Clock), pool: egress.NewPool(cfg.Upstream),
-		splitter: newSplitter(), usual: newUsual(), pace: placement.NewPace(time.Now()),
+		splitter: newSplitter(), usual: newUsual(), pace: placement.NewPace(time.Now(), cfg.Region),
 	}
 	g.services.Store(&map[string]*service{})
 	g.server = ingress.NewServer(g, cfg.Log)
@@ -182,25 +182,31 @@
 	for _, u := range g.list {
 		byService[u.Service] = append(byService[u.Service], u)
 	}
-	vms := g.fleetNames()
+	vms, near := g.fleetNames()
 	for name, s := range *g.services.Load() {
 		s.retries.SetVMs(len(vms))
 		s.turns.with(func(now time.Time, table *placement.Table) {
-			table.SetFleet(vms)
+			table.SetFleet(vms, near)
 			for _, id := range table.SetUpstreams(now, byService[name], fresh(name)) {
 				g.pool.Forget(id)
 			}
+			g.pace.Begin(table.StartShares())
 		})
 	}
 }
 
-// fleetNames returns the entry VMs that are known, this one included.
-func (g *Gateway) fleetNames() []string {
-	names := []string{g.cfg.VM}
+// fleetNames returns the entry VMs that are known, and how many of them are in the
+// region of this one, itself included in both.
+func (g *Gateway) fleetNames() (names []string, near int) {
+	names, near = []string{g.cfg.VM}, 1
 	for _, vm := range g.follower.Fleet() {
-		if vm.Name != g.cfg.VM {
-			names = append(names, vm.Name)
+		if vm.Name == g.cfg.VM {
+			continue
+		}
+		names = append(names, vm.Name)
+		if vm.Region == g.cfg.Region {
+			near++
 		}
 	}
-	return names
+	return names, near
 }
--- a/gateway/keep.go
+++ b/gateway/keep.go
@@ -35,7 +35,8 @@
 	if g.cfg.ListRate <= 0 {
 		return listInterval
 	}
-	share := float64(len(g.fleetNames())) / (g.cfg.ListRate * listShare)
+	vms, _ := g.fleetNames()
+	share := float64(len(vms)) / (g.cfg.ListRate * listShare)
 	return max(listInterval, time.Duration(share*float64(time.Second)))
 }
 
--- /dev/null
+++ b/gateway/placement/capacity.go
@@ -0,0 +1,58 @@
+package placement
+
+import "time"
+
+const (
+	// outageShare is the share of a region's slots whose loss counts as an outage.
+	outageShare = 0.2
+	// outageTime is for how long requests move freely after one.
+	outageTime = 5 * time.Second
+)
+
+// watchCapacity lifts the pace when a region has lost a good part of its slots:
+// staying within the pace would leave requests without an upstream then.
+func (t *Table) watchCapacity(now time.Time) {
+	slots := t.slots()
+	if t.capacity == nil {
+		t.capacity = map[string]float64{}
+	}
+	for region, before := range t.capacity {
+		if slots[region] < before*(1-outageShare) {
+			t.pace.Lift(now.Add(outageTime))
+		}
+	}
+	t.capacity = slots
+}
+
+// slots returns the slots of the upstreams that take requests, by region.
+func (t *Table) slots() map[string]float64 {
+	slots := map[string]float64{}
+	for _, u := range t.order {
+		if t.keeps(u) && !u.probing {
+			slots[u.Region] += float64(u.Slots)
+		}
+	}
+	return slots
+}
+
+// StartShares returns how requests of this VM would be spread over the regions if
+// every region asked for as much: what its own region has no room for goes to the
+// others by their slots.
+func (t *Table) StartShares() map[string]float64 {
+	slots := t.slots()
+	total := 0.0
+	for _, n := range slots {
+		total += n
+	}
+	own := slots[t.self.Region]
+	if total == 0 || own == total {
+		return map[string]float64{t.self.Region: 1}
+	}
+	shares := map[string]float64{t.self.Region: min(1, own/(total/float64(len(slots))))}
+	for region, n := range slots {
+		if region != t.self.Region {
+			shares[region] = (1 - shares[t.self.Region]) * n / (total - own)
+		}
+	}
+	return shares
+}
--- a/gateway/placement/pace.go
+++ b/gateway/placement/pace.go
@@ -1,37 +1,66 @@
 package placement
 
 import (
+	"math"
 	"sync"
 	"time"
 )
 
 const (
-	// paceWindow is the span over which shares of regions are compared.
+	// paceWindow is the span over which shares of regions are counted.
 	paceWindow = 2 * time.Second
-	// paceSteps is how many parts a window is counted in.
+	// paceSteps is how many parts the window is counted in.
 	paceSteps = 8
-	// paceLimit is the share of requests that may change their region from one
-	// window to the next. The platform allows 0.15 over all VMs of a region; the rest
-	// is for what several VMs add up to and for requests that are still on their way.
-	paceLimit = 0.08
-	// paceSample is how many requests a window needs to say anything.
-	paceSample = 12
+	// paceSpeed is how much of the requests may change their region per second. The
+	// platform allows 0.15 in 2 s over all VMs of a region.
+	paceSpeed = 0.045
+	// paceBand is how far the counted share of a region may be above its reference.
+	paceBand = 0.03
+	// wishWeight is the weight of one request in the average of wishes.
+	wishWeight = 0.03
 )
 
-// Pace bounds how fast the requests of one entry VM move between regions, so that
-// a shift of load does not land on cold caches all at once. It answers load that
-// jumps or collapses within a second. It is safe for concurrent use.
+// Pace bounds how fast the requests of one entry VM move between regions, so that a
+// shift of load does not land on cold caches all at once. It answers load that jumps
+// or collapses within a second.
+//
+// It keeps a reference share for each region, which follows the regions that
+// requests would go to by themselves, at a bounded speed; the counted shares may be
+// only a little above. It is safe for concurrent use.
 type Pace struct {
 	mu     sync.Mutex
 	origin time.Time
-	// counts are the requests by region in the steps of the last two windows.
-	counts [2 * paceSteps]map[string]float64
+	// reference and wished are shares of requests by region.
+	reference, wished map[string]float64
+	movedAt           time.Time
+	// counts are the requests by region in the steps of the window.
+	counts [paceSteps]map[string]float64
 	at     int64 // step of the newest count
 	lifted time.Time
 }
 
-// NewPace returns a pace that begins now.
-func NewPace(now time.Time) *Pace { return &Pace{origin: now} }
+// NewPace returns a pace that begins now, with all requests in one region.
+func NewPace(now time.Time, region string) *Pace {
+	return &Pace{
+		origin: now, movedAt: now,
+		reference: map[string]float64{region: 1}, wished: map[string]float64{region: 1},
+	}
+}
+
+// Begin sets the shares to start from, as long as no request was counted.
+func (p *Pace) Begin(shares map[string]float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, counts := range p.counts {
+		if len(counts) > 0 {
+			return
+		}
+	}
+	p.reference, p.wished = map[string]float64{}, map[string]float64{}
+	for region, share := range shares {
+		p.reference[region], p.wished[region] = share, share
+	}
+}
 
 // Lift lets requests move freely until the given time, after an outage.
 func (p *Pace) Lift(until time.Time) {
@@ -53,62 +82,93 @@
 	p.counts[i][region]++
 }
 
-// step clears what has left the windows and returns the place of now.
-func (p *Pace) step(now time.Time) int {
-	at := max(int64(now.Sub(p.origin)/(paceWindow/paceSteps)), p.at)
-	for i := max(p.at+1, at-int64(len(p.counts))+1); i <= at; i++ {
-		p.counts[i%int64(len(p.counts))] = nil
+// Wish notes the region to which a request would go by itself.
+func (p *Pace) Wish(region string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, known := p.wished[region]; !known {
+		p.wished[region] = 0
 	}
-	p.at = at
-	return int(at % int64(len(p.counts)))
-}
-
-// windows returns the requests by region in the current window and in the one before.
-func (p *Pace) windows(now time.Time) (current, before map[string]float64) {
-	p.step(now)
-	current, before = map[string]float64{}, map[string]float64{}
-	for back := range int64(len(p.counts)) {
-		at := p.at - back
-		if at < 0 {
-			break
-		}
-		into := current
-		if back >= paceSteps {
-			into = before
-		}
-		for region, n := range p.counts[at%int64(len(p.counts))] {
-			into[region] += n
+	for r, share := range p.wished {
+		wish := 0.0
+		if r == region {
+			wish = 1
 		}
+		p.wished[r] = share + wishWeight*(wish-share)
 	}
-	return current, before
 }
 
 // Allowed returns a function that tells whether a request may go to a region now.
 func (p *Pace) Allowed(now time.Time) func(region string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.step(now)
+	counted, n := p.window()
 	if now.Before(p.lifted) {
+		p.follow(counted, n)
+		p.movedAt = now
 		return func(string) bool { return true }
 	}
-	current, before := p.windows(now)
-	n0, n1 := total(before), total(current)
-	if n0 < paceSample {
-		return func(string) bool { return true }
-	}
-	moved := 0.0
-	for region, n := range current {
-		moved += max(0, n/max(n1, 1)-before[region]/n0)
+	p.move(now)
+	limits := make(map[string]float64, len(p.reference))
+	for region, share := range p.reference {
+		limits[region] = (share + paceBand) * (n + 1)
 	}
 	return func(region string) bool {
-		grown := (current[region]+1)/(n1+1) - before[region]/n0
-		return grown <= 0 || moved <= paceLimit
+		limit, known := limits[region]
+		if !known {
+			limit = paceBand * (n + 1)
+		}
+		return counted[region] <= limit // one request more than the limit, for windows with few
+	}
+}
+
+// move lets the reference follow the wishes at a bounded speed.
+func (p *Pace) move(now time.Time) {
+	elapsed := now.Sub(p.movedAt).Seconds()
+	p.movedAt = now
+	up := 0.0
+	for region, wish := range p.wished {
+		up += math.Max(0, wish-p.reference[region])
+	}
+	if up <= 0 || elapsed <= 0 {
+		return
+	}
+	part := math.Min(1, paceSpeed*elapsed/up)
+	for region, wish := range p.wished {
+		p.reference[region] += part * (wish - p.reference[region])
 	}
 }
 
-func total(counts map[string]float64) float64 {
-	sum := 0.0
-	for _, n := range counts {
-		sum += n
+// follow sets the reference to what was counted, so that the pace goes on from there.
+func (p *Pace) follow(counted map[string]float64, n float64) {
+	if n == 0 {
+		return
+	}
+	p.reference, p.wished = map[string]float64{}, map[string]float64{}
+	for region, count := range counted {
+		p.reference[region], p.wished[region] = count/n, count/n
+	}
+}
+
+// step clears what has left the window and returns the place of now.
+func (p *Pace) step(now time.Time) int {
+	at := max(int64(now.Sub(p.origin)/(paceWindow/paceSteps)), p.at)
+	for i := max(p.at+1, at-paceSteps+1); i <= at; i++ {
+		p.counts[i%paceSteps] = nil
+	}
+	p.at = at
+	return int(at % paceSteps)
+}
+
+// window returns the requests by region in the window, and their sum.
+func (p *Pace) window() (counted map[string]float64, n float64) {
+	counted = map[string]float64{}
+	for _, counts := range p.counts {
+		for region, count := range counts {
+			counted[region] += count
+			n += count
+		}
 	}
-	return sum
+	return counted, n
 }
--- a/gateway/placement/table.go
+++ b/gateway/placement/table.go
@@ -26,8 +26,12 @@
 	warmupRate float64
 	pace       *Pace
 	objects    objects
+	// capacity is the number of slots by region before the last outage.
+	capacity map[string]float64
 	// vms are the entry VMs of the fleet, in order of their names.
 	vms []string
+	// neighbours is how many of them are in the region of this one, itself included.
+	neighbours int
 }
 
 // NewTable returns a table without upstreams. The pace is shared by the tables of a VM.
@@ -38,8 +42,10 @@
 // SetWarmup sets for how long upstreams are cold and what they take then.
 func (t *Table) SetWarmup(warmup time.Duration, rate float64) { t.warmup, t.warmupRate = warmup, rate }
 
-// SetFleet sets the entry VMs that share the rate of cold upstreams.
-func (t *Table) SetFleet(vms []string) {
+// SetFleet sets the entry VMs that share the rate of cold upstreams, and how many of
+// them are in the region of this one.
+func (t *Table) SetFleet(vms []string, neighbours int) {
+	t.neighbours = neighbours
 	t.vms = slices.Clone(vms)
 	slices.Sort(t.vms)
 }
@@ -53,6 +59,7 @@
 		}
 	}
 	t.closed = domains
+	t.watchCapacity(now)
 }
 
 // SetUpstreams replaces the list. calm says that traffic has not started, so that
@@ -65,6 +72,7 @@
 		if u == nil {
 			u = newUpstream(entry)
 			t.byID[entry.ID] = u
+			t.assumeLoad(now, u)
 			if !calm && entry.Cold <= 0 {
 				entry.Cold = t.warmup
 			}
@@ -85,9 +93,18 @@
 		t.order = append(t.order, u)
 	}
 	slices.SortFunc(t.order, func(a, b *upstream) int { return strings.Compare(a.ID, b.ID) })
+	t.watchCapacity(now)
 	return gone
 }
 
+// assumeLoad takes an upstream that has not reported to this VM as used by the other
+// VMs of the region up to their part. After a start of all VMs each of them would
+// otherwise fill all slots, and the upstreams' queues would be full for seconds.
+func (t *Table) assumeLoad(now time.Time, u *upstream) {
+	u.others = float64(u.Slots) * (1 - 1/float64(max(t.neighbours, 1)))
+	u.othersAt = now
+}
+
 // chill notes that an upstream is cold for a time.
 func (t *Table) chill(now time.Time, u *upstream, left time.Duration) {
 	if left <= 0 {
@@ -130,12 +147,15 @@
 	return best.Upstream, Placed
 }
 
+// best returns the upstream that fits best among those with room in regions that the
+// pace allows. The one that would fit best without the pace tells it where to move.
 func (t *Table) best(now time.Time, q *Query) (*upstream, Verdict) {
-	var best *upstream
-	var bestOrder order
+	var best, free *upstream
+	var bestOrder, freeOrder order
 	verdict := None
+	paced := len(q.Regions) == 0
 	allowed := func(string) bool { return true }
-	if len(q.Regions) == 0 {
+	if paced {
 		allowed = t.pace.Allowed(now)
 	}
 	tiers := t.tiersOf(now, q)
@@ -145,10 +165,19 @@
 		}
 		verdict = Full
 		at := t.orderOf(now, u, q, tiers)
-		if t.room(now, u, q, at.tier) && allowed(u.Region) && (best == nil || at.before(bestOrder)) {
+		if !t.room(now, u, q, at.tier) {
+			continue
+		}
+		if free == nil || at.before(freeOrder) {
+			free, freeOrder = u, at
+		}
+		if allowed(u.Region) && (best == nil || at.before(bestOrder)) {
 			best, bestOrder = u, at
 		}
 	}
+	if free != nil && paced {
+		t.pace.Wish(free.Region)
+	}
 	if best == nil {
 		return nil, verdict
 	}
@@ -210,6 +239,7 @@
 	u.judge(now, o)
 	if o.Unreachable || o.Gone {
 		u.eject(now)
+		t.watchCapacity(now)
 	} else if !o.Failed {
 		u.ejection = 0
 	}
