--- a/gateway/placement/objects.go
+++ b/gateway/placement/objects.go
@@ -8,7 +8,7 @@
 	// requests; with 25 objects at an upstream nine in ten are.
 	objectsKept = 25
 	// maxCopies bounds the upstreams of a region that keep one object.
-	maxCopies = 3
+	maxCopies = 2
 	// objectSpan is how long an object counts after a request on it.
 	objectSpan = 10 * time.Second
 )
--- a/gateway/placement/order.go
+++ b/gateway/placement/order.go
@@ -37,7 +37,7 @@
 // an upstream does not keep takes several times as long and displaces other
 // objects; if it did so under full load, all upstreams would end up cold for most
 // of their requests and the load would stay too high.
-var tierRoom = [...]float64{tierKept: 1, tierAway: 0.75, tierNear: 0.5, tierOther: 0.35}
+var tierRoom = [...]float64{tierKept: 1, tierAway: 1, tierNear: 0.2, tierOther: 0.1}
 
 // tiersOf returns the upstreams that keep the object of a request with their
 // tiers, or nil for a request without one.
