--- a/gateway/egress/exchange_test.go
+++ b/gateway/egress/exchange_test.go
@@ -100,11 +100,20 @@
 		outcome egress.Outcome
 		body    string
 	}{
-		"whole":         {good("fine"), egress.Answered, "fine"},
-		"late answer":   {func(id string, c net.Conn) { write(c, "%s%s", answer("other", "late"), answer(id, "mine")) }, egress.Answered, "mine"},
-		"cut":           {func(id string, c net.Conn) { write(c, "%s", answer(id, "fine")[:len(answer(id, "fine"))-2]); _ = c.Close() }, egress.Unknown, ""},
-		"cut in chunks": {func(id string, c net.Conn) { write(c, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfi", id); _ = c.Close() }, egress.Unknown, ""},
-		"no length":     {func(id string, c net.Conn) { write(c, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Signature: s\r\n\r\nfine", id); _ = c.Close() }, egress.Answered, "fine"},
+		"whole":       {good("fine"), egress.Answered, "fine"},
+		"late answer": {func(id string, c net.Conn) { write(c, "%s%s", answer("other", "late"), answer(id, "mine")) }, egress.Answered, "mine"},
+		"cut": {func(id string, c net.Conn) {
+			write(c, "%s", answer(id, "fine")[:len(answer(id, "fine"))-2])
+			_ = c.Close()
+		}, egress.Unknown, ""},
+		"cut in chunks": {func(id string, c net.Conn) {
+			write(c, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfi", id)
+			_ = c.Close()
+		}, egress.Unknown, ""},
+		"no length": {func(id string, c net.Conn) {
+			write(c, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Signature: s\r\n\r\nfine", id)
+			_ = c.Close()
+		}, egress.Answered, "fine"},
 		"reset": {func(id string, c net.Conn) {
 			write(c, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Signature: s\r\n\r\nfi", id)
 			time.Sleep(20 * time.Millisecond) // the bytes arrive before the reset
@@ -114,9 +123,13 @@
 		"no signature": {func(id string, c net.Conn) { write(c, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: 0\r\n\r\n", id) }, egress.Unknown, ""},
 		"no answer":    {func(_ string, c net.Conn) { write(c, "%s", "\x00\x01garbage\r\n\r\n") }, egress.Unknown, ""},
 		"closed":       {func(_ string, c net.Conn) { _ = c.Close() }, egress.Unknown, ""},
-		"not run":      {func(id string, c net.Conn) { write(c, "HTTP/1.1 503 Full\r\nX-Id: %s\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", id) }, egress.NotRun, ""},
-		"misdirected":  {func(_ string, c net.Conn) { write(c, "%s", "HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n") }, egress.NotRun, ""},
-		"own failure":  {func(id string, c net.Conn) { write(c, "HTTP/1.1 500 Bad\r\nX-Id: %s\r\nContent-Length: 3\r\n\r\nbad", id) }, egress.Answered, "bad"},
+		"not run": {func(id string, c net.Conn) {
+			write(c, "HTTP/1.1 503 Full\r\nX-Id: %s\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", id)
+		}, egress.NotRun, ""},
+		"misdirected": {func(_ string, c net.Conn) { write(c, "%s", "HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n") }, egress.NotRun, ""},
+		"own failure": {func(id string, c net.Conn) {
+			write(c, "HTTP/1.1 500 Bad\r\nX-Id: %s\r\nContent-Length: 3\r\n\r\nbad", id)
+		}, egress.Answered, "bad"},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/gateway/ingress/server_test.go
+++ b/gateway/ingress/server_test.go
@@ -19,7 +19,9 @@
 
 type handlerFunc func(ctx context.Context, r *ingress.Request) *ingress.Response
 
-func (f handlerFunc) Serve(ctx context.Context, r *ingress.Request) *ingress.Response { return f(ctx, r) }
+func (f handlerFunc) Serve(ctx context.Context, r *ingress.Request) *ingress.Response {
+	return f(ctx, r)
+}
 
 func serve(t *testing.T, f handlerFunc) (*ingress.Server, string) {
 	t.Helper()
