--- /dev/null
+++ b/control/formation_test.go
@@ -0,0 +1,149 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pistachiomount.example/pistachiomount/apipb"
+	"pistachiomount.example/pistachiomount/clock"
+	"pistachiomount.example/pistachiomount/transport"
+)
+
+// seeded returns a daemon that knows the seeds only.
+func seeded(t *testing.T, name string, rpc net.Listener, seeds []string, form bool) *Daemon {
+	t.Helper()
+	d, err := New(Config{
+		Name: name, DataDir: t.TempDir(), Peers: seeds, RPCListener: rpc, HTTPListener: listen(t),
+		Security: &transport.Security{Insecure: true}, Clock: clock.NewSteady(), Log: quietLog(),
+		Form: form, MinVoters: 3,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+// votersOf returns the names of the voters as the daemon knows them.
+func votersOf(d *Daemon) map[string]uint64 {
+	engine, err := d.running()
+	if err != nil {
+		return nil
+	}
+	voters := map[string]uint64{}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_ = engine.do(ctx, func() { // a daemon that does not answer has no voters yet
+		for _, m := range engine.node.Status().Members.GetMembers() {
+			if m.Voter && len(engine.node.Status().Members.GetOutgoingVoters()) == 0 {
+				voters[m.Name] = m.Id
+			}
+		}
+	})
+	return voters
+}
+
+func awaitVoters(t *testing.T, d *Daemon, n int) map[string]uint64 {
+	t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if voters := votersOf(d); len(voters) == n {
+			return voters
+		}
+	}
+	t.Fatalf("voters %v, expected %d", votersOf(d), n)
+	return nil
+}
+
+// Guards against two groups, or none, when all daemons start at the same time in any
+// order and know three seeds, one of which may not come.
+func TestDaemonsFormOneGroupFromTheirSeeds(t *testing.T) {
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			is := is.New(t)
+			rng := rand.New(rand.NewPCG(seed, 3))
+			listeners := make([]net.Listener, 5)
+			for i := range listeners {
+				listeners[i] = listen(t)
+			}
+			seeds := []string{addressOf(listeners[0]), addressOf(listeners[1]), addressOf(listeners[2])}
+			missing := -1
+			if seed > 0 {
+				missing = 1 + rng.IntN(2)
+				is.NoErr(listeners[missing].Close())
+			}
+			var daemons []*Daemon
+			for _, i := range rng.Perm(5) {
+				if i == missing {
+					continue
+				}
+				d := seeded(t, fmt.Sprint("c", i), listeners[i], seeds, i == 0)
+				daemons = append(daemons, d)
+				defer run(t, d)()
+				time.Sleep(time.Duration(rng.IntN(60)) * time.Millisecond)
+			}
+			ids := map[uint64]bool{}
+			for _, d := range daemons {
+				awaitVoters(t, d, len(daemons))
+				ids[d.clusterID()] = true
+			}
+			is.Equal(len(ids), 1)
+		})
+	}
+}
+
+// Guards against an order that is accepted while the loss of one disk could lose it,
+// and against a daemon with an empty disk that forms a group of its own or stays out.
+func TestAnEmptyDiskJoinsTheGroupAgain(t *testing.T) {
+	is := is.New(t)
+	listeners := []net.Listener{listen(t), listen(t), listen(t)}
+	var seeds []string
+	for _, l := range listeners {
+		seeds = append(seeds, addressOf(l))
+	}
+	first := seeded(t, "c0", listeners[0], seeds, true)
+	defer run(t, first)()
+	awaitVoters(t, first, 1)
+	_, err := first.SubmitPlan(t.Context(), &apipb.SubmitPlan{Number: 1, Source: []byte("a"), Plan: []byte("{}")})
+	is.True(err != nil) // one voter only
+	second := seeded(t, "c1", listeners[1], seeds, false)
+	defer run(t, second)()
+	third := seeded(t, "c2", listeners[2], seeds, false)
+	stop := run(t, third)
+	before := awaitVoters(t, first, 3)
+	result, err := first.SubmitPlan(t.Context(), &apipb.SubmitPlan{Number: 1, Source: []byte("a"), Plan: []byte("{}")})
+	is.NoErr(err)
+	is.Equal(result.Status, apipb.SubmitStatus_SUBMIT_STATUS_ACCEPTED)
+	stop()
+
+	again, err := net.Listen("tcp", seeds[2])
+	is.NoErr(err)
+	wiped := seeded(t, "c2", again, seeds, false)
+	defer run(t, wiped)()
+	for end := time.Now().Add(patience); votersOf(first)["c2"] == before["c2"]; time.Sleep(20 * time.Millisecond) {
+		is.True(time.Now().Before(end))
+	}
+	awaitVoters(t, wiped, 3)
+	source, err := wiped.PlanSource(t.Context())
+	is.NoErr(err)
+	is.Equal(string(source), "a")
+}
+
+// Guards against a VM that was removed for good and counts against the majority for
+// ever, where a new one at another address waits to take its place.
+func TestASilentVoterOfAFullGroupGivesItsPlaceToANewDaemon(t *testing.T) {
+	is := is.New(t)
+	members := &apipb.MemberSet{}
+	for i := range uint64(MaxVoters) {
+		members.Members = append(members.Members, &apipb.Member{Id: i + 1, Name: fmt.Sprint("c", i), Voter: true})
+	}
+	learner := &apipb.Member{Id: 9, Name: "new"}
+	is.Equal(promotion(learner, members, func(*apipb.Member) bool { return false }), nil)
+	change := promotion(learner, members, func(m *apipb.Member) bool { return m.Id == 3 })
+	is.Equal(change.Type, apipb.MemberChangeType_MEMBER_CHANGE_TYPE_REPLACE)
+	is.Equal(change.ReplacesId, uint64(3))
+}
