--- a/cmd/pistachiomount/control_role.go
+++ b/cmd/pistachiomount/control_role.go
@@ -40,6 +40,7 @@
 		Meter:    observed.MeterProvider.Meter("control"),
 		Handlers: map[string]http.Handler{"/metrics": observed.MetricsHandler()},
 		Form:     s.FirstStart && first(s.Seeds) == s.Address, MinVoters: minVoters,
+		Lister: platform.NewListClient(s, log),
 	})
 	if err != nil {
 		return errors.Trace(err)
--- a/control/config.go
+++ b/control/config.go
@@ -11,6 +11,7 @@
 
 	"pistachiomount.example/pistachiomount/apipb"
 	"pistachiomount.example/pistachiomount/clock"
+	"pistachiomount.example/pistachiomount/inventory"
 	"pistachiomount.example/pistachiomount/transport"
 )
 
@@ -54,6 +55,9 @@
 	// peer that answers belongs to one. At most one daemon of an installation may
 	// have it set, and only at the very first start.
 	Form bool
+	// Lister reads the list of upstreams while this daemon leads, for all entry VMs;
+	// nil if they read it themselves.
+	Lister inventory.Lister
 	// MinVoters is how many voters the group must have before a routing plan or an
 	// evacuation is accepted; below it the loss of one disk could lose it.
 	MinVoters int
--- a/control/daemon.go
+++ b/control/daemon.go
@@ -163,6 +163,7 @@
 	defer outboxes.Close()
 	go engine.keepMembers(ctx)
 	go d.newJoiner().stayIn(ctx, engine)
+	go d.ownership.followList(ctx, engine)
 	return errors.Trace(engine.Run(ctx))
 }
 
--- a/control/ownership.go
+++ b/control/ownership.go
@@ -46,6 +46,8 @@
 	checkedOK bool
 	decoder   document.Decoder
 
+	// list is the list of upstreams, if this daemon reads it.
+	list  *inventory.Ledger
 	began clock.Instant
 	// holdersMu guards leaving, and is held for no call.
 	holdersMu sync.Mutex
@@ -113,6 +115,9 @@
 	}
 	reply := t.owner.Renew(request, true)
 	t.addFleet(reply, request.HaveFleetVersion)
+	if request.WantsList {
+		t.addList(reply, request.HaveListVersion)
+	}
 	return reply, nil
 }
 
@@ -157,7 +162,7 @@
 		Expected: expected, OneProcess: expected != nil,
 		Term: term, Quarantine: o.cfg.Quarantine, NoPredecessor: term == o.firstTerm,
 	}, o.cfg.Clock)
-	return &tenure{owner: owner, fleet: membership.NewFleet(term, o.cfg.Clock), began: o.cfg.Clock.Now(), leaving: map[string]uint64{}}
+	return &tenure{owner: owner, fleet: membership.NewFleet(term, o.cfg.Clock), began: o.cfg.Clock.Now(), leaving: map[string]uint64{}, list: inventory.NewLedger(term<<32, o.cfg.Clock)}
 }
 
 // refreshCaps sets the caps when the document or the list of upstreams changed.
--- a/entry/plan_follower.go
+++ b/entry/plan_follower.go
@@ -11,6 +11,7 @@
 	"pistachiomount.example/pistachiomount/apipb"
 	"pistachiomount.example/pistachiomount/clock"
 	"pistachiomount.example/pistachiomount/grant"
+	"pistachiomount.example/pistachiomount/inventory"
 	"pistachiomount.example/pistachiomount/transport"
 )
 
@@ -30,6 +31,9 @@
 	Load func() float64
 	// OnChange is called with each new view, before it is in force elsewhere.
 	OnChange func(*PlanView)
+	// OnList is called with the list of upstreams that the leader reads, whether it
+	// has changed, and how long ago the leader asked for it.
+	OnList func(list []inventory.Upstream, changed bool, age time.Duration)
 }
 
 // PlanFollower keeps an entry VM in touch with the control daemons: it follows
@@ -60,6 +64,7 @@
 		controls: controls, holder: f.holder, log: cfg.Log, describe: f.describe,
 		onFleet:   func(_ uint64, vms []*apipb.Vm) { f.fleet.Store(&vms) },
 		onRenewed: func() {}, turn: make(chan struct{}, 1),
+		list: &upstreamList{log: cfg.Log, onList: cfg.OnList},
 	}
 	return f
 }
--- a/entry/renewer.go
+++ b/entry/renewer.go
@@ -24,6 +24,8 @@
 	describe func() *apipb.Vm
 	// onFleet is called with each changed fleet list.
 	onFleet func(version uint64, vms []*apipb.Vm)
+	// list takes in the list of upstreams; nil if it is not wanted.
+	list *upstreamList
 	// onRenewed is called after each accepted renewal.
 	onRenewed func()
 
@@ -101,6 +103,9 @@
 	request := r.holder.BuildRequest()
 	request.Vm = r.describe()
 	request.HaveFleetVersion = r.fleetVersion
+	if r.list != nil {
+		request.WantsList, request.HaveListVersion = true, r.list.version
+	}
 	reply, err := client.Renew(ctx, request)
 	if err != nil {
 		r.controls.leaveLeader(address)
@@ -112,6 +117,9 @@
 		return errors.Trace(err)
 	}
 	r.onRenewed()
+	if r.list != nil && reply.ListVersion != 0 {
+		r.list.take(reply)
+	}
 	if reply.FleetVersion != r.fleetVersion {
 		r.takeFleet(reply)
 	}
--- /dev/null
+++ b/entry/upstream_list.go
@@ -0,0 +1,61 @@
+package entry
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"pistachiomount.example/pistachiomount/apipb"
+	"pistachiomount.example/pistachiomount/inventory"
+)
+
+// upstreamList is the list of upstreams as the leader reads it. It belongs to the
+// goroutine that renews.
+type upstreamList struct {
+	log     logrus.FieldLogger
+	version uint64
+	entries map[string]inventory.Upstream
+	// onList is called with each answer: the whole list, whether it has changed, and
+	// how long ago the leader asked for it.
+	onList func(list []inventory.Upstream, changed bool, age time.Duration)
+}
+
+// take applies an answer.
+func (l *upstreamList) take(reply *apipb.RenewReply) {
+	if reply.ListWhole || l.entries == nil {
+		l.entries = make(map[string]inventory.Upstream, len(reply.Upstreams))
+	}
+	for _, entry := range reply.Upstreams {
+		u, err := upstreamOf(entry)
+		if err != nil {
+			l.log.WithError(err).WithField("upstream", entry.Id).Error("upstream of the leader's list not readable")
+			continue
+		}
+		l.entries[u.ID] = u
+	}
+	for _, id := range reply.UpstreamsGone {
+		delete(l.entries, id)
+	}
+	changed := l.version != reply.ListVersion
+	l.version = reply.ListVersion
+	list := make([]inventory.Upstream, 0, len(l.entries))
+	for id, u := range l.entries {
+		list = append(list, u)
+		u.Cold = 0 // it counts once, when it is told
+		l.entries[id] = u
+	}
+	l.onList(list, changed, time.Duration(reply.ListAgeMs)*time.Millisecond)
+}
+
+func upstreamOf(entry *apipb.UpstreamEntry) (inventory.Upstream, error) {
+	address, err := netip.ParseAddrPort(entry.Address)
+	u := inventory.Upstream{
+		ID: entry.Id, Service: entry.Service, Address: address, Region: entry.Region, FailureDomain: entry.FailureDomain,
+		State: inventory.Live, Slots: int(entry.Slots), Cold: time.Duration(entry.ColdMs) * time.Millisecond,
+	}
+	if entry.Leaving {
+		u.State = inventory.Leaving
+	}
+	return u, err
+}
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"net"
 	"time"
 
@@ -24,11 +23,6 @@
 	ObjectCookie string
 }
 
-// Lister reads the list of upstreams.
-type Lister interface {
-	Upstreams(ctx context.Context) ([]inventory.Upstream, error)
-}
-
 // Config holds what a Gateway is made from. Its listener is bound already.
 type Config struct {
 	VM, Region, FailureDomain string
@@ -37,10 +31,11 @@
 	Listener net.Listener
 	Controls []string
 	Security *transport.Security
-	Lister   Lister
-	Clock    clock.Clock
-	Log      logrus.FieldLogger
-	Meter    metric.Meter
+	// Lister reads the list of upstreams when the leader's has not come for a while.
+	Lister inventory.Lister
+	Clock  clock.Clock
+	Log    logrus.FieldLogger
+	Meter  metric.Meter
 
 	Names    Names
 	Upstream egress.Names
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -35,6 +35,10 @@
 	mu     sync.Mutex
 	list   []inventory.Upstream
 	listed bool
+	// vms are the entry VMs that the tables know of.
+	vms []string
+	// listAsked is when the list at hand was asked for at the platform.
+	listAsked time.Time
 }
 
 // New returns a gateway that Run starts.
@@ -44,11 +48,12 @@
 		splitter: newSplitter(), usual: newUsual(), pace: placement.NewPace(time.Now(), cfg.Region),
 	}
 	g.services.Store(&map[string]*service{})
+	g.listAsked = time.Now() // the leader's list is waited for first
 	g.server = ingress.NewServer(g, cfg.Log)
 	g.follower = entry.NewPlanFollower(entry.FollowerConfig{
 		VM: cfg.VM, Region: cfg.Region, FailureDomain: cfg.FailureDomain, Address: cfg.Address,
 		Controls: cfg.Controls, Security: cfg.Security, Clock: cfg.Clock, Log: cfg.Log,
-		State: g.lifecycle.State, Load: func() float64 { return 0 }, OnChange: g.applyView,
+		State: g.lifecycle.State, Load: func() float64 { return 0 }, OnChange: g.applyView, OnList: g.takeLeadersList,
 	})
 	return g
 }
@@ -183,6 +188,7 @@
 		byService[u.Service] = append(byService[u.Service], u)
 	}
 	vms, near := g.fleetNames()
+	g.vms = vms
 	for name, s := range *g.services.Load() {
 		s.retries.SetVMs(len(vms))
 		s.turns.with(func(now time.Time, table *placement.Table) {
--- a/gateway/keep.go
+++ b/gateway/keep.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"pistachiomount.example/pistachiomount/entry"
@@ -9,10 +10,32 @@
 	"pistachiomount.example/pistachiomount/inventory"
 )
 
-// followList reads the list of upstreams until the context ends.
+// takeLeadersList takes in the list that the leader reads for all VMs.
+func (g *Gateway) takeLeadersList(list []inventory.Upstream, changed bool, age time.Duration) {
+	g.mu.Lock()
+	g.listAsked = time.Now().Add(-age)
+	changed = changed || !g.listed
+	g.mu.Unlock()
+	if changed {
+		g.takeList(list)
+	}
+}
+
+// listIsOld reports whether no list has come from the leader for a while.
+func (g *Gateway) listIsOld() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return time.Since(g.listAsked) > listPatience
+}
+
+// followList reads the list of upstreams itself while none comes from the leader.
 func (g *Gateway) followList(ctx context.Context) {
 	failing := false
 	for ctx.Err() == nil {
+		if !g.listIsOld() {
+			pause(ctx, housekeepingInterval)
+			continue
+		}
 		callCtx, cancel := context.WithTimeout(ctx, listTimeout)
 		list, err := g.cfg.Lister.Upstreams(callCtx)
 		cancel()
@@ -56,6 +79,9 @@
 		g.pool.Sweep(time.Now())
 		g.mu.Lock()
 		g.serveWhenReady()
+		if vms, _ := g.fleetNames(); !slices.Equal(vms, g.vms) {
+			g.handOver(func(string) bool { return false })
+		}
 		g.mu.Unlock()
 		view := g.follower.View()
 		if view.Index != nil {
--- /dev/null
+++ b/inventory/ledger.go
@@ -0,0 +1,120 @@
+package inventory
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"pistachiomount.example/pistachiomount/clock"
+)
+
+// coldTolerance is the difference from the expected rest of a cold time that counts
+// as a change: the rest shrinks from list to list by itself.
+const coldTolerance = 500 * time.Millisecond
+
+// Ledger keeps the versions of the list of upstreams at the daemon that reads it, so
+// that others get only what has changed. It is safe for concurrent use.
+type Ledger struct {
+	clock clock.Clock
+
+	mu      sync.Mutex
+	version uint64
+	first   uint64 // the version before the first list
+	entries map[string]*ledgerEntry
+	gone    map[string]uint64 // the versions at which upstreams went
+	readAt  clock.Instant
+	read    bool
+}
+
+type ledgerEntry struct {
+	upstream  Upstream
+	seenAt    clock.Instant
+	changedAt uint64
+}
+
+// NewLedger returns an empty ledger whose versions are above the given one.
+func NewLedger(version uint64, c clock.Clock) *Ledger {
+	return &Ledger{
+		clock: c, version: version, first: version, entries: map[string]*ledgerEntry{}, gone: map[string]uint64{},
+	}
+}
+
+// Take takes in a list that was asked for at the given instant.
+func (l *Ledger) Take(list []Upstream, askedAt clock.Instant) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.readAt, l.read = askedAt, true
+	next := l.version + 1
+	listed := make(map[string]bool, len(list))
+	for _, u := range list {
+		listed[u.ID] = true
+		if e := l.entries[u.ID]; e == nil || e.differs(u, askedAt) {
+			l.entries[u.ID] = &ledgerEntry{upstream: u, seenAt: askedAt, changedAt: next}
+			delete(l.gone, u.ID)
+			l.version = next
+		}
+	}
+	for id := range l.entries {
+		if !listed[id] {
+			delete(l.entries, id)
+			l.gone[id] = next
+			l.version = next
+		}
+	}
+	if l.version == l.first {
+		l.version = next // an empty list is a list
+	}
+}
+
+func (e *ledgerEntry) differs(u Upstream, now clock.Instant) bool {
+	expected := max(0, e.upstream.Cold-now.ElapsedSince(e.seenAt))
+	cold := u.Cold
+	u.Cold = e.upstream.Cold
+	return u != e.upstream || (cold-expected).Abs() > coldTolerance
+}
+
+// Changes returns what has changed since a version: upstreams that are new or
+// different and ids of those that are gone. whole is set if all are returned because
+// the version is not one of this ledger. ok is false before the first list.
+func (l *Ledger) Changes(since uint64) (changed []Upstream, gone []string, whole, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.read {
+		return nil, nil, false, false
+	}
+	whole = since <= l.first || since > l.version
+	now := l.clock.Now()
+	for _, e := range l.entries {
+		if whole || e.changedAt > since {
+			u := e.upstream
+			u.Cold = max(0, u.Cold-now.ElapsedSince(e.seenAt))
+			changed = append(changed, u)
+		}
+	}
+	for id, at := range l.gone {
+		if !whole && at > since {
+			gone = append(gone, id)
+		}
+	}
+	slices.SortFunc(changed, func(a, b Upstream) int { return cmp.Compare(a.ID, b.ID) })
+	slices.Sort(gone)
+	return changed, gone, whole, true
+}
+
+// Version returns the version of the list.
+func (l *Ledger) Version() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.version
+}
+
+// First returns the version before the first list.
+func (l *Ledger) First() uint64 { return l.first }
+
+// Age returns how long ago the newest list was asked for.
+func (l *Ledger) Age() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.clock.Now().ElapsedSince(l.readAt)
+}
--- /dev/null
+++ b/inventory/ledger_test.go
@@ -0,0 +1,52 @@
+package inventory_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pistachiomount.example/pistachiomount/clock"
+	"pistachiomount.example/pistachiomount/inventory"
+)
+
+// Guards against a list that is sent whole for each small change, and against
+// changes that a VM never hears of.
+func TestLedgerSendsWhatChanged(t *testing.T) {
+	is := is.New(t)
+	var c clock.Manual
+	l := inventory.NewLedger(5<<32, &c)
+	_, _, _, ok := l.Changes(0)
+	is.True(!ok) // nothing was read yet
+
+	a := inventory.Upstream{ID: "a", State: inventory.Live, Cold: 3 * time.Second}
+	b := inventory.Upstream{ID: "b", State: inventory.Live}
+	l.Take([]inventory.Upstream{a, b}, c.Now())
+	changed, gone, whole, ok := l.Changes(0)
+	is.True(ok && whole)
+	is.Equal(len(changed)+len(gone), 2)
+	first := l.Version()
+
+	c.Advance(time.Second)
+	a.Cold = 2 * time.Second // as expected
+	l.Take([]inventory.Upstream{a, b}, c.Now())
+	is.Equal(l.Version(), first)
+
+	b.State = inventory.Leaving
+	l.Take([]inventory.Upstream{b}, c.Now())
+	changed, gone, whole, _ = l.Changes(first)
+	is.True(!whole)
+	is.Equal(changed, []inventory.Upstream{b})
+	is.Equal(gone, []string{"a"})
+
+	a.Cold = 3 * time.Second // it is back and cold again
+	l.Take([]inventory.Upstream{a, b}, c.Now())
+	c.Advance(time.Second)
+	changed, gone, _, _ = l.Changes(first)
+	is.Equal(len(changed), 2)
+	is.Equal(changed[0].Cold, 2*time.Second)
+	is.Equal(len(gone), 0)
+
+	_, _, whole, _ = l.Changes(3 << 32) // of an earlier leader
+	is.True(whole)
+}
