Pool the rates of customers within a region of many VMs

Cause: with 63 entry VMs a customer of 26 requests a second has a share of 0.4 a second and a depth of one request at each, and a bucket that small refuses nearly half of what comes, though the customer is within its rate. Ruled out: a larger depth, which the sum of all VMs forbids, and shares by demand, which is as random as the requests.

From 6 VMs in a region on, one VM of the region keeps a customer's share and the others take tokens from it, a few milliseconds away; a second one stands in, and the VM's own share after that. Each of them holds ordinary grants, so the limit holds whatever this choice is.

--- a/cmd/pistachiomount/gateway_role.go
+++ b/cmd/pistachiomount/gateway_role.go
@@ -27,8 +27,13 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
+	rpc, err := listen(ctx, s.Internal(s.Address, rpcPort), "rpc", log)
+	if err != nil {
+		return errors.Trace(err)
+	}
 	g := gateway.New(gateway.Config{
-		VM: s.VM, Region: s.Region, FailureDomain: s.FailureDomain, Address: s.CallerAddress, Listener: callers,
+		RPCListener: rpc,
+		VM:          s.VM, Region: s.Region, FailureDomain: s.FailureDomain, Address: s.CallerAddress, Listener: callers,
 		Controls: peers(s), Security: trusted(log), Lister: platform.NewListClient(s, log),
 		Clock: clock.NewSteady(), Log: log, Meter: observed.MeterProvider.Meter("gateway"),
 		Names: platform.CallerNames(), Upstream: platform.UpstreamNames(),
--- a/entry/plan_follower.go
+++ b/entry/plan_follower.go
@@ -18,8 +18,8 @@
 // FollowerConfig holds what a PlanFollower is made from.
 type FollowerConfig struct {
 	VM, Region, FailureDomain string
-	// Address is where callers reach this VM.
-	Address string
+	// Address is where callers reach this VM, RPCAddress where other entry VMs do.
+	Address, RPCAddress string
 	// Controls are the RPC addresses of control daemons to start from.
 	Controls []string
 	Security *transport.Security
@@ -87,6 +87,9 @@
 // Holder holds the grants of this VM.
 func (f *PlanFollower) Holder() *grant.Holder { return f.holder }
 
+// Peers makes calls to other daemons.
+func (f *PlanFollower) Peers() *transport.Peers { return f.peers }
+
 // Fleet returns the entry VMs as last heard from the leader. It must not be changed.
 func (f *PlanFollower) Fleet() []*apipb.Vm {
 	if vms := f.fleet.Load(); vms != nil {
@@ -108,7 +111,7 @@
 	view := f.keeper.load()
 	age, _ := view.Age(f.cfg.Clock.Now())
 	return &apipb.Vm{
-		Name: f.cfg.VM, Incarnation: f.incarnation, Address: f.cfg.Address, Region: f.cfg.Region,
+		Name: f.cfg.VM, Incarnation: f.incarnation, Address: f.cfg.Address, RpcAddress: f.cfg.RPCAddress, Region: f.cfg.Region,
 		FailureDomain: f.cfg.FailureDomain, State: f.cfg.State(), RevisionInForce: view.Revision,
 		ViewAgeMs: uint32(age.Milliseconds()), Load: f.cfg.Load(),
 	}
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -29,8 +29,10 @@
 	// Address is where callers reach this VM.
 	Address  string
 	Listener net.Listener
-	Controls []string
-	Security *transport.Security
+	// RPCListener takes calls of other entry VMs.
+	RPCListener net.Listener
+	Controls    []string
+	Security    *transport.Security
 	// Lister reads the list of upstreams when the leader's has not come for a while.
 	Lister inventory.Lister
 	Clock  clock.Clock
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -7,15 +7,17 @@
 	"time"
 
 	"github.com/juju/errors"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcmux"
 
 	"pistachiomount.example/pistachiomount/apipb"
 	"pistachiomount.example/pistachiomount/entry"
 	"pistachiomount.example/pistachiomount/gateway/egress"
 	"pistachiomount.example/pistachiomount/gateway/ingress"
 	"pistachiomount.example/pistachiomount/gateway/placement"
-	"pistachiomount.example/pistachiomount/grant"
 	"pistachiomount.example/pistachiomount/inventory"
 	"pistachiomount.example/pistachiomount/membership"
+	"pistachiomount.example/pistachiomount/transport"
 )
 
 // Gateway serves callers on one entry VM.
@@ -28,6 +30,7 @@
 	splitter  *splitter
 	usual     *usual
 	pace      *placement.Pace
+	rates     *rates
 
 	// services is replaced as a whole when the plan names others.
 	services atomic.Pointer[map[string]*service]
@@ -51,10 +54,11 @@
 	g.listAsked = time.Now() // the leader's list is waited for first
 	g.server = ingress.NewServer(g, cfg.Log)
 	g.follower = entry.NewPlanFollower(entry.FollowerConfig{
-		VM: cfg.VM, Region: cfg.Region, FailureDomain: cfg.FailureDomain, Address: cfg.Address,
+		VM: cfg.VM, Region: cfg.Region, FailureDomain: cfg.FailureDomain, Address: cfg.Address, RPCAddress: cfg.RPCListener.Addr().String(),
 		Controls: cfg.Controls, Security: cfg.Security, Clock: cfg.Clock, Log: cfg.Log,
 		State: g.lifecycle.State, Load: func() float64 { return 0 }, OnChange: g.applyView, OnList: g.takeLeadersList,
 	})
+	g.rates = &rates{self: cfg.VM, region: cfg.Region, follower: g.follower, resting: map[string]time.Time{}}
 	return g
 }
 
@@ -67,6 +71,7 @@
 	wg.Go(func() { g.follower.Run(background) })
 	wg.Go(func() { g.followList(background) })
 	wg.Go(func() { g.keepHouse(background) })
+	wg.Go(func() { g.serveRates(background) })
 	failed := make(chan error, 1)
 	wg.Go(func() { failed <- g.server.Serve(g.cfg.Listener) })
 	select {
@@ -78,6 +83,21 @@
 	return nil
 }
 
+// serveRates gives tokens of customers' rates to the other VMs of the region.
+func (g *Gateway) serveRates(ctx context.Context) {
+	mux := drpcmux.New()
+	if err := apipb.DRPCRegisterRates(mux, &rateService{follower: g.follower}); err != nil {
+		g.cfg.Log.WithError(err).Error("rates not offered to other VMs")
+		return
+	}
+	server := transport.NewServer(g.cfg.Security, map[transport.Role]drpc.Handler{
+		transport.RoleControl: mux, transport.RoleEntry: mux,
+	}, g.cfg.Log)
+	if err := server.Serve(ctx, g.cfg.RPCListener); err != nil {
+		g.cfg.Log.WithError(err).Error("rates not offered to other VMs")
+	}
+}
+
 // leave is the planned stop: out of the directory first, then as long as callers
 // may hold an answer that names this VM, then until every request has ended.
 func (g *Gateway) leave() {
@@ -169,11 +189,7 @@
 	}
 	g.services.Store(&services)
 	g.splitter.reset()
-	for _, c := range view.Index.Plan.Customers {
-		if c.Rate > 0 {
-			g.follower.Holder().Bucket(grant.CustomerID(c.Name)) // asks for a share before the first request
-		}
-	}
+	g.rates.hold(view.Index.Plan.Customers)
 	g.handOver(func(name string) bool { return fresh[name] })
 }
 
--- a/gateway/keep.go
+++ b/gateway/keep.go
@@ -81,6 +81,9 @@
 		g.serveWhenReady()
 		if vms, _ := g.fleetNames(); !slices.Equal(vms, g.vms) {
 			g.handOver(func(string) bool { return false })
+			if view := g.follower.View(); view.Index != nil {
+				g.rates.hold(view.Index.Plan.Customers)
+			}
 		}
 		g.mu.Unlock()
 		view := g.follower.View()
--- /dev/null
+++ b/gateway/rates.go
@@ -0,0 +1,198 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
+
+	"pistachiomount.example/pistachiomount/apipb"
+	"pistachiomount.example/pistachiomount/entry"
+	"pistachiomount.example/pistachiomount/grant"
+	"pistachiomount.example/pistachiomount/plan"
+)
+
+const (
+	// pooledVMs is the number of VMs in a region from which they share the rates of
+	// customers through one of them. With fewer, each one's own share is large
+	// enough; with more, a share is a fraction of a request a second, and a request
+	// would find it used up though the customer is well within its rate.
+	pooledVMs = 6
+	// takeTimeout bounds taking a token at another VM of the region, which is a few
+	// milliseconds away.
+	takeTimeout = 60 * time.Millisecond
+	// homeRest is for how long a VM that did not answer is left out.
+	homeRest = time.Second
+)
+
+// rates admits requests within the rates of customers: with this VM's own grants, or
+// with those of the VM in its region that keeps the customer's rate for all.
+type rates struct {
+	self     string
+	region   string
+	follower *entry.PlanFollower
+
+	mu      sync.Mutex
+	resting map[string]time.Time // VMs that did not answer
+}
+
+// token is one admitted request.
+type token struct {
+	bucket      *grant.Bucket // nil if it came from another VM
+	reservation grant.Reservation
+	home        *apipb.Vm
+	customer    string
+}
+
+// take takes a token. Without one it returns when one is likely to be there.
+func (r *rates) take(ctx context.Context, customer string) (*token, time.Duration) {
+	for _, home := range homesOf(customer, r.pool()) {
+		if home.Name == r.self {
+			break
+		}
+		if r.isResting(home.Name) {
+			continue
+		}
+		taken, delay, err := r.takeAt(ctx, home, customer)
+		if err == nil {
+			return taken, delay
+		}
+		r.rest(home.Name)
+	}
+	bucket := r.follower.Holder().Bucket(grant.CustomerID(customer))
+	reservation, ok := bucket.Reserve(1)
+	if !ok {
+		return nil, bucket.DelayFor(1)
+	}
+	return &token{bucket: bucket, reservation: reservation}, 0
+}
+
+// hold asks for shares of the rates that this VM keeps, before the first request
+// comes, and hands back those of others: a share left at a VM that does not keep the
+// rate is of no use to anyone.
+func (r *rates) hold(customers []plan.Customer) {
+	if len(r.follower.Fleet()) == 0 {
+		return // which VM keeps what is not known yet
+	}
+	for _, c := range customers {
+		switch {
+		case c.Rate <= 0:
+		case r.keeps(c.Name):
+			r.follower.Holder().Bucket(grant.CustomerID(c.Name))
+		default:
+			r.follower.Holder().Forget(grant.CustomerID(c.Name))
+		}
+	}
+}
+
+// keeps reports whether this VM keeps the customer's rate for its region.
+func (r *rates) keeps(customer string) bool {
+	homes := homesOf(customer, r.pool())
+	return len(homes) == 0 || homes[0].Name == r.self
+}
+
+// pool returns the VMs of the region that share rates, nil if there are too few.
+func (r *rates) pool() []*apipb.Vm {
+	var vms []*apipb.Vm
+	for _, vm := range r.follower.Fleet() {
+		if vm.Region == r.region && vm.RpcAddress != "" && vm.State == apipb.VmState_VM_STATE_SERVING {
+			vms = append(vms, vm)
+		}
+	}
+	if len(vms) < pooledVMs {
+		return nil
+	}
+	return vms
+}
+
+// homeCandidates is how many VMs are asked for a token before the own share is used.
+const homeCandidates = 2
+
+// homesOf returns the VMs that keep a customer's rate, the first choice first. All
+// VMs of the region come to the same result.
+func homesOf(customer string, vms []*apipb.Vm) []*apipb.Vm {
+	if len(vms) == 0 {
+		return nil
+	}
+	score := func(vm *apipb.Vm) uint64 { return xxhash.Sum64String(customer + "/" + vm.Name) }
+	sorted := slices.SortedFunc(slices.Values(vms), func(a, b *apipb.Vm) int {
+		switch x, y := score(a), score(b); {
+		case x > y:
+			return -1
+		case x < y:
+			return 1
+		}
+		return 0
+	})
+	return sorted[:min(homeCandidates, len(sorted))]
+}
+
+func (r *rates) takeAt(ctx context.Context, home *apipb.Vm, customer string) (*token, time.Duration, error) {
+	reply, err := r.call(ctx, home, &apipb.TakeRequest{Customer: customer})
+	if err != nil {
+		return nil, 0, errors.Trace(err)
+	}
+	if !reply.Granted {
+		return nil, time.Duration(reply.DelayMs) * time.Millisecond, nil
+	}
+	return &token{reservation: grant.RestoredReservation(1, reply.Epoch), home: home, customer: customer}, 0, nil
+}
+
+func (r *rates) call(ctx context.Context, home *apipb.Vm, request *apipb.TakeRequest) (*apipb.TakeReply, error) {
+	client, err := r.follower.Peers().Get(home.RpcAddress)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, takeTimeout)
+	defer cancel()
+	reply, err := apipb.NewDRPCRatesClient(client).Take(ctx, request)
+	return reply, errors.Trace(err)
+}
+
+// refund gives back the token of a request that was offered to no upstream.
+func (r *rates) refund(t *token) {
+	if t.bucket != nil {
+		t.bucket.Refund(t.reservation, 1)
+		return
+	}
+	go func() {
+		// A lost refund costs the customer one request of its burst.
+		_, _ = r.call(context.Background(), t.home, &apipb.TakeRequest{
+			Customer: t.customer, Refund: true, Epoch: t.reservation.Epoch(),
+		})
+	}()
+}
+
+func (r *rates) isResting(vm string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Now().Before(r.resting[vm])
+}
+
+func (r *rates) rest(vm string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.resting[vm] = time.Now().Add(homeRest)
+}
+
+// rateService gives tokens to the other VMs of the region.
+type rateService struct {
+	follower *entry.PlanFollower
+}
+
+// Take takes a token or gives one back.
+func (s *rateService) Take(_ context.Context, request *apipb.TakeRequest) (*apipb.TakeReply, error) {
+	bucket := s.follower.Holder().Bucket(grant.CustomerID(request.Customer))
+	if request.Refund {
+		bucket.Refund(grant.RestoredReservation(1, request.Epoch), 1)
+		return &apipb.TakeReply{}, nil
+	}
+	reservation, ok := bucket.Reserve(1)
+	if !ok {
+		return &apipb.TakeReply{DelayMs: uint32(bucket.DelayFor(1).Milliseconds())}, nil
+	}
+	return &apipb.TakeReply{Granted: true, Epoch: reservation.Epoch()}, nil
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -13,7 +13,6 @@
 	"pistachiomount.example/pistachiomount/gateway/egress"
 	"pistachiomount.example/pistachiomount/gateway/ingress"
 	"pistachiomount.example/pistachiomount/gateway/placement"
-	"pistachiomount.example/pistachiomount/grant"
 	"pistachiomount.example/pistachiomount/inventory"
 	"pistachiomount.example/pistachiomount/plan"
 )
@@ -50,15 +49,14 @@
 	if a.customer == nil || a.customer.Rate <= 0 {
 		return a.run(ctx)
 	}
-	bucket := g.follower.Holder().Bucket(grant.CustomerID(a.customer.Name))
-	reservation, ok := bucket.Reserve(1)
-	if !ok {
+	taken, delay := g.rates.take(ctx, a.customer.Name)
+	if taken == nil {
 		g.refused(a, ReasonOverRate)
-		return notRun(http.StatusTooManyRequests, ReasonOverRate, min(max(bucket.DelayFor(1), minRetryAfter), time.Second))
+		return notRun(http.StatusTooManyRequests, ReasonOverRate, min(max(delay, minRetryAfter), time.Second))
 	}
 	response := a.run(ctx)
 	if a.sends == 0 {
-		bucket.Refund(reservation, 1)
+		g.rates.refund(taken)
 	}
 	return response
 }
--- a/grant/bucket.go
+++ b/grant/bucket.go
@@ -37,6 +37,14 @@
 	epoch  uint64
 }
 
+// Epoch identifies the lease of a reservation for RestoredReservation.
+func (r Reservation) Epoch() uint64 { return r.epoch }
+
+// RestoredReservation returns a reservation that was described to another process.
+func RestoredReservation(amount float64, epoch uint64) Reservation {
+	return Reservation{amount: amount, epoch: epoch}
+}
+
 func newBucket(c clock.Clock, id ResourceID) *Bucket {
 	now := c.Now()
 	return &Bucket{clock: c, resource: id, filled: now, demand: meter{since: now}}
--- a/membership/fleet.go
+++ b/membership/fleet.go
@@ -41,6 +41,7 @@
 type published struct {
 	incarnation uint64
 	address     string
+	rpcAddress  string
 	region      string
 	domain      string
 	state       apipb.VmState
@@ -110,7 +111,7 @@
 	now := published{}
 	if m.present {
 		now = published{
-			incarnation: m.vm.GetIncarnation(), address: m.vm.GetAddress(), region: m.vm.GetRegion(),
+			incarnation: m.vm.GetIncarnation(), address: m.vm.GetAddress(), rpcAddress: m.vm.GetRpcAddress(), region: m.vm.GetRegion(),
 			domain: m.vm.GetFailureDomain(), state: f.effective(m.vm), load: int(m.vm.GetLoad() * loadSteps),
 		}
 	}
