Log and count what happens to requests on the platform

One line for each request that is refused, fails, is repeated, answered late or left by its caller, with what decided it, and for one in 100 others: at most 40 lines a second at a VM, about 20 KB; the number dropped is logged. The log is written from a bounded queue, so a reader that has stopped costs lines only. Metrics by service and reason at the second port for own traffic; spans for request and offer.

The reload test no longer depends on time: the watch catches SIGHUP before it runs.

--- a/cmd/pistachiomount/common.go
+++ b/cmd/pistachiomount/common.go
@@ -10,6 +10,7 @@
 	"runtime/debug"
 	"time"
 
+	"github.com/alexedwards/flow"
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
@@ -35,6 +36,24 @@
 // role is what both roles have in common.
 type role struct {
 	telemetry.Settings `embed:""`
+
+	lines *telemetry.AsyncWriter
+}
+
+// stop ends the telemetry of the process and writes the lines that are queued.
+func (r *role) stop(ctx context.Context, observed *telemetry.Telemetry) {
+	if err := observed.Shutdown(context.WithoutCancel(ctx)); err != nil {
+		observed.Logger.WithError(err).Warn("telemetry not flushed")
+	}
+	observed.Logger.WithField("log_lines_dropped", r.lines.Dropped()).Info("process ends")
+	r.lines.Close()
+}
+
+// metricsHandler serves the metrics of the process as text.
+func metricsHandler(observed *telemetry.Telemetry) http.Handler {
+	mux := flow.New()
+	mux.Handle("/metrics", observed.MetricsHandler(), http.MethodGet)
+	return mux
 }
 
 // start reads the settings file and makes the telemetry of the process.
@@ -47,7 +66,8 @@
 		debug.SetMemoryLimit(int64(math.Round(float64(s.MemoryMB) * memoryShare * (1 << 20))))
 		debug.SetGCPercent(collectorPercent)
 	}
-	observed, err := telemetry.New(r.Settings, telemetry.Identity{Service: service, VM: s.VM}, telemetry.Outputs{})
+	r.lines = telemetry.NewAsyncWriter(os.Stdout)
+	observed, err := telemetry.New(r.Settings, telemetry.Identity{Service: service, VM: s.VM}, telemetry.Outputs{Logs: r.lines})
 	return s, observed, errors.Trace(err)
 }
 
--- a/cmd/pistachiomount/control_role.go
+++ b/cmd/pistachiomount/control_role.go
@@ -24,7 +24,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	defer func() { _ = observed.Shutdown(context.WithoutCancel(ctx)) }()
+	defer r.stop(ctx, observed)
 	log := observed.Logger
 	rpc, err := listen(ctx, s.Internal(s.Address, rpcPort), "rpc", log)
 	if err != nil {
@@ -52,6 +52,6 @@
 	api := &platform.Operator{Plans: daemon, FailureDomains: s.Regions, Log: log}
 	calls := serveHTTP(operators, api.Handler(), log)
 	defer func() { _ = calls.Close() }()
-	go watchSettings(ctx, log, func(s *platform.Settings) { daemon.SetPeers(peers(s)) })
+	go watchSettings(log).run(ctx, func(s *platform.Settings) { daemon.SetPeers(peers(s)) })
 	return errors.Trace(daemon.Run(ctx))
 }
--- a/cmd/pistachiomount/gateway_role.go
+++ b/cmd/pistachiomount/gateway_role.go
@@ -21,7 +21,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	defer func() { _ = observed.Shutdown(context.WithoutCancel(ctx)) }()
+	defer r.stop(ctx, observed)
 	log := observed.Logger
 	callers, err := listen(ctx, s.CallerAddress, "callers", log)
 	if err != nil {
@@ -31,17 +31,26 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	g := gateway.New(gateway.Config{
+	g, err := gateway.New(gateway.Config{
 		RPCListener: rpc,
 		VM:          s.VM, Region: s.Region, FailureDomain: s.FailureDomain, Address: s.CallerAddress, Listener: callers,
 		Controls: peers(s), Security: trusted(log), Lister: platform.NewListClient(s, log),
-		Clock: clock.NewSteady(), Log: log, Meter: observed.MeterProvider.Meter("gateway"),
+		Clock: clock.NewSteady(), Log: log, Meter: observed.MeterProvider.Meter("gateway"), Tracer: observed.TracerProvider.Tracer("gateway"),
 		Names: platform.CallerNames(), Upstream: platform.UpstreamNames(),
 		Retries: budget.Limits{
 			Ratio: s.Bounds.RetryRatio * budgetShare, Window: s.Bounds.RetryWindow, Slack: s.Bounds.RetrySlack * budgetShare,
 		},
 		StopTime: s.Bounds.StopTime, ListRate: s.ListRate, MaxViewAge: s.Bounds.Contact / 2,
 	})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	own, err := listen(ctx, s.Internal(s.Address, metricsPort), "metrics", log)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	metrics := serveHTTP(own, metricsHandler(observed), log)
+	defer func() { _ = metrics.Close() }()
 	readiness, err := listen(ctx, s.ReadinessAddress, "readiness", log)
 	if err != nil {
 		return errors.Trace(err)
@@ -54,7 +63,7 @@
 	}
 	lookups := serveHTTP(directory, platform.DirectoryHandler(g, gateway.DirectoryTTL), log)
 	defer func() { _ = lookups.Close() }()
-	go watchSettings(ctx, log, func(s *platform.Settings) { g.SetControls(peers(s)) })
+	go watchSettings(log).run(ctx, func(s *platform.Settings) { g.SetControls(peers(s)) })
 	return errors.Trace(g.Run(ctx))
 }
 
--- a/cmd/pistachiomount/reload_test.go
+++ b/cmd/pistachiomount/reload_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"os"
 	"path/filepath"
 	"strings"
@@ -12,6 +11,7 @@
 
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
+	"github.com/sirupsen/logrus/hooks/test"
 
 	"pistachiomount.example/pistachiomount/platform"
 )
@@ -31,20 +31,21 @@
 	path := filepath.Join(t.TempDir(), "node.toml")
 	is.NoErr(os.WriteFile(path, []byte(settingsText), 0o600))
 	t.Setenv(platform.SettingsVariable, path)
-	log := logrus.New()
-	log.SetOutput(io.Discard)
+	log, hook := test.NewNullLogger()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	watch := watchSettings(log)
 	applied := make(chan *platform.Settings)
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		watchSettings(ctx, log, func(s *platform.Settings) { applied <- s })
+		watch.run(ctx, func(s *platform.Settings) { applied <- s })
 	}()
-	time.Sleep(50 * time.Millisecond) // until the signal is caught; a later one would be caught as well
 	is.NoErr(os.WriteFile(path, []byte("seeds = ["), 0o600))
 	is.NoErr(syscall.Kill(os.Getpid(), syscall.SIGHUP))
-	time.Sleep(50 * time.Millisecond)
+	for last := hook.LastEntry(); last == nil || last.Level != logrus.ErrorLevel; last = hook.LastEntry() {
+		time.Sleep(time.Millisecond)
+	}
 	is.NoErr(os.WriteFile(path, []byte(strings.Replace(settingsText, "10.1.0.17", "10.2.0.17", 1)), 0o600))
 	is.NoErr(syscall.Kill(os.Getpid(), syscall.SIGHUP))
 	s := <-applied
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -5,6 +5,9 @@
 	"net/http"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
 	"pistachiomount.example/pistachiomount/gateway/egress"
 	"pistachiomount.example/pistachiomount/gateway/ingress"
 	"pistachiomount.example/pistachiomount/gateway/placement"
@@ -26,7 +29,29 @@
 	sends, dials int
 	// mayHaveRun is set once an upstream may have run the request.
 	mayHaveRun bool
-	lastErr    error
+	// reason is why the request got no answer of an upstream; empty if it got one.
+	reason Reason
+	// waited is how long it waited for room in all.
+	waited     time.Duration
+	planNumber uint64
+}
+
+func (a *attempt) id() string { return a.request.Header.Get(a.gateway.cfg.Names.RequestID) }
+
+func (a *attempt) serviceName() string {
+	if a.service == nil {
+		return ""
+	}
+	return a.service.name
+}
+
+// ended notes how the request ended.
+func (a *attempt) ended(response *ingress.Response) {
+	if response.Abort && a.reason == "" {
+		a.reason = ReasonCallerGone
+	}
+	a.gateway.observer.ended(a.serviceName(), response.Status, a.reason, time.Since(a.request.Received), a.waited)
+	a.gateway.requests.ended(a, response, a.reason)
 }
 
 // run offers the request to upstreams until one answers or there is nothing left
@@ -56,6 +81,7 @@
 		return inventory.Upstream{}, a.giveUp(ReasonTimeout)
 	}
 	chosen, verdict := a.service.turns.acquire(ctx, a.query, a.holdUntil(now))
+	a.waited += time.Since(now)
 	switch {
 	case ctx.Err() != nil:
 		if verdict == placement.Placed {
@@ -101,7 +127,10 @@
 		Length: a.request.Length, Deadline: a.deadline, Customer: a.customerName(),
 	}
 	sent := time.Now()
-	reply := a.gateway.pool.Do(ctx, call)
+	exchange, span := a.gateway.tracer.Start(ctx, "gateway.offer", trace.WithAttributes(
+		attribute.String("upstream", chosen.ID), attribute.String("domain", chosen.FailureDomain)))
+	reply := a.gateway.pool.Do(exchange, call)
+	span.End()
 	outcome := placement.Outcome{
 		Sent: sent, Unreachable: reply.Unreachable, Gone: reply.Misdirected,
 		Refused: reply.Outcome == egress.NotRun && !reply.Unreachable && !reply.Misdirected,
@@ -113,9 +142,10 @@
 	if reply.Outcome == egress.Answered && reply.Status < http.StatusInternalServerError {
 		outcome.Took = a.gateway.usual.compare(a.route.Name, time.Since(sent))
 	}
-	a.gateway.offered(a, chosen, reply, time.Since(sent))
+	a.gateway.observer.offered(a.serviceName(), reply.Outcome.String())
+	a.gateway.requests.offered(a, chosen, reply, time.Since(sent))
 	if outcome.Unreachable || outcome.Gone {
-		a.gateway.pool.Forget(chosen.ID)
+		a.gateway.leftAlone(chosen, reply)
 	}
 	a.service.turns.done(chosen.ID, outcome)
 	return reply
@@ -129,7 +159,6 @@
 		a.sends++
 	}
 	a.query.Tried = append(a.query.Tried, chosen.ID)
-	a.lastErr = reply.Err
 	switch reply.Outcome {
 	case egress.Answered:
 		return answerOf(reply)
@@ -154,7 +183,7 @@
 // giveUp returns the final answer of a request that no upstream answered. Only one
 // that certainly did not run gets a status that promises so.
 func (a *attempt) giveUp(reason Reason) *ingress.Response {
-	a.gateway.refused(a, reason)
+	a.reason = reason
 	if !a.mayHaveRun {
 		return notRun(http.StatusServiceUnavailable, reason, retryAfter())
 	}
--- a/gateway/attempt_test.go
+++ b/gateway/attempt_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
+	"go.opentelemetry.io/otel/trace/noop"
 
 	"pistachiomount.example/pistachiomount/gateway/budget"
 	"pistachiomount.example/pistachiomount/gateway/egress"
@@ -60,12 +61,17 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	g := &Gateway{
+		requests: newRequestLog(log), tracer: noop.NewTracerProvider().Tracer(""),
 		cfg: Config{Log: log, Names: Names{RequestID: "X-Id"}}, pool: egress.NewPool(testUpstreamNames), usual: newUsual(),
 	}
 	t.Cleanup(g.pool.Close)
 	s := newService("s", placement.Place{Region: "r", FailureDomain: "d", VM: "v"}, placement.NewPace(time.Now(), "r"),
 		budget.Limits{Ratio: 0.2, Window: time.Second, Slack: 10})
 	s.turns.with(func(now time.Time, table *placement.Table) { table.SetUpstreams(now, f.list, true) })
+	var err error
+	if g.observer, err = newObserver(nil, g); err != nil {
+		t.Fatal(err)
+	}
 	return &attempt{
 		gateway: g, service: s, deadline: time.Now().Add(2 * time.Second),
 		route: &plan.Route{Name: "r1", Idempotent: idempotent, MaxAttempts: 2, Target: 400 * time.Millisecond},
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 	"go.opentelemetry.io/otel/metric"
+	"go.opentelemetry.io/otel/trace"
 
 	"pistachiomount.example/pistachiomount/clock"
 	"pistachiomount.example/pistachiomount/gateway/budget"
@@ -38,6 +39,7 @@
 	Clock  clock.Clock
 	Log    logrus.FieldLogger
 	Meter  metric.Meter
+	Tracer trace.Tracer
 
 	Names    Names
 	Upstream egress.Names
--- a/gateway/egress/outcome.go
+++ b/gateway/egress/outcome.go
@@ -12,3 +12,8 @@
 	// Unknown: the upstream may have run the request, or may still.
 	Unknown
 )
+
+var outcomeNames = [...]string{Answered: "answered", NotRun: "not_run", Unknown: "unknown"}
+
+// String returns the name for logs and metrics.
+func (o Outcome) String() string { return outcomeNames[o] }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/juju/errors"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcmux"
 
@@ -31,6 +33,9 @@
 	usual     *usual
 	pace      *placement.Pace
 	rates     *rates
+	requests  *requestLog
+	observer  *observer
+	tracer    trace.Tracer
 
 	// services is replaced as a whole when the plan names others.
 	services atomic.Pointer[map[string]*service]
@@ -45,8 +50,12 @@
 }
 
 // New returns a gateway that Run starts.
-func New(cfg Config) *Gateway {
+func New(cfg Config) (*Gateway, error) {
+	if cfg.Tracer == nil {
+		cfg.Tracer = noop.NewTracerProvider().Tracer("")
+	}
 	g := &Gateway{
+		requests: newRequestLog(cfg.Log), tracer: cfg.Tracer,
 		cfg: cfg, lifecycle: membership.NewLifecycle(cfg.Clock), pool: egress.NewPool(cfg.Upstream),
 		splitter: newSplitter(), usual: newUsual(), pace: placement.NewPace(time.Now(), cfg.Region),
 	}
@@ -59,7 +68,9 @@
 		State: g.lifecycle.State, Load: func() float64 { return 0 }, OnChange: g.applyView, OnList: g.takeLeadersList,
 	})
 	g.rates = &rates{self: cfg.VM, region: cfg.Region, follower: g.follower, resting: map[string]time.Time{}}
-	return g
+	var err error
+	g.observer, err = newObserver(cfg.Meter, g)
+	return g, errors.Annotate(err, "metrics")
 }
 
 // Run serves until the context ends, then stops without cutting a request.
--- a/gateway/keep.go
+++ b/gateway/keep.go
@@ -5,7 +5,10 @@
 	"slices"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"pistachiomount.example/pistachiomount/entry"
+	"pistachiomount.example/pistachiomount/gateway/egress"
 	"pistachiomount.example/pistachiomount/gateway/placement"
 	"pistachiomount.example/pistachiomount/inventory"
 )
@@ -74,9 +77,14 @@
 
 // keepHouse probes ejected upstreams and closes idle connections.
 func (g *Gateway) keepHouse(ctx context.Context) {
+	reported := time.Now()
 	for ctx.Err() == nil {
 		pause(ctx, housekeepingInterval)
 		g.pool.Sweep(time.Now())
+		if now := time.Now(); now.Sub(reported) > droppedInterval {
+			g.requests.reportDropped()
+			reported = now
+		}
 		g.mu.Lock()
 		g.serveWhenReady()
 		if vms, _ := g.fleetNames(); !slices.Equal(vms, g.vms) {
@@ -116,4 +124,17 @@
 		cold = warmup
 	}
 	s.turns.with(func(now time.Time, table *placement.Table) { table.Probed(now, u.ID, health.Well, cold) })
+	if health.Well {
+		g.cfg.Log.WithFields(logrus.Fields{"upstream": u.ID, "service": s.name, "cold": cold.String()}).Info("upstream answers again")
+	}
+}
+
+// leftAlone notes an upstream that gets nothing until a probe finds it well.
+func (g *Gateway) leftAlone(u inventory.Upstream, reply *egress.Reply) {
+	g.pool.Forget(u.ID)
+	if g.requests.admit(false) {
+		g.cfg.Log.WithError(reply.Err).WithFields(logrus.Fields{
+			"upstream": u.ID, "service": u.Service, "address_reused": reply.Misdirected,
+		}).Info("upstream left alone until a probe finds it well")
+	}
 }
--- /dev/null
+++ b/gateway/observer.go
@@ -0,0 +1,124 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+	"go.opentelemetry.io/otel/metric/noop"
+
+	"pistachiomount.example/pistachiomount/gateway/placement"
+)
+
+// observer counts what a gateway does. Its labels have few values: services and
+// reasons, never customers or routes.
+type observer struct {
+	requests metric.Int64Counter
+	offers   metric.Int64Counter
+	duration metric.Float64Histogram
+	wait     metric.Float64Histogram
+}
+
+var durationBounds = metric.WithExplicitBucketBoundaries(0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 12, 30)
+
+func newObserver(meter metric.Meter, g *Gateway) (*observer, error) {
+	if meter == nil {
+		meter = noop.Meter{}
+	}
+	o := &observer{}
+	var err error
+	if o.requests, err = meter.Int64Counter("pm_gateway_requests", metric.WithDescription("Requests by service, class of status and reason.")); err != nil {
+		return nil, errors.Trace(err)
+	}
+	if o.offers, err = meter.Int64Counter("pm_gateway_offers", metric.WithDescription("Offers to upstreams by service and outcome; more than one for a request are repeats.")); err != nil {
+		return nil, errors.Trace(err)
+	}
+	if o.duration, err = meter.Float64Histogram("pm_gateway_request_duration", metric.WithUnit("s"), durationBounds,
+		metric.WithDescription("Time from the arrival of a request to its answer.")); err != nil {
+		return nil, errors.Trace(err)
+	}
+	if o.wait, err = meter.Float64Histogram("pm_gateway_wait", metric.WithUnit("s"), durationBounds,
+		metric.WithDescription("Time that requests waited for room at an upstream.")); err != nil {
+		return nil, errors.Trace(err)
+	}
+	return o, errors.Trace(registerGauges(meter, g))
+}
+
+func registerGauges(meter metric.Meter, g *Gateway) error {
+	viewAge, err := meter.Float64ObservableGauge("pm_gateway_view_age", metric.WithUnit("s"),
+		metric.WithDescription("Age of the confirmed plan; -1 before the first."))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	upstreams, err := meter.Int64ObservableGauge("pm_gateway_upstreams", metric.WithDescription("Upstreams that take requests, by service."))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	running, err := meter.Int64ObservableGauge("pm_gateway_running", metric.WithDescription("Requests of this VM at upstreams, by service."))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	waiting, err := meter.Int64ObservableGauge("pm_gateway_waiting", metric.WithDescription("Requests that wait for room, by service."))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	fleet, err := meter.Int64ObservableGauge("pm_gateway_fleet", metric.WithDescription("Entry VMs that this one knows."))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	dialled, err := meter.Int64ObservableCounter("pm_gateway_connections_opened", metric.WithDescription("Connections opened to upstreams."))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	_, err = meter.RegisterCallback(func(_ context.Context, obs metric.Observer) error {
+		obs.ObserveFloat64(viewAge, g.viewAge())
+		obs.ObserveInt64(fleet, int64(len(g.follower.Fleet())))
+		obs.ObserveInt64(dialled, int64(g.pool.Dialled.Load()))
+		for name, s := range *g.services.Load() {
+			attributes := metric.WithAttributes(attribute.String("service", name))
+			s.turns.with(func(_ time.Time, table *placement.Table) {
+				obs.ObserveInt64(upstreams, int64(table.Live()), attributes)
+				obs.ObserveInt64(running, int64(table.Running()), attributes)
+				obs.ObserveInt64(waiting, int64(s.turns.queue.Len()), attributes)
+			})
+		}
+		return nil
+	}, viewAge, upstreams, running, waiting, fleet, dialled)
+	return errors.Trace(err)
+}
+
+func (g *Gateway) viewAge() float64 {
+	age, ok := g.follower.View().Age(g.cfg.Clock.Now())
+	if !ok {
+		return -1
+	}
+	return age.Seconds()
+}
+
+// ended counts a request that ended.
+func (o *observer) ended(service string, status int, reason Reason, took, waited time.Duration) {
+	ctx := context.Background()
+	o.requests.Add(ctx, 1, metric.WithAttributes(
+		attribute.String("service", service), attribute.String("status_class", statusClass(status)), attribute.String("reason", string(reason))))
+	named := metric.WithAttributes(attribute.String("service", service))
+	o.duration.Record(ctx, took.Seconds(), named)
+	o.wait.Record(ctx, waited.Seconds(), named)
+}
+
+// offered counts an offer to an upstream.
+func (o *observer) offered(service, outcome string) {
+	o.offers.Add(context.Background(), 1, metric.WithAttributes(
+		attribute.String("service", service), attribute.String("outcome", outcome)))
+}
+
+var statusClasses = [...]string{"aborted", "1xx", "2xx", "3xx", "4xx", "5xx"}
+
+// statusClass returns "2xx" and so on, and "aborted" for no status.
+func statusClass(status int) string {
+	if class := status / 100; class >= 0 && class < len(statusClasses) {
+		return statusClasses[class]
+	}
+	return "other"
+}
--- a/gateway/placement/table.go
+++ b/gateway/placement/table.go
@@ -275,6 +275,15 @@
 	t.chill(now, u, cold)
 }
 
+// Running returns the requests of this VM that run at upstreams.
+func (t *Table) Running() int {
+	n := 0
+	for _, u := range t.order {
+		n += u.own
+	}
+	return n
+}
+
 // Live returns how many upstreams could take requests.
 func (t *Table) Live() int {
 	n := 0
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -7,13 +7,12 @@
 	"strings"
 	"time"
 
-	"github.com/sirupsen/logrus"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
 
 	"pistachiomount.example/pistachiomount/entry"
-	"pistachiomount.example/pistachiomount/gateway/egress"
 	"pistachiomount.example/pistachiomount/gateway/ingress"
 	"pistachiomount.example/pistachiomount/gateway/placement"
-	"pistachiomount.example/pistachiomount/inventory"
 	"pistachiomount.example/pistachiomount/plan"
 )
 
@@ -34,24 +33,30 @@
 		return g.unknown(view, request, http.StatusUnauthorized, ReasonNoKey)
 	}
 	a := &attempt{
-		gateway: g, request: request, route: route, customer: customer,
+		gateway: g, request: request, route: route, customer: customer, planNumber: view.Index.Plan.Number,
 		deadline: g.deadline(request, route), query: g.query(request, route, customer),
 	}
-	if a.service = g.service(g.splitter.choose(route)); a.service == nil {
-		return a.giveUp(ReasonNoUpstream)
-	}
-	return g.withinRate(ctx, a)
+	a.service = g.service(g.splitter.choose(route))
+	ctx, span := g.tracer.Start(ctx, "gateway.request", trace.WithAttributes(
+		attribute.String("request", a.id()), attribute.String("route", route.Name)))
+	defer span.End()
+	response := g.withinRate(ctx, a)
+	a.ended(response)
+	return response
 }
 
 // withinRate runs the request if its customer's rate allows it. A request that was
 // offered to no upstream does not count.
 func (g *Gateway) withinRate(ctx context.Context, a *attempt) *ingress.Response {
+	if a.service == nil {
+		return a.giveUp(ReasonNoUpstream)
+	}
 	if a.customer == nil || a.customer.Rate <= 0 {
 		return a.run(ctx)
 	}
 	taken, delay := g.rates.take(ctx, a.customer.Name)
 	if taken == nil {
-		g.refused(a, ReasonOverRate)
+		a.reason = ReasonOverRate
 		return notRun(http.StatusTooManyRequests, ReasonOverRate, min(max(delay, minRetryAfter), time.Second))
 	}
 	response := a.run(ctx)
@@ -68,15 +73,22 @@
 	if !confirmed || age > g.cfg.MaxViewAge {
 		return g.refuse(request, http.StatusServiceUnavailable, ReasonViewStale)
 	}
-	g.log(request, reason)
+	g.refusedEarly(request, status, reason)
 	return failure(status, reason)
 }
 
 func (g *Gateway) refuse(request *ingress.Request, status int, reason Reason) *ingress.Response {
-	g.log(request, reason)
+	g.refusedEarly(request, status, reason)
 	return notRun(status, reason, retryAfter())
 }
 
+// refusedEarly notes a request that was refused before it had a route or a customer.
+func (g *Gateway) refusedEarly(request *ingress.Request, status int, reason Reason) {
+	g.observer.ended("", status, reason, time.Since(request.Received), 0)
+	age, _ := g.follower.View().Age(g.cfg.Clock.Now())
+	g.requests.refused(request.Header.Get(g.cfg.Names.RequestID), request, status, reason, age)
+}
+
 // deadline is when the caller stops waiting or the route's timeout ends.
 func (g *Gateway) deadline(request *ingress.Request, route *plan.Route) time.Time {
 	left := route.Timeout
@@ -135,35 +147,3 @@
 	}
 	return ""
 }
-
-// refused notes a request that got no answer of an upstream.
-func (g *Gateway) refused(a *attempt, reason Reason) {
-	entry := g.cfg.Log.WithFields(logrus.Fields{
-		"request": a.request.Header.Get(g.cfg.Names.RequestID), "route": a.route.Name, "reason": reason, "customer": a.customerName(),
-		"sends": a.sends, "dials": a.dials, "may_have_run": a.mayHaveRun, "tried": a.query.Tried,
-	})
-	if a.lastErr != nil {
-		entry = entry.WithError(a.lastErr)
-	}
-	entry.Debug("request not answered by an upstream")
-}
-
-// offered notes how one offer to an upstream ended.
-func (g *Gateway) offered(a *attempt, chosen inventory.Upstream, reply *egress.Reply, took time.Duration) {
-	entry := g.cfg.Log.WithFields(logrus.Fields{
-		"request": a.request.Header.Get(g.cfg.Names.RequestID), "route": a.route.Name, "rank": a.query.Rank,
-		"object": a.query.Object, "customer": a.customerName(), "upstream": chosen.ID, "domain": chosen.FailureDomain, "status": reply.Status, "took_ms": took.Milliseconds(),
-		"waited_ms": time.Since(a.request.Received).Milliseconds() - took.Milliseconds(),
-		"running":   reply.Load.Running, "waiting": reply.Load.Waiting,
-	})
-	if reply.Err != nil {
-		entry = entry.WithError(reply.Err)
-	}
-	entry.Debug("offered to an upstream")
-}
-
-func (g *Gateway) log(request *ingress.Request, reason Reason) {
-	g.cfg.Log.WithFields(logrus.Fields{
-		"request": request.Header.Get(g.cfg.Names.RequestID), "host": request.Host, "path": request.Path, "reason": reason,
-	}).Debug("request refused")
-}
--- a/gateway/timing.go
+++ b/gateway/timing.go
@@ -15,6 +15,8 @@
 	listShare = 0.5
 	// housekeepingInterval is how often probes and idle connections are looked after.
 	housekeepingInterval = 250 * time.Millisecond
+	// droppedInterval is how often the number of dropped log lines is logged.
+	droppedInterval = 10 * time.Second
 	// holdShare is the share of a route's target time for which a request waits for
 	// room. One that cannot be placed by then would be late, so its caller is told
 	// while it still has the time to come back.
