--- a/cmd/pmctl/options.go
+++ b/cmd/pmctl/options.go
@@ -27,6 +27,7 @@
 	Diff     diffCommand     `cmd:"" help:"Compare a document with the one in force."`
 	Drain    drainCommand    `cmd:"" help:"Write a copy of the document in force in trial that drains a region or an upstream."`
 	Show     showCommand     `cmd:"" help:"Print an accepted document."`
+	Trace    traceCommand    `cmd:"" help:"Gather the log lines about one request from several logs, in order."`
 }
 
 // command is one command of the program.
@@ -57,7 +58,7 @@
 func (o *options) commands() map[string]command {
 	return map[string]command{
 		"init": &o.Init, "validate": &o.Validate, "apply": &o.Apply, "promote": &o.Promote,
-		"status": &o.Status, "history": &o.History, "diff": &o.Diff, "drain": &o.Drain, "show": &o.Show,
+		"status": &o.Status, "history": &o.History, "diff": &o.Diff, "drain": &o.Drain, "show": &o.Show, "trace": &o.Trace,
 	}
 }
 
--- /dev/null
+++ b/cmd/pmctl/trace.go
@@ -0,0 +1,114 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/juju/errors"
+)
+
+// maxLogLine bounds one line of a log.
+const maxLogLine = 1 << 20
+
+// traceCommand gathers the log lines about one request from several logs.
+type traceCommand struct {
+	Request string   `arg:"" help:"Id of the request."`
+	Logs    []string `arg:"" help:"Log files of daemons, in any order; - for standard input."`
+}
+
+// tracedLine is one line about the request.
+type tracedLine struct {
+	at     string
+	vm     string
+	text   string
+	fields map[string]any
+}
+
+func (c *traceCommand) run(_ context.Context, s *session) error {
+	var lines []tracedLine
+	for _, name := range c.Logs {
+		found, err := c.read(name)
+		if err != nil {
+			return errors.Annotatef(err, "log %s", name)
+		}
+		lines = append(lines, found...)
+	}
+	if len(lines) == 0 {
+		return errors.NotFoundf("line about request %q in %d logs", c.Request, len(c.Logs))
+	}
+	slices.SortStableFunc(lines, func(a, b tracedLine) int { return strings.Compare(a.at, b.at) })
+	for _, line := range lines {
+		if _, err := fmt.Fprintln(s.out.w, line.String()); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	return nil
+}
+
+func (c *traceCommand) read(name string) ([]tracedLine, error) {
+	if name == "-" {
+		return linesAbout(c.Request, os.Stdin)
+	}
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	defer func() { _ = f.Close() }()
+	return linesAbout(c.Request, f)
+}
+
+// linesAbout returns the lines whose field request has the id. What stands before
+// the object of a line, such as a time and a name that a collector added, is skipped.
+func linesAbout(request string, r io.Reader) ([]tracedLine, error) {
+	var lines []tracedLine
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, maxLogLine)
+	for scanner.Scan() {
+		raw := scanner.Bytes()
+		begin := bytes.IndexByte(raw, '{')
+		if begin < 0 || !bytes.Contains(raw, []byte(request)) {
+			continue
+		}
+		fields := map[string]any{}
+		if json.Unmarshal(raw[begin:], &fields) != nil || fields["request"] != request {
+			continue // a line of another program, or about another request
+		}
+		lines = append(lines, newTracedLine(fields))
+	}
+	return lines, errors.Trace(scanner.Err())
+}
+
+func newTracedLine(fields map[string]any) tracedLine {
+	line := tracedLine{fields: fields}
+	line.at, _ = fields["time"].(string)
+	line.vm, _ = fields["vm"].(string)
+	line.text, _ = fields["message"].(string)
+	for _, shown := range []string{"time", "vm", "message", "level", "request"} {
+		delete(fields, shown)
+	}
+	return line
+}
+
+// String returns the line as text: time, VM, message and the other fields by name.
+func (l tracedLine) String() string {
+	names := make([]string, 0, len(l.fields))
+	for name := range l.fields {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %s %s", l.at, l.vm, l.text)
+	for _, name := range names {
+		if value := fmt.Sprint(l.fields[name]); value != "" {
+			fmt.Fprintf(&b, " %s=%s", name, value)
+		}
+	}
+	return b.String()
+}
--- a/entry/timing.go
+++ b/entry/timing.go
@@ -20,6 +20,9 @@
 	renewTimeout = 900 * time.Millisecond
 	// renewCheck is how often the holder is asked whether a renewal is due.
 	renewCheck = 50 * time.Millisecond
+	// slotsWait is how long a request waits at a VM that holds no slot: an early
+	// renewal and a round trip between regions.
+	slotsWait = 500 * time.Millisecond
 	// commandTimeout bounds a claim or another command that needs a commit.
 	commandTimeout = 6 * time.Second
 	// tickInterval moves ramps, estimates and ejections.
--- a/entry/turn_queue.go
+++ b/entry/turn_queue.go
@@ -65,7 +65,23 @@
 	if _, ok := s.queue.TryAcquire(request); ok {
 		return nil
 	}
-	return q.translate(ctx, s.wait(ctx, request))
+	if s.capacity.Load() > 0 {
+		return q.translate(ctx, s.wait(ctx, request))
+	}
+	return q.awaitSlots(ctx, s, request)
+}
+
+// awaitSlots waits at a VM that holds no slot, for as long as a renewal takes to bring
+// some. A VM that is cut off from the control VMs gets none, and its callers can still
+// go to another one.
+func (q *turnQueue) awaitSlots(ctx context.Context, s *serviceTurns, request fairqueue.Request) error {
+	slotsCtx, cancel := context.WithTimeout(ctx, slotsWait)
+	defer cancel()
+	err := q.translate(slotsCtx, s.wait(slotsCtx, request))
+	if err != nil && ctx.Err() == nil && slotsCtx.Err() != nil {
+		return forward.ErrNoSlots
+	}
+	return err
 }
 
 // Release ends a turn.
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -88,6 +88,8 @@
 		r = reject.New(reject.ViewStale, "keys cannot be checked at the moment").After(retrySoon)
 	case errors.Is(cause, ErrQueueFull):
 		r = reject.New(reject.QueueFull, "too many requests of the customer are waiting").After(retrySoon)
+	case errors.Is(cause, ErrNoSlots):
+		r = reject.New(reject.OverCapacity, "this VM holds no slot of the service").After(retrySoon)
 	case errors.Is(cause, ErrQueueTooLong):
 		r = reject.New(reject.Deadline, "the expected wait exceeds the deadline").After(retrySoon)
 	}
