Send changes of a plan instead of the whole; stay up when a disk refuses writes

The log now holds both forms packed, and entry VMs that are a little behind get the lines that differ. A plan is encoded with one item a line for that.

--- a/cmd/pistachiomount/control_role.go
+++ b/cmd/pistachiomount/control_role.go
@@ -3,16 +3,23 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/juju/errors"
 
 	"pistachiomount.example/pistachiomount/clock"
 	"pistachiomount.example/pistachiomount/control"
 	"pistachiomount.example/pistachiomount/platform"
+	"pistachiomount.example/pistachiomount/telemetry"
 )
 
-// minVoters is how many control daemons must vote before a change is accepted.
-const minVoters = 3
+const (
+	// minVoters is how many control daemons must vote before a change is accepted.
+	minVoters = 3
+	// storagePause is the pause before the daemon starts again after its disk refused
+	// a write. A full or failing disk often takes writes again after seconds.
+	storagePause = time.Second
+)
 
 // controlRole serves operators and keeps the state.
 type controlRole struct {
@@ -25,33 +32,69 @@
 		return errors.Trace(err)
 	}
 	defer r.stop(ctx, observed)
+	watch := watchSettings(observed.Logger)
+	form := s.FirstStart && first(s.Seeds) == s.Address
+	for {
+		err := serveControl(ctx, s, observed, watch, form)
+		if ctx.Err() != nil || !errors.Is(err, control.ErrStorage) {
+			return errors.Trace(err)
+		}
+		// The log in memory cannot be trusted, so the daemon is made anew from the disk.
+		// The process stays, for the platform counts processes that end.
+		observed.Logger.WithError(err).Error("disk refused a write: control daemon starts again")
+		form = false
+		sleep(ctx, storagePause)
+	}
+}
+
+// serveControl runs one control daemon until the context or its storage ends.
+func serveControl(ctx context.Context, s *platform.Settings, observed *telemetry.Telemetry, watch *settingsWatch, form bool) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	log := observed.Logger
-	rpc, err := listen(ctx, s.Internal(s.Address, rpcPort), "rpc", log)
+	daemon, err := newControl(ctx, s, observed, form)
 	if err != nil {
 		return errors.Trace(err)
 	}
-	own, err := listen(ctx, s.Internal(s.Address, metricsPort), "http", log)
+	operators, err := listen(ctx, s.OperatorAddress, "operators", log)
 	if err != nil {
 		return errors.Trace(err)
 	}
+	api := &platform.Operator{Plans: daemon, FailureDomains: s.Regions, Log: log}
+	calls := serveHTTP(operators, api.Handler(), log)
+	defer func() { _ = calls.Close() }()
+	go watch.run(ctx, func(s *platform.Settings) { daemon.SetPeers(peers(s)) })
+	return errors.Trace(daemon.Run(ctx))
+}
+
+func newControl(ctx context.Context, s *platform.Settings, observed *telemetry.Telemetry, form bool) (*control.Daemon, error) {
+	log := observed.Logger
+	rpc, err := listen(ctx, s.Internal(s.Address, rpcPort), "rpc", log)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	own, err := listen(ctx, s.Internal(s.Address, metricsPort), "http", log)
+	if err != nil {
+		_ = rpc.Close()
+		return nil, errors.Trace(err)
+	}
 	daemon, err := control.New(control.Config{
 		Name: s.VM, Region: s.Region, FailureDomain: s.FailureDomain, DataDir: s.DataDir, Peers: peers(s),
 		RPCListener: rpc, HTTPListener: own, Security: trusted(log), Clock: clock.NewSteady(), Log: log,
 		Meter:    observed.MeterProvider.Meter("control"),
 		Handlers: map[string]http.Handler{"/metrics": observed.MetricsHandler()},
-		Form:     s.FirstStart && first(s.Seeds) == s.Address, MinVoters: minVoters,
-		Lister: platform.NewListClient(s, log),
+		Form:     form, MinVoters: minVoters, Lister: platform.NewListClient(s, log),
 	})
 	if err != nil {
-		return errors.Trace(err)
+		_, _ = rpc.Close(), own.Close()
+		return nil, errors.Annotate(control.ErrStorage, err.Error())
 	}
-	operators, err := listen(ctx, s.OperatorAddress, "operators", log)
-	if err != nil {
-		return errors.Trace(err)
+	return daemon, nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
 	}
-	api := &platform.Operator{Plans: daemon, FailureDomains: s.Regions, Log: log}
-	calls := serveHTTP(operators, api.Handler(), log)
-	defer func() { _ = calls.Close() }()
-	go watchSettings(log).run(ctx, func(s *platform.Settings) { daemon.SetPeers(peers(s)) })
-	return errors.Trace(daemon.Run(ctx))
 }
--- a/cmd/pistachiomount/reload.go
+++ b/cmd/pistachiomount/reload.go
@@ -35,7 +35,6 @@
 // run calls apply with the settings whenever their file has changed. A file that
 // cannot be used leaves the old settings in force.
 func (w *settingsWatch) run(ctx context.Context, apply func(*platform.Settings)) {
-	defer signal.Stop(w.changed)
 	ticker := time.NewTicker(settingsCheck)
 	defer ticker.Stop()
 	for {
--- a/control/caps.go
+++ b/control/caps.go
@@ -2,7 +2,6 @@
 
 import (
 	"github.com/juju/errors"
-	"google.golang.org/protobuf/proto"
 
 	"pistachiomount.example/pistachiomount/apipb"
 	"pistachiomount.example/pistachiomount/document"
@@ -55,11 +54,7 @@
 // capsOfPlan returns the limits of a routing state: the rates of its customers.
 // Slots of upstreams are no caps there; an upstream that is full says so itself.
 func capsOfPlan(raw []byte) ([]grant.Cap, error) {
-	state := &apipb.RoutingState{}
-	if err := proto.Unmarshal(raw, state); err != nil {
-		return nil, errors.Annotate(err, "routing state")
-	}
-	p, err := plan.Decode(state.Plan)
+	p, _, err := plan.DecodeState(raw)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
--- a/control/formation_test.go
+++ b/control/formation_test.go
@@ -12,6 +12,7 @@
 
 	"pistachiomount.example/pistachiomount/apipb"
 	"pistachiomount.example/pistachiomount/clock"
+	"pistachiomount.example/pistachiomount/plan"
 	"pistachiomount.example/pistachiomount/transport"
 )
 
@@ -108,14 +109,14 @@
 	first := seeded(t, "c0", listeners[0], seeds, true)
 	defer run(t, first)()
 	awaitVoters(t, first, 1)
-	_, err := first.SubmitPlan(t.Context(), &apipb.SubmitPlan{Number: 1, Source: []byte("a"), Plan: []byte("{}")})
+	_, err := first.SubmitPlan(t.Context(), &plan.Plan{Number: 1}, []byte("a"))
 	is.True(err != nil) // one voter only
 	second := seeded(t, "c1", listeners[1], seeds, false)
 	defer run(t, second)()
 	third := seeded(t, "c2", listeners[2], seeds, false)
 	stop := run(t, third)
 	before := awaitVoters(t, first, 3)
-	result, err := first.SubmitPlan(t.Context(), &apipb.SubmitPlan{Number: 1, Source: []byte("a"), Plan: []byte("{}")})
+	result, err := first.SubmitPlan(t.Context(), &plan.Plan{Number: 1}, []byte("a"))
 	is.NoErr(err)
 	is.Equal(result.Status, apipb.SubmitStatus_SUBMIT_STATUS_ACCEPTED)
 	stop()
--- a/control/plans.go
+++ b/control/plans.go
@@ -7,14 +7,28 @@
 	"github.com/juju/errors"
 
 	"pistachiomount.example/pistachiomount/apipb"
+	"pistachiomount.example/pistachiomount/document"
+	"pistachiomount.example/pistachiomount/plan"
 )
 
 // planTimeout bounds one order of an operator. Its caller turns to another
 // daemon after a second, and a resend finds the first answer.
 const planTimeout = 950 * time.Millisecond
 
-// SubmitPlan puts a routing plan in force if it builds on the one in force.
-func (d *Daemon) SubmitPlan(ctx context.Context, request *apipb.SubmitPlan) (*apipb.SubmitResult, error) {
+// SubmitPlan puts a routing plan in force if it builds on the one in force. The source
+// is what the operator sent and gets back.
+func (d *Daemon) SubmitPlan(ctx context.Context, p *plan.Plan, source []byte) (*apipb.SubmitResult, error) {
+	encoded, err := plan.Encode(p)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	request := &apipb.SubmitPlan{Base: p.Base, Number: p.Number, Digest: document.Digest(source)}
+	if request.Plan, err = plan.Pack(encoded); err != nil {
+		return nil, errors.Trace(err)
+	}
+	if request.Source, err = plan.Pack(source); err != nil {
+		return nil, errors.Trace(err)
+	}
 	reply, err := d.order(ctx, &apipb.Command{Body: &apipb.Command_SubmitPlan{SubmitPlan: request}})
 	if err != nil {
 		return nil, errors.Trace(err)
@@ -73,7 +87,10 @@
 	if err := engine.barrier(ctx); err != nil {
 		return nil, errors.Trace(err)
 	}
-	var source []byte
-	err = engine.do(ctx, func() { source = engine.store.PlanSource() })
+	var packed []byte
+	if err := engine.do(ctx, func() { packed = engine.store.PlanSource() }); err != nil || packed == nil {
+		return nil, errors.Trace(err)
+	}
+	source, err := plan.Unpack(packed)
 	return source, errors.Trace(err)
 }
--- a/control/watch.go
+++ b/control/watch.go
@@ -97,13 +97,13 @@
 	reply.Revision, reply.Number, reply.Digest = s.version.Revision, s.version.Number, s.version.Digest
 	switch {
 	case !s.newer(request):
-	case request.Environment == apipb.Environment_ENVIRONMENT_PLAN && len(s.version.Raw) <= chunkBytes:
-		// A routing state has no sections to copy; a small one saves a round trip.
-		reply.Kind = apipb.WatchKind_WATCH_KIND_DELTA
-		reply.Sections = []*apipb.Section{{Data: s.version.Raw}}
 	case s.base != nil && s.base.Digest == request.HaveDigest:
 		reply.Kind = apipb.WatchKind_WATCH_KIND_DELTA
 		reply.Sections = document.Delta(s.base.Raw, s.version.Raw)
+	case request.Environment == apipb.Environment_ENVIRONMENT_PLAN && len(s.version.Raw) <= chunkBytes:
+		// A small state in one piece saves a round trip.
+		reply.Kind = apipb.WatchKind_WATCH_KIND_DELTA
+		reply.Sections = []*apipb.Section{{Data: s.version.Raw}}
 	default:
 		reply.Kind = apipb.WatchKind_WATCH_KIND_SNAPSHOT
 		reply.SnapshotChunks = chunkCount(s.version.Raw)
--- a/entry/plan_keeper.go
+++ b/entry/plan_keeper.go
@@ -6,7 +6,6 @@
 
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
-	"google.golang.org/protobuf/proto"
 
 	"pistachiomount.example/pistachiomount/apipb"
 	"pistachiomount.example/pistachiomount/clock"
@@ -25,6 +24,8 @@
 
 	current atomic.Pointer[PlanView]
 	failing bool
+	// wantWhole asks for the whole state because the last answer did not fit.
+	wantWhole bool
 }
 
 func (k *planKeeper) load() *PlanView {
@@ -79,10 +80,14 @@
 func (k *planKeeper) watch(ctx context.Context, client apipb.DRPCControlClient, have *PlanView) (*apipb.WatchReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
-	reply, err := client.Watch(ctx, &apipb.WatchRequest{
+	request := &apipb.WatchRequest{
 		Environment: apipb.Environment_ENVIRONMENT_PLAN, HaveRevision: have.Revision, HaveDigest: have.digest,
 		WaitMs: uint32(watchWait.Milliseconds()), Vm: k.vm, Incarnation: k.incarnation,
-	})
+	}
+	if k.wantWhole {
+		request.HaveRevision, request.HaveDigest = 0, ""
+	}
+	reply, err := client.Watch(ctx, request)
 	return reply, errors.Trace(err)
 }
 
@@ -93,9 +98,11 @@
 		return errors.Annotatef(ErrLowerRevision, "%d after %d", reply.Revision, have.Revision)
 	}
 	next := *have
+	k.wantWhole = false
 	if reply.Revision != have.Revision {
-		raw, err := k.fetch(ctx, client, reply)
+		raw, err := k.fetch(ctx, client, have, reply)
 		if err != nil {
+			k.wantWhole = true // another delta would fail in the same way
 			return errors.Trace(err)
 		}
 		if err := next.read(raw, reply); err != nil {
@@ -116,9 +123,9 @@
 	return nil
 }
 
-func (k *planKeeper) fetch(ctx context.Context, client apipb.DRPCControlClient, reply *apipb.WatchReply) ([]byte, error) {
+func (k *planKeeper) fetch(ctx context.Context, client apipb.DRPCControlClient, have *PlanView, reply *apipb.WatchReply) ([]byte, error) {
 	if reply.Kind == apipb.WatchKind_WATCH_KIND_DELTA {
-		raw, err := document.ApplyDelta(nil, reply.Sections, reply.Digest)
+		raw, err := document.ApplyDelta(have.raw, reply.Sections, reply.Digest)
 		return raw, errors.Trace(err)
 	}
 	raw, err := fetchSnapshot(ctx, client, apipb.Environment_ENVIRONMENT_PLAN, reply)
@@ -127,18 +134,14 @@
 
 // read decodes a routing state into the view.
 func (v *PlanView) read(raw []byte, reply *apipb.WatchReply) error {
-	state := &apipb.RoutingState{}
-	if err := proto.Unmarshal(raw, state); err != nil {
-		return errors.Annotate(ErrOtherDocument, err.Error())
-	}
-	p, err := plan.Decode(state.Plan)
+	p, evacuated, err := plan.DecodeState(raw)
 	if err != nil {
 		return errors.Trace(err)
 	}
-	v.Revision, v.digest = reply.Revision, reply.Digest
+	v.Revision, v.digest, v.raw = reply.Revision, reply.Digest, raw
 	v.Index = plan.NewIndex(p)
-	v.Evacuated = make(map[string]bool, len(state.Evacuated))
-	for _, domain := range state.Evacuated {
+	v.Evacuated = make(map[string]bool, len(evacuated))
+	for _, domain := range evacuated {
 		v.Evacuated[domain] = true
 	}
 	return nil
--- a/entry/plan_view.go
+++ b/entry/plan_view.go
@@ -15,6 +15,7 @@
 	// Evacuated holds the failure domains whose upstreams get nothing.
 	Evacuated map[string]bool
 
+	raw         []byte
 	digest      string
 	confirmed   bool
 	confirmedAt clock.Instant
--- a/plan/codec.go
+++ b/plan/codec.go
@@ -1,7 +1,9 @@
 package plan
 
 import (
+	"bytes"
 	"encoding/json"
+	"strings"
 
 	"github.com/juju/errors"
 )
@@ -9,17 +11,114 @@
 // ErrDamaged says that the bytes are no encoded plan.
 const ErrDamaged = errors.ConstError("not an encoded plan")
 
-// Encode returns the plan as bytes. Equal plans have equal bytes.
+// Kinds of lines of an encoded state. One item a line lets a change be sent as the
+// lines that differ.
+const (
+	lineEvacuated = "evacuated"
+	linePlan      = "plan"
+	lineRoute     = "route"
+	lineService   = "service"
+	lineCustomer  = "customer"
+)
+
+// head is what a plan has beside its lists.
+type head struct {
+	Number uint64 `json:"number"`
+	Base   uint64 `json:"base"`
+	Limits Limits `json:"limits"`
+}
+
+// Encode returns the plan as lines. Equal plans have equal bytes.
 func Encode(p *Plan) ([]byte, error) {
-	raw, err := json.Marshal(p)
-	return raw, errors.Annotate(err, "encode plan")
+	var b bytes.Buffer
+	write := func(kind string, item any) error {
+		raw, err := json.Marshal(item)
+		if err != nil {
+			return errors.Annotatef(err, "encode %s", kind)
+		}
+		writeLine(&b, kind, raw)
+		return nil
+	}
+	if err := write(linePlan, head{p.Number, p.Base, p.Limits}); err != nil {
+		return nil, errors.Trace(err)
+	}
+	for i := range p.Routes {
+		if err := write(lineRoute, &p.Routes[i]); err != nil {
+			return nil, errors.Trace(err)
+		}
+	}
+	for i := range p.Services {
+		if err := write(lineService, &p.Services[i]); err != nil {
+			return nil, errors.Trace(err)
+		}
+	}
+	for i := range p.Customers {
+		if err := write(lineCustomer, &p.Customers[i]); err != nil {
+			return nil, errors.Trace(err)
+		}
+	}
+	return b.Bytes(), nil
+}
+
+// EncodeState returns an encoded plan together with the evacuated failure domains,
+// which is what entry daemons follow.
+func EncodeState(encodedPlan []byte, evacuated []string) []byte {
+	var b bytes.Buffer
+	b.Grow(len(encodedPlan) + 64)
+	writeLine(&b, lineEvacuated, []byte(strings.Join(evacuated, " ")))
+	b.Write(encodedPlan)
+	return b.Bytes()
+}
+
+func writeLine(b *bytes.Buffer, kind string, rest []byte) {
+	b.WriteString(kind)
+	b.WriteByte(' ')
+	b.Write(rest)
+	b.WriteByte('\n')
 }
 
-// Decode reads what Encode wrote.
-func Decode(raw []byte) (*Plan, error) {
+// DecodeState reads what EncodeState wrote.
+func DecodeState(raw []byte) (*Plan, []string, error) {
 	p := &Plan{}
-	if err := json.Unmarshal(raw, p); err != nil {
-		return nil, errors.Annotate(ErrDamaged, err.Error())
+	var evacuated []string
+	for line := range bytes.Lines(raw) {
+		kind, rest, _ := bytes.Cut(bytes.TrimSuffix(line, []byte("\n")), []byte(" "))
+		if string(kind) == lineEvacuated {
+			evacuated = strings.Fields(string(rest))
+			continue
+		}
+		if err := p.readLine(string(kind), rest); err != nil {
+			return nil, nil, errors.Annotatef(ErrDamaged, "line %q: %v", kind, err)
+		}
+	}
+	if p.Number == 0 {
+		return nil, nil, errors.Annotate(ErrDamaged, "no plan")
+	}
+	return p, evacuated, nil
+}
+
+func (p *Plan) readLine(kind string, rest []byte) error {
+	switch kind {
+	case linePlan:
+		var h head
+		err := json.Unmarshal(rest, &h)
+		p.Number, p.Base, p.Limits = h.Number, h.Base, h.Limits
+		return err
+	case lineRoute:
+		return readItem(rest, &p.Routes)
+	case lineService:
+		return readItem(rest, &p.Services)
+	case lineCustomer:
+		return readItem(rest, &p.Customers)
+	}
+	return nil // of a later version
+}
+
+func readItem[T any](raw []byte, list *[]T) error {
+	var item T
+	if err := json.Unmarshal(raw, &item); err != nil {
+		return err
 	}
-	return p, nil
+	*list = append(*list, item)
+	return nil
 }
--- /dev/null
+++ b/plan/pack.go
@@ -0,0 +1,38 @@
+package plan
+
+import (
+	"bytes"
+	"compress/flate"
+	"io"
+
+	"github.com/juju/errors"
+)
+
+// maxUnpacked bounds what Unpack returns, so that damaged bytes cannot fill the memory.
+const maxUnpacked = 16 << 20
+
+// Pack compresses the bytes of a plan for the log and the network, where a plan of
+// many similar routes takes a tenth.
+func Pack(raw []byte) ([]byte, error) {
+	var b bytes.Buffer
+	w, err := flate.NewWriter(&b, flate.BestSpeed)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	if _, err := w.Write(raw); err != nil {
+		return nil, errors.Trace(err)
+	}
+	if err := w.Close(); err != nil {
+		return nil, errors.Trace(err)
+	}
+	return b.Bytes(), nil
+}
+
+// Unpack returns what Pack was given.
+func Unpack(packed []byte) ([]byte, error) {
+	raw, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxUnpacked+1))
+	if err != nil || len(raw) > maxUnpacked {
+		return nil, errors.Annotatef(ErrDamaged, "packed bytes: %v", err)
+	}
+	return raw, nil
+}
--- /dev/null
+++ b/plan/plan_test.go
@@ -0,0 +1,93 @@
+package plan_test
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/matryer/is"
+
+	"pistachiomount.example/pistachiomount/document"
+	"pistachiomount.example/pistachiomount/plan"
+)
+
+func planOf(routes int) *plan.Plan {
+	rank := 1
+	p := &plan.Plan{
+		Number: 7, Base: 5,
+		Services:  []plan.Service{{Name: "s", HealthPath: "/h", MaxConnections: 330, Warmup: 3 * time.Second, WarmupRate: 9.5}},
+		Customers: []plan.Customer{{Name: "c", KeyDigests: []string{plan.DigestKey("k")}, Priority: &rank, Rate: 156, Burst: 150}},
+		Limits:    plan.Limits{MaxHeaderBytes: 1, MaxBodyBytes: 2, HeaderTimeout: time.Second, IdleTimeout: time.Minute},
+	}
+	for i := range routes {
+		p.Routes = append(p.Routes, plan.Route{
+			Name: fmt.Sprint("r", i), Host: "h.example", Prefix: fmt.Sprintf("/p%d/", i), Idempotent: true, Timeout: time.Second,
+			Split: []plan.Part{{Service: "s", Weight: 90}}, MaxAttempts: 2, Regions: []string{"r"},
+		})
+	}
+	return p
+}
+
+// Guards against a plan that changes on the way to entry daemons, and against a small
+// change that is sent as the whole plan.
+func TestStateIsReadBackAndChangesAreSmall(t *testing.T) {
+	is := is.New(t)
+	before, err := plan.Encode(planOf(300))
+	is.NoErr(err)
+	changed := planOf(300)
+	changed.Routes[150].Timeout = 2 * time.Second
+	after, err := plan.Encode(changed)
+	is.NoErr(err)
+	oldState, newState := plan.EncodeState(before, nil), plan.EncodeState(after, []string{"z1", "z2"})
+
+	steps := document.Delta(oldState, newState)
+	sent := 0
+	for _, s := range steps {
+		sent += len(s.Data)
+	}
+	is.True(sent < len(newState)/50)
+	got, err := document.ApplyDelta(oldState, steps, document.Digest(newState))
+	is.NoErr(err)
+	p, evacuated, err := plan.DecodeState(got)
+	is.NoErr(err)
+	is.Equal(p, changed)
+	is.Equal(evacuated, []string{"z1", "z2"})
+
+	packed, err := plan.Pack(newState)
+	is.NoErr(err)
+	is.True(len(packed) < len(newState)/5)
+	raw, err := plan.Unpack(packed)
+	is.NoErr(err)
+	is.True(bytes.Equal(raw, newState))
+}
+
+// Guards against damaged bytes that are taken for a plan.
+func TestDamagedStatesAreRefused(t *testing.T) {
+	is := is.New(t)
+	for _, raw := range []string{"", "evacuated z1\n", "plan {\n", "plan {\"number\":3}\nroute {]\n"} {
+		_, _, err := plan.DecodeState([]byte(raw))
+		is.True(errors.Is(err, plan.ErrDamaged))
+	}
+	_, err := plan.Unpack([]byte("not packed"))
+	is.True(errors.Is(err, plan.ErrDamaged))
+}
+
+// Guards against a route that is found by another prefix than the longest, by part of
+// a segment, or only for one spelling of the host.
+func TestTheLongestPrefixWins(t *testing.T) {
+	is := is.New(t)
+	p := &plan.Plan{Number: 1, Routes: []plan.Route{
+		{Name: "root", Host: "h.example", Prefix: "/"},
+		{Name: "a", Host: "h.example", Prefix: "/a/"},
+		{Name: "ab", Host: "h.example", Prefix: "/a/b/"},
+		{Name: "other", Host: "o.example", Prefix: "/a/"},
+	}}
+	x := plan.NewIndex(p)
+	for path, want := range map[string]string{"/": "root", "/a": "root", "/ab/": "root", "/a/": "a", "/a/bc": "a", "/a/b/c": "ab"} {
+		is.Equal(x.Route("H.example:8080", path).Name, want)
+	}
+	is.Equal(x.Route("o.example", "/b/"), nil)
+	is.Equal(x.Route("unknown.example", "/"), nil)
+}
--- a/store/environment.go
+++ b/store/environment.go
@@ -137,7 +137,7 @@
 // InForce returns the document in force, or nil if there is none.
 func (s *Store) InForce(env apipb.Environment) *Version {
 	if env == apipb.Environment_ENVIRONMENT_PLAN {
-		return s.plans.recent
+		return s.plans.inForce()
 	}
 	e := s.environments[env]
 	if e == nil || len(e.recent) == 0 {
@@ -149,10 +149,7 @@
 // Former returns a recent document by its revision, or nil if it is no longer kept.
 func (s *Store) Former(env apipb.Environment, revision uint64) *Version {
 	if env == apipb.Environment_ENVIRONMENT_PLAN {
-		if v := s.plans.recent; v != nil && v.Revision == revision {
-			return v
-		}
-		return nil
+		return s.plans.former(revision)
 	}
 	if e := s.environments[env]; e != nil {
 		for _, v := range e.recent {
--- a/store/plans_test.go
+++ b/store/plans_test.go
@@ -4,17 +4,26 @@
 	"testing"
 
 	"github.com/matryer/is"
-	"google.golang.org/protobuf/proto"
 
 	"pistachiomount.example/pistachiomount/apipb"
+	"pistachiomount.example/pistachiomount/plan"
 	"pistachiomount.example/pistachiomount/store"
 )
 
 const planEnv = apipb.Environment_ENVIRONMENT_PLAN
 
 func (h *harness) plan(base, number uint64, source string) *apipb.SubmitResult {
+	h.t.Helper()
+	encoded, err := plan.Encode(&plan.Plan{Number: number, Base: base})
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	packed, err := plan.Pack(encoded)
+	if err != nil {
+		h.t.Fatal(err)
+	}
 	return h.apply(&apipb.Command{Body: &apipb.Command_SubmitPlan{SubmitPlan: &apipb.SubmitPlan{
-		Base: base, Number: number, Source: []byte(source), Plan: []byte("plan of " + source),
+		Base: base, Number: number, Source: []byte(source), Plan: packed, Digest: "digest of " + source,
 	}}}).Submit
 }
 
@@ -24,16 +33,13 @@
 	}}).Evacuation
 }
 
-func (h *harness) routing() *apipb.RoutingState {
-	state := &apipb.RoutingState{}
-	version := h.store.InForce(planEnv)
-	if version == nil {
-		return nil
-	}
-	if err := proto.Unmarshal(version.Raw, state); err != nil {
+func (h *harness) evacuated() []string {
+	h.t.Helper()
+	_, evacuated, err := plan.DecodeState(h.store.InForce(planEnv).Raw)
+	if err != nil {
 		h.t.Fatal(err)
 	}
-	return state
+	return evacuated
 }
 
 // Guards against two changes on one version that are both accepted, and against a
@@ -61,7 +67,7 @@
 	h.evacuate("z1", true)
 	is.Equal(h.store.InForce(planEnv), nil) // no plan yet
 	h.plan(0, 3, "a")
-	is.Equal(h.routing().Evacuated, []string{"z1"})
+	is.Equal(h.evacuated(), []string{"z1"})
 	before := h.store.InForce(planEnv).Revision
 	is.True(h.evacuate("z2", true).Changed)
 	is.True(!h.evacuate("z2", true).Changed) // a resend
@@ -78,7 +84,7 @@
 	h.store = restored
 	is.True(h.plan(0, 3, "a").Repeated)
 	is.True(h.evacuate("z1", false).Changed)
-	is.Equal(h.routing().Evacuated, []string{"z2"})
+	is.Equal(h.evacuated(), []string{"z2"})
 }
 
 // Guards against the removal of an earlier process that takes a later one with it.
--- a/store/snapshot.go
+++ b/store/snapshot.go
@@ -44,7 +44,9 @@
 	for _, e := range message.Environments {
 		fresh.restoreEnvironment(e)
 	}
-	fresh.plans.restore(message.Plan)
+	if err := fresh.plans.restore(message.Plan); err != nil {
+		return errors.Trace(err)
+	}
 	fresh.holders.restore(message.Holders)
 	for _, record := range message.Claims {
 		fresh.claims.add(record)
