--- a/gateway/keep.go
+++ b/gateway/keep.go
@@ -62,7 +62,7 @@
 		return listInterval
 	}
 	vms, _ := g.fleetNames()
-	share := float64(len(vms)) / (g.cfg.ListRate * listShare)
+	share := float64(len(vms)*g.cfg.Lister.Calls()) / (g.cfg.ListRate * listShare)
 	return max(listInterval, time.Duration(share*float64(time.Second)))
 }
 
--- a/gateway/timing.go
+++ b/gateway/timing.go
@@ -7,8 +7,8 @@
 	// leaving must get nothing new a few seconds after the list shows it.
 	listInterval = time.Second
 	// listPatience is how old the leader's list may be: two of its readings and a
-	// renewal.
-	listPatience = 2500 * time.Millisecond
+	// renewal, one of which may fail.
+	listPatience = 3 * time.Second
 	// listTimeout bounds reading the list.
 	listTimeout = 2 * time.Second
 	// listShare is the part of the allowed rate that is used.
