--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -86,8 +86,9 @@
 	d.queue = newTurnQueue(cfg.Clock, d.grants, d.customerWeight, d.chooser.countRequest)
 	d.lookups = newLookups(cfg.Region)
 	d.keeper = &viewKeeper{
-		controls: d.controls, environment: cfg.Environment, deployment: cfg.Deployment, vm: cfg.VM,
-		incarnation: d.incarnation, clock: cfg.Clock, log: cfg.Log, onChange: d.applyView,
+		loop:        pollLoop{controls: d.controls, log: cfg.Log, subject: "configuration"},
+		environment: cfg.Environment, deployment: cfg.Deployment, vm: cfg.VM,
+		incarnation: d.incarnation, clock: cfg.Clock, onChange: d.applyView,
 	}
 	d.renewer = &renewer{controls: d.controls, holder: d.holder, log: cfg.Log, describe: d.describe, onFleet: d.lookups.setFleet, onRenewed: d.serveWhenReady, turn: make(chan struct{}, 1)}
 	d.probe = inventory.NewLoadProbe(inventory.LoadProbeConfig{Clock: cfg.Clock, OnReport: d.takeLoad})
--- a/entry/gauges.go
+++ b/entry/gauges.go
@@ -66,7 +66,7 @@
 
 func (g *gauges) observe(_ context.Context, obs metric.Observer) error {
 	d := g.daemon
-	obs.ObserveInt64(g.pollsFailed, int64(d.keeper.failed.Load()))
+	obs.ObserveInt64(g.pollsFailed, int64(d.keeper.loop.failed.Load()))
 	obs.ObserveInt64(g.renewalsFailed, int64(d.renewer.failed.Load()))
 	obs.ObserveInt64(g.jobs, int64(d.jobs.ended.Load()), attributes("result", "ended"))
 	obs.ObserveInt64(g.jobs, int64(d.jobs.requeued.Load()), attributes("result", "requeued"))
--- a/entry/plan_follower.go
+++ b/entry/plan_follower.go
@@ -58,7 +58,8 @@
 		Environment: apipb.Environment_ENVIRONMENT_PLAN, VM: cfg.VM, Incarnation: f.incarnation,
 	}, cfg.Clock)
 	f.keeper = &planKeeper{
-		controls: controls, vm: cfg.VM, incarnation: f.incarnation, clock: cfg.Clock, log: cfg.Log, onChange: cfg.OnChange,
+		loop: pollLoop{controls: controls, log: cfg.Log, subject: "plan"},
+		vm:   cfg.VM, incarnation: f.incarnation, clock: cfg.Clock, onChange: cfg.OnChange,
 	}
 	f.renewer = &renewer{
 		controls: controls, holder: f.holder, log: cfg.Log, describe: f.describe,
@@ -79,7 +80,7 @@
 }
 
 // SetControls replaces the addresses of control daemons of the settings.
-func (f *PlanFollower) SetControls(addresses []string) { f.keeper.controls.setSeeds(addresses) }
+func (f *PlanFollower) SetControls(addresses []string) { f.keeper.loop.controls.setSeeds(addresses) }
 
 // View returns the current view; before the first plan its Index is nil.
 func (f *PlanFollower) View() *PlanView { return f.keeper.load() }
--- a/entry/plan_keeper.go
+++ b/entry/plan_keeper.go
@@ -15,15 +15,13 @@
 
 // planKeeper polls a control daemon for the routing plan in force.
 type planKeeper struct {
-	controls    *controls
 	vm          string
 	incarnation uint64
 	clock       clock.Clock
-	log         logrus.FieldLogger
 	onChange    func(*PlanView)
 
+	loop    pollLoop
 	current atomic.Pointer[PlanView]
-	failing bool
 	// wantWhole asks for the whole state because the last answer did not fit.
 	wantWhole bool
 }
@@ -36,31 +34,11 @@
 }
 
 // run polls until the context ends.
-func (k *planKeeper) run(ctx context.Context) {
-	for ctx.Err() == nil {
-		address, err := k.poll(ctx)
-		if err == nil {
-			if k.failing {
-				k.log.Info("plan confirmed again")
-			}
-			k.failing = false
-			continue
-		}
-		if ctx.Err() != nil {
-			return
-		}
-		if !k.failing {
-			k.log.WithError(err).WithField("control", address).Warn("plan not confirmed")
-		}
-		k.failing = true
-		k.controls.rotate(address)
-		pause(ctx, retryPause)
-	}
-}
+func (k *planKeeper) run(ctx context.Context) { k.loop.run(ctx, k.poll) }
 
 // poll asks once and puts the answer in force.
 func (k *planKeeper) poll(ctx context.Context) (string, error) {
-	client, address, err := k.controls.current()
+	client, address, err := k.loop.controls.current()
 	if err != nil {
 		return address, errors.Trace(err)
 	}
@@ -71,8 +49,8 @@
 		return address, errors.Trace(err)
 	}
 	if current(reply) {
-		k.controls.learn(reply.ControlAddresses)
-		k.controls.setLeader(reply.LeaderAddress)
+		k.loop.controls.learn(reply.ControlAddresses)
+		k.loop.controls.setLeader(reply.LeaderAddress)
 	}
 	return address, k.take(ctx, client, have, reply, sent)
 }
@@ -114,7 +92,7 @@
 	}
 	if next.Revision != have.Revision {
 		k.onChange(&next) // first, so that requests under the new plan find its services
-		k.log.WithFields(logrus.Fields{"number": next.Index.Plan.Number, "revision": next.Revision}).Info("plan in force")
+		k.loop.log.WithFields(logrus.Fields{"number": next.Index.Plan.Number, "revision": next.Revision}).Info("plan in force")
 	}
 	k.current.Store(&next)
 	if !current(reply) {
--- /dev/null
+++ b/entry/poll_loop.go
@@ -0,0 +1,46 @@
+package entry
+
+import (
+	"context"
+	"sync/atomic"
+
+	"github.com/sirupsen/logrus"
+)
+
+// pollLoop polls control daemons and moves on from one that fails. It logs the first
+// of a row of failures, and its end.
+type pollLoop struct {
+	controls *controls
+	log      logrus.FieldLogger
+	// subject is what is confirmed by a poll, for logs.
+	subject string
+
+	failing bool
+	failed  atomic.Uint64 // polls
+}
+
+// run polls until the context ends. poll returns the address that it asked.
+func (l *pollLoop) run(ctx context.Context, poll func(context.Context) (string, error)) {
+	for ctx.Err() == nil {
+		address, err := poll(ctx)
+		if err != nil && ctx.Err() != nil {
+			return
+		}
+		l.report(address, err)
+		if err != nil {
+			l.failed.Add(1)
+			l.controls.rotate(address)
+			pause(ctx, retryPause)
+		}
+	}
+}
+
+func (l *pollLoop) report(address string, err error) {
+	switch {
+	case err != nil && !l.failing:
+		l.log.WithError(err).WithField("control", address).Warn(l.subject + " not confirmed")
+	case err == nil && l.failing:
+		l.log.Info(l.subject + " confirmed again")
+	}
+	l.failing = err != nil
+}
--- a/entry/view_keeper.go
+++ b/entry/view_keeper.go
@@ -15,19 +15,16 @@
 
 // viewKeeper polls a control daemon for the document in force.
 type viewKeeper struct {
-	controls    *controls
 	environment apipb.Environment
 	deployment  string
 	vm          string
 	incarnation uint64
 	clock       clock.Clock
-	log         logrus.FieldLogger
 	// onChange is called with each new view before it is in force is reported.
 	onChange func(*view)
 
+	loop    pollLoop
 	current atomic.Pointer[view]
-	failing string
-	failed  atomic.Uint64 // polls
 	decoder document.Decoder
 	// jobsWaiting is what the last poll said about deferred jobs.
 	jobsWaiting atomic.Bool
@@ -45,38 +42,11 @@
 }
 
 // run polls until the context ends.
-func (k *viewKeeper) run(ctx context.Context) {
-	for ctx.Err() == nil {
-		address, err := k.poll(ctx)
-		if err == nil {
-			k.report("", nil)
-			continue
-		}
-		if ctx.Err() != nil {
-			return
-		}
-		k.failed.Add(1)
-		k.report(address, err)
-		k.controls.rotate(address)
-		pause(ctx, retryPause)
-	}
-}
-
-// report logs the first of a row of failures, and its end.
-func (k *viewKeeper) report(address string, err error) {
-	switch {
-	case err != nil && k.failing == "":
-		k.log.WithError(err).WithField("control", address).Warn("configuration not confirmed")
-		k.failing = address
-	case err == nil && k.failing != "":
-		k.log.Info("configuration confirmed again")
-		k.failing = ""
-	}
-}
+func (k *viewKeeper) run(ctx context.Context) { k.loop.run(ctx, k.poll) }
 
 // poll asks once and puts the answer in force.
 func (k *viewKeeper) poll(ctx context.Context) (string, error) {
-	client, address, err := k.controls.current()
+	client, address, err := k.loop.controls.current()
 	if err != nil {
 		return address, errors.Trace(err)
 	}
@@ -88,8 +58,8 @@
 	}
 	if current(reply) {
 		// A daemon that is cut off would name a former leader and former members.
-		k.controls.learn(reply.ControlAddresses)
-		k.controls.setLeader(reply.LeaderAddress)
+		k.loop.controls.learn(reply.ControlAddresses)
+		k.loop.controls.setLeader(reply.LeaderAddress)
 	}
 	k.jobsWaiting.Store(reply.JobsWaiting)
 	return address, k.take(ctx, client, have, reply, sent)
@@ -135,7 +105,7 @@
 	}
 	k.current.Store(next)
 	if changed {
-		k.log.WithFields(logrus.Fields{"number": next.number, "revision": next.revision}).Info("document in force")
+		k.loop.log.WithFields(logrus.Fields{"number": next.number, "revision": next.revision}).Info("document in force")
 		k.onChange(next)
 	}
 	if !current(reply) {
--- a/entry/view_keeper_test.go
+++ b/entry/view_keeper_test.go
@@ -38,7 +38,8 @@
 	}
 	r.dialer = &fakeDialer{daemons: map[string]*fakeControl{"a": r.control}}
 	r.viewKeeper = &viewKeeper{
-		controls: newControls([]string{"a", "b"}, 0, r.dialer), deployment: "bancas", clock: r.clock, log: quietLog(),
+		loop:       pollLoop{controls: newControls([]string{"a", "b"}, 0, r.dialer), log: quietLog(), subject: "configuration"},
+		deployment: "bancas", clock: r.clock,
 	}
 	r.onChange = func(v *view) { r.changes = append(r.changes, v.revision) }
 	return r
@@ -149,14 +150,14 @@
 				is := is.New(t)
 				r := newKeeperRig()
 				is.NoErr(r.offer(example(t, 1), 1))
-				r.controls.setLeader("leader")
+				r.loop.controls.setLeader("leader")
 				cutOff := unchangedReply(r.load())
 				cutOff.LeaderAddress = "former"
 				change(cutOff)
 				ctx, cancel := context.WithCancel(t.Context())
 				leader := ""
 				r.dialer.daemons["b"] = &fakeControl{watch: func(context.Context, *apipb.WatchRequest) (*apipb.WatchReply, error) {
-					leader = r.controls.leader
+					leader = r.loop.controls.leader
 					cancel()
 					return unchangedReply(r.load()), nil
 				}}
