Prove the platform's invariants by tests that fail without the mechanism

Two tests were too weak and are stricter now: an order with one voter was refused because nobody led yet, not because the group was forming; no test noticed a table that does not ask the pace. New: a daemon that may form a group joins one that it finds, and all choose the same seed to form.

--- a/control/formation_test.go
+++ b/control/formation_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/matryer/is"
 
 	"pistachiomount.example/pistachiomount/apipb"
@@ -49,6 +50,36 @@
 	return voters
 }
 
+// awaitLeading waits until the daemon could commit an order.
+func awaitLeading(t *testing.T, d *Daemon) {
+	t.Helper()
+	engine, err := d.running()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if l, err := engine.leadership(t.Context(), apipb.Environment_ENVIRONMENT_PLAN); err == nil && l.valid {
+			return
+		}
+	}
+	t.Fatal("the daemon does not lead")
+}
+
+// Guards against a second group when the daemon that may form one starts with an empty
+// disk beside a group.
+func TestADaemonThatMayFormJoinsAGroupThatItFinds(t *testing.T) {
+	is := is.New(t)
+	listeners := []net.Listener{listen(t), listen(t)}
+	seeds := []string{addressOf(listeners[0]), addressOf(listeners[1])}
+	first := seeded(t, "c0", listeners[0], seeds, true)
+	defer run(t, first)()
+	awaitVoters(t, first, 1)
+	second := seeded(t, "c1", listeners[1], seeds, true)
+	defer run(t, second)()
+	awaitVoters(t, second, 2)
+	is.Equal(second.clusterID(), first.clusterID())
+}
+
 func awaitVoters(t *testing.T, d *Daemon, n int) map[string]uint64 {
 	t.Helper()
 	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
@@ -109,8 +140,9 @@
 	first := seeded(t, "c0", listeners[0], seeds, true)
 	defer run(t, first)()
 	awaitVoters(t, first, 1)
+	awaitLeading(t, first)
 	_, err := first.SubmitPlan(t.Context(), &plan.Plan{Number: 1}, []byte("a"))
-	is.True(err != nil) // one voter only
+	is.True(errors.Is(err, ErrForming)) // one voter only
 	second := seeded(t, "c1", listeners[1], seeds, false)
 	defer run(t, second)()
 	third := seeded(t, "c2", listeners[2], seeds, false)
--- a/gateway/placement/pace_test.go
+++ b/gateway/placement/pace_test.go
@@ -108,3 +108,28 @@
 		table.Done(now, u.ID, Outcome{})
 	}
 }
+
+// Guards against a table that places requests without asking the pace: a region that
+// fills up at once would send all that follows to another one.
+func TestAFullRegionSendsRequestsAwayAtThePaceOnly(t *testing.T) {
+	is := is.New(t)
+	table := NewTable(Place{Region: "r", FailureDomain: "r-a", VM: "a"}, NewPace(start, "r"))
+	table.SetUpstreams(start, append(upstreamsOf("r", "r-a", 1, 6), upstreamsOf("f", "f-a", 4, 50)...), true)
+	now, placed := start, map[string]int{}
+	for range 200 { // 4 s with room at home
+		now = now.Add(20 * time.Millisecond)
+		u, verdict := table.Pick(now, &Query{Urgency: 2})
+		is.Equal(verdict, Placed)
+		is.Equal(u.Region, "r")
+		table.Done(now, u.ID, Outcome{})
+	}
+	for range 100 { // 2 s in which nothing ends
+		now = now.Add(20 * time.Millisecond)
+		if u, verdict := table.Pick(now, &Query{Urgency: 2}); verdict == Placed {
+			placed[u.Region]++
+		}
+	}
+	is.Equal(placed["r"], 6)
+	is.True(placed["f"] > 0)
+	is.True(float64(placed["f"]) <= 0.15*100)
+}
