Name what had no name in the gateway; log errors that were dropped

Read once more as a newcomer. Renamed to the usual terms: degraded, cold, preference, keeper, healthy, ejected. Limits and weights that stood as bare numbers have names, units and a reason. Unused: Table.Warm, Outcome.Sent, ReasonBadRequest.

The age of a view that was never confirmed is logged as -1.

No decision, bound or assertion changed.

--- a/cmd/pistachiomount/gateway_role.go
+++ b/cmd/pistachiomount/gateway_role.go
@@ -40,7 +40,7 @@
 		Retries: budget.Limits{
 			Ratio: s.Bounds.RetryRatio * budgetShare, Window: s.Bounds.RetryWindow, Slack: s.Bounds.RetrySlack * budgetShare,
 		},
-		StopTime: s.Bounds.StopTime, ListRate: s.ListRate, MaxViewAge: s.Bounds.Contact / 2,
+		StopTime: s.Bounds.StopTime, ListRate: s.ListRate, MaxViewAge: s.Bounds.Contact / viewAgeParts,
 	})
 	if err != nil {
 		return errors.Trace(err)
@@ -67,6 +67,11 @@
 	return errors.Trace(g.Run(ctx))
 }
 
+// viewAgeParts is the part of the time after which a VM is out of touch that the plan's
+// confirmation may be old before what it lacks counts as not known yet: half, so that a
+// VM which is in touch has been confirmed since.
+const viewAgeParts = 2
+
 // budgetShare is the part of the retry budget that is used: VMs that do not know of
 // each other yet share it out among too few.
 const budgetShare = 0.7
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -132,7 +132,7 @@
 	reply := a.gateway.pool.Do(exchange, call)
 	span.End()
 	outcome := placement.Outcome{
-		Sent: sent, Unreachable: reply.Unreachable, Gone: reply.Misdirected,
+		Unreachable: reply.Unreachable, Gone: reply.Misdirected,
 		Refused: reply.Outcome == egress.NotRun && !reply.Unreachable && !reply.Misdirected,
 		Running: reply.Load.Running, Waiting: reply.Load.Waiting, Reported: reply.Reported,
 	}
@@ -145,7 +145,7 @@
 	a.gateway.observer.offered(a.serviceName(), reply.Outcome.String())
 	a.gateway.requests.offered(a, chosen, reply, time.Since(sent))
 	if outcome.Unreachable || outcome.Gone {
-		a.gateway.leftAlone(chosen, reply)
+		a.gateway.logEjected(chosen, reply)
 	}
 	a.service.turns.done(chosen.ID, outcome)
 	return reply
--- a/gateway/egress/exchange.go
+++ b/gateway/egress/exchange.go
@@ -87,7 +87,7 @@
 		_, err := io.CopyN(w, call.Rest, call.Length-int64(len(call.Body)))
 		return err
 	}
-	buf := make([]byte, 32<<10)
+	buf := make([]byte, restBuffer)
 	for {
 		n, err := call.Rest.Read(buf)
 		if n > 0 {
--- a/gateway/egress/exchange_test.go
+++ b/gateway/egress/exchange_test.go
@@ -19,7 +19,7 @@
 
 var names = egress.Names{
 	RequestID: "X-Id", Deadline: "X-Left", Customer: "X-Customer", Expected: "X-Expected", NotRun: "X-Not-Run",
-	Signature: "X-Signature", Load: "X-Load", Instance: "X-Instance", Cold: "X-Cold", Dropped: []string{"X-Key"},
+	Signature: "X-Signature", Load: "X-Load", UpstreamID: "X-Instance", Cold: "X-Cold", Dropped: []string{"X-Key"},
 }
 
 // scripted is an upstream that answers each request on a connection with the next
--- a/gateway/egress/headers.go
+++ b/gateway/egress/headers.go
@@ -46,7 +46,7 @@
 // head returns the head of the request as bytes.
 func (p *Pool) head(call *Call, now time.Time) []byte {
 	var b bytes.Buffer
-	b.Grow(1024 + len(call.Body))
+	b.Grow(headRoom + len(call.Body))
 	b.WriteString(call.Method)
 	b.WriteByte(' ')
 	b.WriteString(call.Target)
--- a/gateway/egress/health.go
+++ b/gateway/egress/health.go
@@ -9,8 +9,8 @@
 
 // Health is the result of a health check.
 type Health struct {
-	// Well: the upstream answers under its own id and takes requests.
-	Well bool
+	// Healthy: the upstream answers under its own id and takes requests.
+	Healthy bool
 	// Cold is how long it stays cold.
 	Cold time.Duration
 }
@@ -27,8 +27,8 @@
 	if reply.Rest != nil {
 		_ = reply.Rest.Close()
 	}
-	well := reply.Status == http.StatusOK && reply.Header.Get(p.names.Instance) == upstream
-	health := Health{Well: well}
+	healthy := reply.Status == http.StatusOK && reply.Header.Get(p.names.UpstreamID) == upstream
+	health := Health{Healthy: healthy}
 	if ms, err := strconv.ParseFloat(reply.Header.Get(p.names.Cold), 64); err == nil {
 		health.Cold = time.Duration(ms * float64(time.Millisecond))
 	}
--- a/gateway/egress/names.go
+++ b/gateway/egress/names.go
@@ -15,8 +15,8 @@
 	Load string
 	// Signature marks an answer as the upstream's own; a success has it.
 	Signature string
-	// Instance is the id of the upstream, in answers to health checks.
-	Instance string
+	// UpstreamID is the id of the upstream, in answers to health checks.
+	UpstreamID string
 	// Cold is how long the upstream stays cold, in milliseconds.
 	Cold string
 	// Dropped are headers that are not passed on.
--- a/gateway/egress/timing.go
+++ b/gateway/egress/timing.go
@@ -26,6 +26,10 @@
 	// maxBuffered is up to which length an answer is read whole before it is passed
 	// on, so that one that breaks off can be replaced.
 	maxBuffered = 1 << 20
+	// headRoom is the space set aside for the head of a request.
+	headRoom = 1 << 10
+	// restBuffer is how much of a long body is passed on at once.
+	restBuffer = 32 << 10
 	// maxStrays bounds the answers to other requests that are skipped.
 	maxStrays = 2
 )
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -67,7 +67,7 @@
 		Controls: cfg.Controls, Security: cfg.Security, Clock: cfg.Clock, Log: cfg.Log,
 		State: g.lifecycle.State, Load: func() float64 { return 0 }, OnChange: g.applyView, OnList: g.takeLeadersList,
 	})
-	g.rates = &rates{self: cfg.VM, region: cfg.Region, follower: g.follower, resting: map[string]time.Time{}}
+	g.rates = &rates{self: cfg.VM, region: cfg.Region, follower: g.follower, log: cfg.Log, unreachable: map[string]time.Time{}}
 	var err error
 	g.observer, err = newObserver(cfg.Meter, g)
 	return g, errors.Annotate(err, "metrics")
@@ -81,7 +81,7 @@
 	defer stop()
 	wg.Go(func() { g.follower.Run(background) })
 	wg.Go(func() { g.followList(background) })
-	wg.Go(func() { g.keepHouse(background) })
+	wg.Go(func() { g.maintain(background) })
 	wg.Go(func() { g.serveRates(background) })
 	failed := make(chan error, 1)
 	wg.Go(func() { failed <- g.server.Serve(g.cfg.Listener) })
@@ -200,7 +200,7 @@
 	}
 	g.services.Store(&services)
 	g.splitter.reset()
-	g.rates.hold(view.Index.Plan.Customers)
+	g.rates.keepShares(view.Index.Plan.Customers)
 	g.handOver(func(name string) bool { return fresh[name] })
 }
 
--- a/gateway/ingress/write.go
+++ b/gateway/ingress/write.go
@@ -47,7 +47,7 @@
 func (c *conn) send(request *http.Request, response *Response, closing bool) error {
 	head := request != nil && request.Method == http.MethodHead
 	var b bytes.Buffer
-	b.Grow(len(response.Body) + 512)
+	b.Grow(len(response.Body) + headRoom)
 	b.WriteString("HTTP/1.1 ")
 	b.WriteString(strconv.Itoa(response.Status))
 	b.WriteByte(' ')
@@ -91,6 +91,9 @@
 	return false
 }
 
+// headRoom is the space set aside for the head of an answer.
+const headRoom = 512
+
 // restBuffer is how much of a long answer is passed on at once.
 const restBuffer = 32 << 10
 
--- a/gateway/keep.go
+++ b/gateway/keep.go
@@ -75,8 +75,8 @@
 	g.serveWhenReady()
 }
 
-// keepHouse probes ejected upstreams and closes idle connections.
-func (g *Gateway) keepHouse(ctx context.Context) {
+// maintain probes ejected upstreams and closes idle connections.
+func (g *Gateway) maintain(ctx context.Context) {
 	reported := time.Now()
 	for ctx.Err() == nil {
 		pause(ctx, housekeepingInterval)
@@ -90,7 +90,7 @@
 		if vms, _ := g.fleetNames(); !slices.Equal(vms, g.vms) {
 			g.handOver(func(string) bool { return false })
 			if view := g.follower.View(); view.Index != nil {
-				g.rates.hold(view.Index.Plan.Customers)
+				g.rates.keepShares(view.Index.Plan.Customers)
 			}
 		}
 		g.mu.Unlock()
@@ -123,18 +123,18 @@
 	if cold == 0 {
 		cold = warmup
 	}
-	s.turns.with(func(now time.Time, table *placement.Table) { table.Probed(now, u.ID, health.Well, cold) })
-	if health.Well {
+	s.turns.with(func(now time.Time, table *placement.Table) { table.Probed(now, u.ID, health.Healthy, cold) })
+	if health.Healthy {
 		g.cfg.Log.WithFields(logrus.Fields{"upstream": u.ID, "service": s.name, "cold": cold.String()}).Info("upstream answers again")
 	}
 }
 
-// leftAlone notes an upstream that gets nothing until a probe finds it well.
-func (g *Gateway) leftAlone(u inventory.Upstream, reply *egress.Reply) {
+// logEjected notes an upstream that gets nothing until a probe finds it well.
+func (g *Gateway) logEjected(u inventory.Upstream, reply *egress.Reply) {
 	g.pool.Forget(u.ID)
 	if g.requests.admit(false) {
 		g.cfg.Log.WithError(reply.Err).WithFields(logrus.Fields{
 			"upstream": u.ID, "service": u.Service, "address_reused": reply.Misdirected,
-		}).Info("upstream left alone until a probe finds it well")
+		}).Info("upstream ejected until a health check succeeds")
 	}
 }
--- a/gateway/observer.go
+++ b/gateway/observer.go
@@ -89,6 +89,7 @@
 	return errors.Trace(err)
 }
 
+// viewAge returns the age of the confirmed plan in seconds, -1 before the first.
 func (g *Gateway) viewAge() float64 {
 	age, ok := g.follower.View().Age(g.cfg.Clock.Now())
 	if !ok {
--- a/gateway/placement/capacity.go
+++ b/gateway/placement/capacity.go
@@ -3,9 +3,11 @@
 import "time"
 
 const (
-	// outageShare is the share of a region's slots whose loss counts as an outage.
+	// outageShare is the share of a region's slots whose loss counts as an outage. Planned
+	// changes of the list take less at once.
 	outageShare = 0.2
-	// outageTime is for how long requests move freely after one.
+	// outageTime is for how long requests move freely after one: until the list shows it
+	// and callers have moved.
 	outageTime = 5 * time.Second
 )
 
--- a/gateway/placement/order.go
+++ b/gateway/placement/order.go
@@ -8,14 +8,14 @@
 // order is how well an upstream fits a request; smaller fits better.
 type order struct {
 	tier     int
-	doubtful bool
+	degraded bool
 	score    float64
 }
 
 func (a order) before(b order) bool {
 	switch {
-	case a.doubtful != b.doubtful:
-		return b.doubtful
+	case a.degraded != b.degraded:
+		return b.degraded
 	case a.tier != b.tier:
 		return a.tier < b.tier
 	}
@@ -91,7 +91,7 @@
 }
 
 func (t *Table) orderOf(now time.Time, u *upstream, q *Query, tiers map[*upstream]int) order {
-	at := order{doubtful: u.doubtful(now)}
+	at := order{degraded: u.degraded(now)}
 	if q.Object == 0 {
 		at.tier = t.distance(u)
 		at.score = u.load(now) / float64(max(u.Slots, 1))
--- a/gateway/placement/outcome.go
+++ b/gateway/placement/outcome.go
@@ -1,7 +1,5 @@
 package placement
 
-import "time"
-
 // Outcome is what became of a request at an upstream.
 type Outcome struct {
 	// Failed: the connection broke, or the upstream answered with an error of its own.
@@ -17,6 +15,4 @@
 	// Running and Waiting are the upstream's report, if Reported.
 	Running, Waiting int
 	Reported         bool
-	// Sent is when the request was sent.
-	Sent time.Time
 }
--- a/gateway/placement/pace.go
+++ b/gateway/placement/pace.go
@@ -16,8 +16,8 @@
 	paceSpeed = 0.035
 	// paceBand is how far the counted share of a region may be above its reference.
 	paceBand = 0.015
-	// wishWeight is the weight of one request in the average of wishes.
-	wishWeight = 0.03
+	// preferenceWeight is the weight of one request in the average of preferences.
+	preferenceWeight = 0.03
 )
 
 // Pace bounds how fast the requests of one entry VM move between regions, so that a
@@ -30,9 +30,9 @@
 type Pace struct {
 	mu     sync.Mutex
 	origin time.Time
-	// reference and wished are shares of requests by region.
-	reference, wished map[string]float64
-	movedAt           time.Time
+	// reference and preferred are shares of requests by region.
+	reference, preferred map[string]float64
+	movedAt              time.Time
 	// counts are the requests by region in the steps of the window.
 	counts [paceSteps]map[string]float64
 	at     int64 // step of the newest count
@@ -43,7 +43,7 @@
 func NewPace(now time.Time, region string) *Pace {
 	return &Pace{
 		origin: now, movedAt: now,
-		reference: map[string]float64{region: 1}, wished: map[string]float64{region: 1},
+		reference: map[string]float64{region: 1}, preferred: map[string]float64{region: 1},
 	}
 }
 
@@ -56,9 +56,9 @@
 			return
 		}
 	}
-	p.reference, p.wished = map[string]float64{}, map[string]float64{}
+	p.reference, p.preferred = map[string]float64{}, map[string]float64{}
 	for region, share := range shares {
-		p.reference[region], p.wished[region] = share, share
+		p.reference[region], p.preferred[region] = share, share
 	}
 }
 
@@ -82,19 +82,19 @@
 	p.counts[i][region]++
 }
 
-// Wish notes the region to which a request would go by itself.
-func (p *Pace) Wish(region string) {
+// Prefer notes the region to which a request would go by itself.
+func (p *Pace) Prefer(region string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if _, known := p.wished[region]; !known {
-		p.wished[region] = 0
+	if _, known := p.preferred[region]; !known {
+		p.preferred[region] = 0
 	}
-	for r, share := range p.wished {
-		wish := 0.0
+	for r, share := range p.preferred {
+		preference := 0.0
 		if r == region {
-			wish = 1
+			preference = 1
 		}
-		p.wished[r] = share + wishWeight*(wish-share)
+		p.preferred[r] = share + preferenceWeight*(preference-share)
 	}
 }
 
@@ -123,20 +123,20 @@
 	}
 }
 
-// move lets the reference follow the wishes at a bounded speed.
+// move lets the reference follow the preferences at a bounded speed.
 func (p *Pace) move(now time.Time) {
 	elapsed := now.Sub(p.movedAt).Seconds()
 	p.movedAt = now
 	up := 0.0
-	for region, wish := range p.wished {
-		up += math.Max(0, wish-p.reference[region])
+	for region, preference := range p.preferred {
+		up += math.Max(0, preference-p.reference[region])
 	}
 	if up <= 0 || elapsed <= 0 {
 		return
 	}
 	part := math.Min(1, paceSpeed*elapsed/up)
-	for region, wish := range p.wished {
-		p.reference[region] += part * (wish - p.reference[region])
+	for region, preference := range p.preferred {
+		p.reference[region] += part * (preference - p.reference[region])
 	}
 }
 
@@ -145,9 +145,9 @@
 	if n == 0 {
 		return
 	}
-	p.reference, p.wished = map[string]float64{}, map[string]float64{}
+	p.reference, p.preferred = map[string]float64{}, map[string]float64{}
 	for region, count := range counted {
-		p.reference[region], p.wished[region] = count/n, count/n
+		p.reference[region], p.preferred[region] = count/n, count/n
 	}
 }
 
--- a/gateway/placement/pace_test.go
+++ b/gateway/placement/pace_test.go
@@ -63,7 +63,7 @@
 				wish = "away"
 			}
 			allowed := pace.Allowed(now)
-			pace.Wish(wish)
+			pace.Prefer(wish)
 			switch {
 			case allowed(wish):
 			case wish == "home" && allowed("away"):
--- a/gateway/placement/table.go
+++ b/gateway/placement/table.go
@@ -55,16 +55,16 @@
 func (t *Table) SetEvacuated(now time.Time, domains map[string]bool) {
 	for _, u := range t.order {
 		if t.closed[u.FailureDomain] && !domains[u.FailureDomain] {
-			t.chill(now, u, t.warmup)
+			t.markCold(now, u, t.warmup)
 		}
 	}
 	t.closed = domains
 	t.watchCapacity(now)
 }
 
-// SetUpstreams replaces the list. calm says that traffic has not started, so that
+// SetUpstreams replaces the list. initial says that traffic has not started, so that
 // upstreams that are new to this VM are not new themselves.
-func (t *Table) SetUpstreams(now time.Time, list []inventory.Upstream, calm bool) (gone []string) {
+func (t *Table) SetUpstreams(now time.Time, list []inventory.Upstream, initial bool) (gone []string) {
 	listed := make(map[string]bool, len(list))
 	for _, entry := range list {
 		listed[entry.ID] = true
@@ -73,13 +73,13 @@
 			u = newUpstream(entry)
 			t.byID[entry.ID] = u
 			t.assumeLoad(now, u)
-			if !calm && entry.Cold <= 0 {
+			if !initial && entry.Cold <= 0 {
 				entry.Cold = t.warmup
 			}
 		}
 		u.Upstream = entry
 		if entry.Cold > 0 {
-			t.chill(now, u, entry.Cold)
+			t.markCold(now, u, entry.Cold)
 		}
 	}
 	for id := range t.byID {
@@ -105,8 +105,8 @@
 	u.othersAt = now
 }
 
-// chill notes that an upstream is cold for a time.
-func (t *Table) chill(now time.Time, u *upstream, left time.Duration) {
+// markCold notes that an upstream is cold for a time.
+func (t *Table) markCold(now time.Time, u *upstream, left time.Duration) {
 	if left <= 0 {
 		return
 	}
@@ -118,19 +118,6 @@
 	}
 }
 
-// Warm notes what a health check says of how long an upstream stays cold.
-func (t *Table) Warm(now time.Time, id string, left time.Duration) {
-	u := t.byID[id]
-	if u == nil {
-		return
-	}
-	if left <= 0 {
-		u.coldUntil = now
-		return
-	}
-	t.chill(now, u, left)
-}
-
 // Pick chooses an upstream for a request and counts it there.
 func (t *Table) Pick(now time.Time, q *Query) (inventory.Upstream, Verdict) {
 	best, verdict := t.best(now, q)
@@ -176,7 +163,7 @@
 		}
 	}
 	if free != nil && paced {
-		t.pace.Wish(free.Region)
+		t.pace.Prefer(free.Region)
 	}
 	if best == nil {
 		return nil, verdict
@@ -197,7 +184,7 @@
 	if q.Object != 0 && tier != tierKept {
 		return u.load(now)+1 <= slots*tierRoom[tier]
 	}
-	return u.load(now)+1 <= slots+spare(q.Urgency)
+	return u.load(now)+1 <= slots+extra(q.Urgency)
 }
 
 // mayUseCold reports whether this VM is one of the few that use a cold upstream.
@@ -262,17 +249,17 @@
 
 // Probed takes in the result of a probe. An upstream that comes back may have
 // started anew and be cold.
-func (t *Table) Probed(now time.Time, id string, well bool, cold time.Duration) {
+func (t *Table) Probed(now time.Time, id string, healthy bool, cold time.Duration) {
 	u := t.byID[id]
 	if u == nil || !u.probing {
 		return
 	}
-	if !well {
+	if !healthy {
 		u.eject(now)
 		return
 	}
 	u.probing, u.bad, u.slow = false, 0, 1
-	t.chill(now, u, cold)
+	t.markCold(now, u, cold)
 }
 
 // Running returns the requests of this VM that run at upstreams.
--- a/gateway/placement/upstream.go
+++ b/gateway/placement/upstream.go
@@ -48,8 +48,8 @@
 	return float64(u.own) + u.others*math.Exp2(-float64(age)/float64(othersHalfLife))
 }
 
-// doubtful reports whether the upstream should be used only when no other has room.
-func (u *upstream) doubtful(now time.Time) bool {
+// degraded reports whether the upstream should be used only when no other has room.
+func (u *upstream) degraded(now time.Time) bool {
 	return now.Sub(u.judgedAt) < judgementTime && (u.bad > badShare || u.slow > slowRatio)
 }
 
@@ -87,7 +87,7 @@
 	}
 	u.bad += averageWeight * (failed - u.bad)
 	if o.Took > 0 {
-		u.slow += averageWeight * (math.Min(o.Took, 10) - u.slow)
+		u.slow += averageWeight * (math.Min(o.Took, maxTook) - u.slow)
 	}
 }
 
--- a/gateway/rates.go
+++ b/gateway/rates.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
 
 	"pistachiomount.example/pistachiomount/apipb"
 	"pistachiomount.example/pistachiomount/entry"
@@ -24,8 +25,8 @@
 	// takeTimeout bounds taking a token at another VM of the region, which is a few
 	// milliseconds away.
 	takeTimeout = 60 * time.Millisecond
-	// homeRest is for how long a VM that did not answer is left out.
-	homeRest = time.Second
+	// keeperRetry is for how long a VM that did not answer is left out.
+	keeperRetry = time.Second
 )
 
 // rates admits requests within the rates of customers: with this VM's own grants, or
@@ -34,33 +35,34 @@
 	self     string
 	region   string
 	follower *entry.PlanFollower
+	log      logrus.FieldLogger
 
-	mu      sync.Mutex
-	resting map[string]time.Time // VMs that did not answer
+	mu          sync.Mutex
+	unreachable map[string]time.Time // VMs that did not answer
 }
 
 // token is one admitted request.
 type token struct {
 	bucket      *grant.Bucket // nil if it came from another VM
 	reservation grant.Reservation
-	home        *apipb.Vm
+	keeper      *apipb.Vm
 	customer    string
 }
 
 // take takes a token. Without one it returns when one is likely to be there.
 func (r *rates) take(ctx context.Context, customer string) (*token, time.Duration) {
-	for _, home := range homesOf(customer, r.pool()) {
-		if home.Name == r.self {
+	for _, keeper := range keepersOf(customer, r.pool()) {
+		if keeper.Name == r.self {
 			break
 		}
-		if r.isResting(home.Name) {
+		if r.isUnreachable(keeper.Name) {
 			continue
 		}
-		taken, delay, err := r.takeAt(ctx, home, customer)
+		taken, delay, err := r.takeAt(ctx, keeper, customer)
 		if err == nil {
 			return taken, delay
 		}
-		r.rest(home.Name)
+		r.markUnreachable(keeper.Name, err)
 	}
 	bucket := r.follower.Holder().Bucket(grant.CustomerID(customer))
 	reservation, ok := bucket.Reserve(1)
@@ -70,10 +72,10 @@
 	return &token{bucket: bucket, reservation: reservation}, 0
 }
 
-// hold asks for shares of the rates that this VM keeps, before the first request
+// keepShares asks for shares of the rates that this VM keeps, before the first request
 // comes, and hands back those of others: a share left at a VM that does not keep the
 // rate is of no use to anyone.
-func (r *rates) hold(customers []plan.Customer) {
+func (r *rates) keepShares(customers []plan.Customer) {
 	if len(r.follower.Fleet()) == 0 {
 		return // which VM keeps what is not known yet
 	}
@@ -90,8 +92,8 @@
 
 // keeps reports whether this VM keeps the customer's rate for its region.
 func (r *rates) keeps(customer string) bool {
-	homes := homesOf(customer, r.pool())
-	return len(homes) == 0 || homes[0].Name == r.self
+	keepers := keepersOf(customer, r.pool())
+	return len(keepers) == 0 || keepers[0].Name == r.self
 }
 
 // pool returns the VMs of the region that share rates, nil if there are too few.
@@ -108,12 +110,12 @@
 	return vms
 }
 
-// homeCandidates is how many VMs are asked for a token before the own share is used.
-const homeCandidates = 2
+// keeperCandidates is how many VMs are asked for a token before the own share is used.
+const keeperCandidates = 2
 
-// homesOf returns the VMs that keep a customer's rate, the first choice first. All
+// keepersOf returns the VMs that keep a customer's rate, the first choice first. All
 // VMs of the region come to the same result.
-func homesOf(customer string, vms []*apipb.Vm) []*apipb.Vm {
+func keepersOf(customer string, vms []*apipb.Vm) []*apipb.Vm {
 	if len(vms) == 0 {
 		return nil
 	}
@@ -127,22 +129,22 @@
 		}
 		return 0
 	})
-	return sorted[:min(homeCandidates, len(sorted))]
+	return sorted[:min(keeperCandidates, len(sorted))]
 }
 
-func (r *rates) takeAt(ctx context.Context, home *apipb.Vm, customer string) (*token, time.Duration, error) {
-	reply, err := r.call(ctx, home, &apipb.TakeRequest{Customer: customer})
+func (r *rates) takeAt(ctx context.Context, keeper *apipb.Vm, customer string) (*token, time.Duration, error) {
+	reply, err := r.call(ctx, keeper, &apipb.TakeRequest{Customer: customer})
 	if err != nil {
 		return nil, 0, errors.Trace(err)
 	}
 	if !reply.Granted {
 		return nil, time.Duration(reply.DelayMs) * time.Millisecond, nil
 	}
-	return &token{reservation: grant.RestoredReservation(1, reply.Epoch), home: home, customer: customer}, 0, nil
+	return &token{reservation: grant.RestoredReservation(1, reply.Epoch), keeper: keeper, customer: customer}, 0, nil
 }
 
-func (r *rates) call(ctx context.Context, home *apipb.Vm, request *apipb.TakeRequest) (*apipb.TakeReply, error) {
-	client, err := r.follower.Peers().Get(home.RpcAddress)
+func (r *rates) call(ctx context.Context, keeper *apipb.Vm, request *apipb.TakeRequest) (*apipb.TakeReply, error) {
+	client, err := r.follower.Peers().Get(keeper.RpcAddress)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -160,22 +162,23 @@
 	}
 	go func() {
 		// A lost refund costs the customer one request of its burst.
-		_, _ = r.call(context.Background(), t.home, &apipb.TakeRequest{
+		_, _ = r.call(context.Background(), t.keeper, &apipb.TakeRequest{
 			Customer: t.customer, Refund: true, Epoch: t.reservation.Epoch(),
 		})
 	}()
 }
 
-func (r *rates) isResting(vm string) bool {
+func (r *rates) isUnreachable(vm string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return time.Now().Before(r.resting[vm])
+	return time.Now().Before(r.unreachable[vm])
 }
 
-func (r *rates) rest(vm string) {
+func (r *rates) markUnreachable(vm string, err error) {
+	r.log.WithError(err).WithField("keeper", vm).Warn("no token from the VM that keeps a customer's rate; another one is asked")
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.resting[vm] = time.Now().Add(homeRest)
+	r.unreachable[vm] = time.Now().Add(keeperRetry)
 }
 
 // rateService gives tokens to the other VMs of the region.
--- a/gateway/rates_test.go
+++ b/gateway/rates_test.go
@@ -30,14 +30,14 @@
 	moved := 0
 	for i := range 200 {
 		customer := fmt.Sprint("customer", i)
-		homes := homesOf(customer, vms)
-		is.Equal(homes[0].Name, homesOf(customer, reversed)[0].Name)
-		is.True(homes[0].Name != homes[1].Name)
-		kept[homes[0].Name]++
-		without := homesOf(customer, vms[1:])
-		if homes[0].Name == vms[0].Name {
-			is.Equal(without[0].Name, homes[1].Name) // the next one takes over
-		} else if without[0].Name != homes[0].Name {
+		keepers := keepersOf(customer, vms)
+		is.Equal(keepers[0].Name, keepersOf(customer, reversed)[0].Name)
+		is.True(keepers[0].Name != keepers[1].Name)
+		kept[keepers[0].Name]++
+		without := keepersOf(customer, vms[1:])
+		if keepers[0].Name == vms[0].Name {
+			is.Equal(without[0].Name, keepers[1].Name) // the next one takes over
+		} else if without[0].Name != keepers[0].Name {
 			moved++
 		}
 	}
@@ -45,5 +45,5 @@
 	for _, n := range kept {
 		is.True(n < 30) // 10 on average
 	}
-	is.Equal(len(homesOf("c", nil)), 0)
+	is.Equal(len(keepersOf("c", nil)), 0)
 }
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -24,7 +24,6 @@
 	ReasonRetryBudget  Reason = "retry_budget"
 	ReasonTimeout      Reason = "timeout"
 	ReasonUpstreamLost Reason = "upstream_lost"
-	ReasonBadRequest   Reason = "bad_request"
 	ReasonCallerGone   Reason = "caller_gone"
 )
 
@@ -33,6 +32,9 @@
 const (
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 400 * time.Millisecond
+	// maxRateRetryAfter bounds it for a customer above its rate: a longer time would
+	// exceed the third of a deadline of 3 s that callers are ready to wait.
+	maxRateRetryAfter = time.Second
 )
 
 // notRun answers a request that did not run and never will.
--- a/gateway/request_log.go
+++ b/gateway/request_log.go
@@ -84,12 +84,12 @@
 }
 
 // refused logs a request that was refused before it had a route or a customer.
-func (l *requestLog) refused(id string, request *ingress.Request, status int, reason Reason, viewAge time.Duration) {
+func (l *requestLog) refused(id string, request *ingress.Request, status int, reason Reason, viewAge float64) {
 	if !l.admit(false) {
 		return
 	}
 	l.log.WithFields(logrus.Fields{
 		"request": id, "host": request.Host, "path": request.Path, "status": status, "reason": reason,
-		"view_age_ms": viewAge.Milliseconds(),
+		"view_age_s": viewAge,
 	}).Info("request refused")
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
@@ -57,7 +58,7 @@
 	taken, delay := g.rates.take(ctx, a.customer.Name)
 	if taken == nil {
 		a.reason = ReasonOverRate
-		return notRun(http.StatusTooManyRequests, ReasonOverRate, min(max(delay, minRetryAfter), time.Second))
+		return notRun(http.StatusTooManyRequests, ReasonOverRate, min(max(delay, minRetryAfter), maxRateRetryAfter))
 	}
 	response := a.run(ctx)
 	if a.sends == 0 {
@@ -85,17 +86,26 @@
 // refusedEarly notes a request that was refused before it had a route or a customer.
 func (g *Gateway) refusedEarly(request *ingress.Request, status int, reason Reason) {
 	g.observer.ended("", status, reason, time.Since(request.Received), 0)
-	age, _ := g.follower.View().Age(g.cfg.Clock.Now())
-	g.requests.refused(request.Header.Get(g.cfg.Names.RequestID), request, status, reason, age)
+	g.requests.refused(request.Header.Get(g.cfg.Names.RequestID), request, status, reason, g.viewAge())
 }
 
 // deadline is when the caller stops waiting or the route's timeout ends.
 func (g *Gateway) deadline(request *ingress.Request, route *plan.Route) time.Time {
-	left := route.Timeout
-	if ms, err := strconv.ParseFloat(request.Header.Get(g.cfg.Names.Deadline), 64); err == nil && ms >= 0 {
-		left = min(left, time.Duration(ms*float64(time.Millisecond)))
+	text := request.Header.Get(g.cfg.Names.Deadline)
+	if text == "" {
+		return request.Received.Add(route.Timeout)
+	}
+	ms, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(ms >= 0) {
+		// The route's timeout bounds the request, so a wrong header is no reason to refuse it.
+		if g.requests.admit(false) {
+			g.cfg.Log.WithFields(logrus.Fields{
+				"request": request.Header.Get(g.cfg.Names.RequestID), "value": text,
+			}).Warn("deadline of a request not readable: the timeout of its route counts")
+		}
+		return request.Received.Add(route.Timeout)
 	}
-	return request.Received.Add(left)
+	return request.Received.Add(min(route.Timeout, time.Duration(ms*float64(time.Millisecond))))
 }
 
 func (g *Gateway) query(request *ingress.Request, route *plan.Route, customer *plan.Customer) placement.Query {
--- a/gateway/timing.go
+++ b/gateway/timing.go
@@ -11,7 +11,8 @@
 	listPatience = 3 * time.Second
 	// listTimeout bounds reading the list.
 	listTimeout = 2 * time.Second
-	// listShare is the part of the allowed rate that is used.
+	// listShare is the part of the allowed rate that is used; the leader's readings and
+	// VMs that count others too few need the rest.
 	listShare = 0.5
 	// housekeepingInterval is how often probes and idle connections are looked after.
 	housekeepingInterval = 250 * time.Millisecond
@@ -21,14 +22,17 @@
 	// room. One that cannot be placed by then would be late, so its caller is told
 	// while it still has the time to come back.
 	holdShare = 1.0 / 8
-	// minHold is the shortest wait for room.
+	// minHold is the shortest wait for room: a slot that is freed in the region takes a few
+	// milliseconds to be seen.
 	minHold = 20 * time.Millisecond
-	// minLeft is the least time that must be left to offer a request to an upstream.
+	// minLeft is the least time that must be left to offer a request to an upstream; no
+	// request is answered in less.
 	minLeft = 20 * time.Millisecond
-	// maxDials bounds how many upstreams are tried that cannot be reached.
+	// maxDials bounds how many upstreams are tried that cannot be reached. Each may take
+	// 0.6 s, see egress.dialTimeout.
 	maxDials = 4
-	// acceptTime is how long a stopping VM takes connections: until callers that had
-	// its address from the directory have asked again.
+	// acceptTime is how long a stopping VM takes connections: DirectoryTTL, and half a
+	// second for the others to hear that it leaves.
 	acceptTime = 2500 * time.Millisecond
 	// stopMargin is left of the time of a planned stop for handing back grants.
 	stopMargin = 500 * time.Millisecond
--- a/gateway/usual.go
+++ b/gateway/usual.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// leastUsual keeps the ratio of an answer to the usual time finite, in seconds.
+const leastUsual = 0.001
+
 // usualWeight is the weight of one answer in the moving average.
 const usualWeight = 0.05
 
@@ -26,5 +29,5 @@
 		return 1
 	}
 	u.times[route] = before + usualWeight*(took.Seconds()-before)
-	return took.Seconds() / max(before, 0.001)
+	return took.Seconds() / max(before, leastUsual)
 }
