Do not reject requests for the expected wait after a short stall

Cause: the fair queue of an entry VM multiplied the time since the last slot by the number of requests ahead. When no slot came free for 450 ms, each request behind the fourth was refused with 504 deadline (2 s), though all of them would have had a slot 0.3 s later. The first sample counted in full, so one stall at the start also rejected.

The average now leaves out the longest of the last 16 times between slots, and a stall counts once: it is expected to last as long again.

A stall as long as the deadline still rejects at once (TestLongStallRejectsAtOnce).

Ruled out: the smoothing factor alone, since a stall under way was not smoothed at all.

--- a/fairqueue/pace.go
+++ b/fairqueue/pace.go
@@ -6,14 +6,16 @@
 	"pistachiomount.example/pistachiomount/clock"
 )
 
-// paceGain weighs one sample in the average time between slots.
-const paceGain = 1.0 / 16
+// paceWindow is the number of times between slots that are averaged: at the sizes
+// of the design, two to three rounds of the slots that one VM holds of a service.
+const paceWindow = 16
 
 // pace measures the time between slots handed out while requests wait.
 type pace struct {
-	interval time.Duration // average, 0 before the first sample
-	last     clock.Instant // last slot, or begin of the backlog
-	backlog  bool
+	samples [paceWindow]time.Duration
+	count   int           // samples taken
+	last    clock.Instant // last slot, or begin of the backlog
+	backlog bool
 }
 
 // begin notes that requests wait from now on.
@@ -25,20 +27,34 @@
 
 // served notes a slot handed out to a waiting request.
 func (p *pace) served(now clock.Instant, waiting int) {
-	sample := now.ElapsedSince(p.last)
-	if p.interval == 0 {
-		p.interval = sample
-	}
-	p.interval += time.Duration(float64(sample-p.interval) * paceGain)
+	p.samples[p.count%paceWindow] = now.ElapsedSince(p.last)
+	p.count++
 	p.last, p.backlog = now, waiting > 0
 }
 
-// wait estimates the time until a request behind ahead others has a slot. While
-// no slot comes, the time since the last one is a lower bound of the interval.
+// interval is the average of the samples without the longest. A single stall, for
+// example while slots move to this VM or the process is paused, would otherwise
+// count once for each request that waits.
+func (p *pace) interval() time.Duration {
+	taken := p.samples[:min(p.count, paceWindow)]
+	if len(taken) < 2 {
+		return 0
+	}
+	var sum, longest time.Duration
+	for _, sample := range taken {
+		sum += sample
+		longest = max(longest, sample)
+	}
+	return (sum - longest) / time.Duration(len(taken)-1)
+}
+
+// wait estimates the time until a request behind ahead others has a slot. A stall
+// is expected to last as long again as it has lasted.
 func (p *pace) wait(now clock.Instant, ahead int) time.Duration {
-	interval := p.interval
+	interval := p.interval()
+	next := interval
 	if p.backlog {
-		interval = max(interval, now.ElapsedSince(p.last))
+		next = max(interval, now.ElapsedSince(p.last))
 	}
-	return interval * time.Duration(ahead+1)
+	return interval*time.Duration(ahead) + next
 }
--- /dev/null
+++ b/fairqueue/stall_test.go
@@ -0,0 +1,99 @@
+package fairqueue
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"pistachiomount.example/pistachiomount/clock"
+)
+
+// station replays requests of one customer against slots with a fixed service
+// time. Slots are withheld during a stall, as when grants move between VMs.
+type station struct {
+	clock    clock.Manual
+	queue    *Queue[int]
+	free     int
+	withheld bool
+	ends     []clock.Instant // of the requests in service, in order
+	rejected int
+}
+
+const (
+	stationStep     = time.Millisecond
+	stationService  = 20 * time.Millisecond
+	stationDeadline = 2 * time.Second
+)
+
+func newStation(slots int) *station {
+	s := &station{free: slots}
+	s.queue = New(0, &s.clock, func() (int, bool) {
+		if s.withheld || s.free == 0 {
+			return 0, false
+		}
+		s.free--
+		s.ends = append(s.ends, s.clock.Now().Add(stationService))
+		return 0, true
+	})
+	return s
+}
+
+// run lets a request arrive each interval.
+func (s *station) run(d, interval time.Duration) {
+	for at := time.Duration(0); at < d; at += stationStep {
+		if at%interval == 0 {
+			s.arrive()
+		}
+		s.clock.Advance(stationStep)
+		now := s.clock.Now()
+		s.ends = slices.DeleteFunc(s.ends, func(end clock.Instant) bool {
+			over := !now.Before(end)
+			if over {
+				s.free++
+			}
+			return over
+		})
+		s.queue.Wake()
+	}
+}
+
+func (s *station) arrive() {
+	r := Request{Customer: "a", Deadline: s.clock.Now().Add(stationDeadline)}
+	if _, ok := s.queue.TryAcquire(r); ok {
+		return
+	}
+	if _, err := s.queue.Enqueue(r); err != nil {
+		s.rejected++
+	}
+}
+
+// Guards against requests rejected for a wait that they would not have had: all
+// slots are withheld for less than a quarter of the deadline, and what arrived
+// meanwhile is served within 0.3 s afterwards.
+func TestShortStallRejectsNothing(t *testing.T) {
+	for _, before := range []time.Duration{0, time.Second} {
+		s := newStation(3)
+		s.run(before, 14*time.Millisecond)
+		s.withheld = true
+		s.run(450*time.Millisecond, 14*time.Millisecond)
+		s.withheld = false
+		s.run(2*time.Second, 14*time.Millisecond)
+		if s.rejected > 0 {
+			t.Errorf("%d requests rejected by a stall %v after the start", s.rejected, before)
+		}
+	}
+}
+
+// Guards against requests that wait for a service that has stopped handing out
+// slots, until their deadline passes.
+func TestLongStallRejectsAtOnce(t *testing.T) {
+	s := newStation(3)
+	s.run(time.Second, 14*time.Millisecond)
+	s.withheld = true
+	s.run(stationDeadline, 100*time.Millisecond)
+	before := s.rejected
+	s.arrive()
+	if s.rejected != before+1 {
+		t.Errorf("a request waits %v after the last slot, with a deadline of %v", stationDeadline, stationDeadline)
+	}
+}
