End a region's drain in the status when its share in force is zero

Cause: the status showed the drained region's part of the measured request rates. Once callers stop, all rates fall together and the part stays as it is, so that the drain never ends at an idle VM.

Ruled out: a ramp that stands still without traffic. The shares in force reach zero in TestDrainEndsWithoutTraffic, while the status said 0.51.

--- a/steering/drain.go
+++ b/steering/drain.go
@@ -9,6 +9,7 @@
 	Region   string
 	Upstream string
 	// ShareBefore and ShareNow are fractions of the service's requests from this VM.
+	// ShareNow of a region is at most the largest share that any request has there.
 	ShareBefore float64
 	ShareNow    float64
 	InFlight    int
@@ -33,7 +34,7 @@
 		total := svc.rate()
 		for i := range svc.pools {
 			if p := svc.pools[i].Load(); p != nil {
-				out = p.appendDrains(out, total)
+				out = p.appendDrains(out, total, t.largestShare(svc, i))
 			}
 		}
 	}
@@ -60,7 +61,9 @@
 	return rate / total
 }
 
-func (p *Pool) appendDrains(out []DrainStatus, total float64) []DrainStatus {
+// appendDrains adds what leaves the pool. The region's measured share lags and stays
+// as it is once nothing is sent, so the share in force, largest, bounds it.
+func (p *Pool) appendDrains(out []DrainStatus, total, largest float64) []DrainStatus {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	inFlight := 0
@@ -77,7 +80,7 @@
 	if p.draining {
 		out = append(out, DrainStatus{
 			Service: p.service.name, Region: p.name,
-			ShareBefore: p.shareBefore, ShareNow: part(p.rate, total), InFlight: inFlight,
+			ShareBefore: p.shareBefore, ShareNow: min(part(p.rate, total), largest), InFlight: inFlight,
 		})
 	}
 	return out
--- a/steering/region_test.go
+++ b/steering/region_test.go
@@ -117,6 +117,24 @@
 	return out
 }
 
+// Guards against a drain that seems to stop when the callers do: the measured rates
+// of all regions then fall together, so that the share of the drained one stays.
+func TestDrainEndsWithoutTraffic(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 2, 50, 30, 20)
+	for range 100 {
+		r.serve(t, 20, succeed)
+		r.advance(simStep)
+	}
+	is.NoErr(r.s.SetConfig(steering.Config{
+		Regions: simRegions, DrainedRegions: []string{"a"},
+		Rules: []steering.Rule{{Service: "records", Weights: weights(50, 30, 20)}},
+	}))
+	r.advance(30 * time.Second)
+	is.Equal(share(r.s, steering.Request{Service: "records"}, "a"), 0.0)
+	is.Equal(r.s.Drains()[0].ShareNow, 0.0)
+}
+
 // Guards against a drained region that keeps traffic, a wrong distribution of its
 // share, and against progress that does not show what is still sent.
 func TestDrainRegion(t *testing.T) {
--- a/steering/tables.go
+++ b/steering/tables.go
@@ -19,6 +19,15 @@
 	return t
 }
 
+// largestShare returns the largest share that a request of the service has in a region.
+func (t *tables) largestShare(svc *service, region int) float64 {
+	largest := float32(0)
+	for _, l := range t.byService[svc] {
+		largest = max(largest, l.shares.Load().effective[region])
+	}
+	return float64(largest)
+}
+
 // resolve returns the most specific leaf for a request.
 func (t *tables) resolve(service, customer, from string) *leaf {
 	if l := t.leaves[leafKey{service, customer, from}]; l != nil {
