Keep objects in the failure domain where it has memory for them

Cause: each object had two upstreams in its region, whatever the failure domain of the entry VM.

A failure domain in which no upstream would keep more than 16 objects now keeps all by itself; the other domains' upstreams are the substitutes. The number of objects is estimated from the share of repeats: a VM that handles 17 of 1,300 requests a second has seen only half of the objects after 10 s. 256 are assumed until there were 16 repeats, and a domain changes over only if the estimate crosses the bound by 1.3.

--- a/gateway/placement/capacity.go
+++ b/gateway/placement/capacity.go
@@ -14,6 +14,12 @@
 // watchCapacity lifts the pace when a region has lost a good part of its slots:
 // staying within the pace would leave requests without an upstream then.
 func (t *Table) watchCapacity(now time.Time) {
+	t.keepers = map[string]int{}
+	for _, u := range t.order {
+		if t.keeps(u) {
+			t.keepers[u.FailureDomain]++
+		}
+	}
 	slots := t.slots()
 	if t.capacity == nil {
 		t.capacity = map[string]float64{}
--- /dev/null
+++ b/gateway/placement/domains_test.go
@@ -0,0 +1,76 @@
+package placement
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// domainsAsked returns how many of the requests of a VM in domain r-a go to another
+// failure domain of its region, once the table knows the objects.
+func domainsAsked(upstreams, objects int) (beside, n int) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	table := NewTable(Place{Region: "r", FailureDomain: "r-a", VM: "a"}, NewPace(start, "r"))
+	table.SetUpstreams(start, append(upstreamsOf("r", "r-a", upstreams, 6), upstreamsOf("r", "r-b", upstreams, 6)...), true)
+	for i := range 2000 {
+		object := ObjectHash(fmt.Sprint(rng.IntN(objects)))
+		u, _ := table.Pick(start, &Query{Object: object, Urgency: 2})
+		table.Done(start, u.ID, Outcome{Reported: true, Running: 1})
+		if i < 1000 {
+			continue
+		}
+		n++
+		if u.FailureDomain != "r-a" {
+			beside++
+		}
+	}
+	return beside, n
+}
+
+// Guards against bytes between failure domains where one of them has memory for all
+// objects.
+func TestDomainWithMemoryKeepsAllObjects(t *testing.T) {
+	beside, _ := domainsAsked(24, 240)
+	is.New(t).Equal(beside, 0)
+}
+
+// Guards against upstreams that are cold for most requests because a failure domain
+// keeps more objects than it has memory for.
+func TestDomainWithoutMemorySharesObjects(t *testing.T) {
+	beside, n := domainsAsked(6, 240)
+	is.New(t).True(beside > n*4/10 && beside < n*6/10)
+}
+
+// Guards against a wrong number of objects at a VM that sees only a part of them.
+func TestObjectsAreEstimatedFromRepeats(t *testing.T) {
+	for _, total := range []int{60, 240, 400} {
+		rng := rand.New(rand.NewPCG(2, uint64(total)))
+		var o objects
+		is.New(t).Equal(o.count(), float64(assumedObjects))
+		for range 240 {
+			o.note(start, ObjectHash(fmt.Sprint(rng.IntN(total))))
+		}
+		if got := o.count(); math.Abs(got-float64(total)) > 0.25*float64(total) {
+			t.Errorf("%d objects estimated as %.0f from 240 requests", total, got)
+		}
+	}
+}
+
+// Guards against a failure domain that changes over, and is cold for all its objects
+// then, at each small change of the estimate.
+func TestDomainChangesOverOnlyIfObjectsClearlyDo(t *testing.T) {
+	is := is.New(t)
+	table := NewTable(Place{Region: "r", FailureDomain: "r-a", VM: "a"}, NewPace(start, "r"))
+	table.SetUpstreams(start, upstreamsOf("r", "r-a", 20, 6), true)
+	is.True(table.domainKeeps("r-a"))
+	for _, step := range []struct {
+		objects float64
+		keeps   bool
+	}{{300, true}, {340, true}, {410, true}, {430, false}, {340, false}, {260, false}, {240, true}} {
+		table.objects.estimate = step.objects
+		is.Equal(table.domainKeeps("r-a"), step.keeps)
+	}
+}
--- a/gateway/placement/objects.go
+++ b/gateway/placement/objects.go
@@ -1,32 +1,81 @@
 package placement
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// objectsKept is for how many objects an upstream stays warm. In a trial log
 	// requests were fast up to about the 32nd other object since the last one; 25
 	// leaves room for requests that come from other regions.
 	objectsKept = 25
+	// domainKept is for how many objects an upstream stays warm even if it handles
+	// half as many requests between two on the same object. Failure domains in which
+	// each upstream would keep more share objects with the rest of the region: at 25,
+	// those of Dakar on the grown site were cold for most requests.
+	domainKept = 16
+	// domainBand is the factor by which the estimate must cross domainKept before a
+	// failure domain changes over, since all its objects are cold then.
+	domainBand = 1.3
 	// maxCopies bounds the upstreams of a region that keep one object.
 	maxCopies = 2
 	// objectSpan is how long an object counts after a request on it.
 	objectSpan = 10 * time.Second
+	// estimateEvery is after how many requests the number of objects is estimated anew.
+	estimateEvery = 16
+	// estimateFrom is the number of repeated requests from which the estimate counts:
+	// its error is about a quarter then, and falls with the root of their number.
+	estimateFrom = 16
+	// assumedObjects is taken until then. Too few would let a VM that starts spread each
+	// object over more upstreams than stay warm for it.
+	assumedObjects = 256
 )
 
-// objects counts the different objects that were asked for lately.
+// objects estimates how many different objects are asked for lately, over all VMs.
+// One VM sees only a part of them: the rarer repeats are among its requests, the
+// more objects there are.
 type objects struct {
-	current, before map[uint64]struct{}
-	since           time.Time
+	seen     map[uint64]struct{}
+	requests int
+	since    time.Time
+	// before is the estimate of the span before, estimate the one in force.
+	before, estimate float64
 }
 
-// note counts an object.
+// note counts a request on an object.
 func (o *objects) note(now time.Time, object uint64) {
-	if o.current == nil || now.Sub(o.since) >= objectSpan {
-		o.before, o.current, o.since = o.current, map[uint64]struct{}{}, now
+	if o.seen == nil || now.Sub(o.since) >= objectSpan {
+		o.before = o.estimate
+		o.seen, o.requests, o.since = map[uint64]struct{}{}, 0, now
+	}
+	o.seen[object] = struct{}{}
+	o.requests++
+	if o.requests-len(o.seen) >= estimateFrom && o.requests%estimateEvery == 0 {
+		o.estimate = max(o.before, estimateObjects(o.requests, len(o.seen)))
 	}
-	o.current[object] = struct{}{}
 }
 
-// count returns the number of objects in the present or in the last span,
-// whichever has more.
-func (o *objects) count() int { return max(len(o.current), len(o.before)) }
+// count returns the estimate.
+func (o *objects) count() float64 {
+	if o.estimate == 0 {
+		return assumedObjects
+	}
+	return o.estimate
+}
+
+// estimateObjects returns of how many objects that are asked for equally often the
+// given number is seen in so many requests.
+func estimateObjects(requests, seen int) float64 {
+	n, d := float64(requests), float64(seen)
+	low, high := d, d*n // one repeat more than none is expected at about n*n/2 objects
+	for range 40 {
+		middle := (low + high) / 2
+		if middle*(1-math.Exp(-n/middle)) < d {
+			low = middle
+		} else {
+			high = middle
+		}
+	}
+	return high
+}
--- a/gateway/placement/order.go
+++ b/gateway/placement/order.go
@@ -26,10 +26,11 @@
 // several times as fast, so each object keeps to few upstreams: going far to a warm
 // one takes less of the slots than going near to a cold one.
 const (
-	tierKept  = iota // keeps the object, in this region
-	tierAway         // keeps it in another region
-	tierNear         // does not keep it, in this region
-	tierOther        // does not keep it, in another region
+	tierKept   = iota // keeps the object, in this region
+	tierBeside        // keeps it for another failure domain of this region
+	tierAway          // keeps it in another region
+	tierNear          // does not keep it, in this region
+	tierOther         // does not keep it, in another region
 )
 
 // tierRoom is the share of an upstream's slots that may be in use when a request
@@ -37,7 +38,7 @@
 // an upstream does not keep takes several times as long and displaces other
 // objects; if it did so under full load, all upstreams would end up cold for most
 // of their requests and the load would stay too high.
-var tierRoom = [...]float64{tierKept: 1, tierAway: 1, tierNear: 0.2, tierOther: 0.1}
+var tierRoom = [...]float64{tierKept: 1, tierBeside: 1, tierAway: 1, tierNear: 0.2, tierOther: 0.1}
 
 // tiersOf returns the upstreams that keep the object of a request with their
 // tiers, or nil for a request without one.
@@ -68,15 +69,51 @@
 	}
 	slices.SortFunc(near, byScore)
 	slices.SortFunc(away, byScore)
-	for _, u := range near[:min(t.copies(len(near)), len(near))] {
-		tiers[u] = tierKept
-	}
+	t.keepNear(near, tiers)
 	for _, u := range away[:min(1, len(away))] {
 		tiers[u] = tierAway
 	}
 	return tiers
 }
 
+// keepNear sets the tiers of the upstreams of this region, best first. Where the
+// failure domain of this VM has memory for all objects, it keeps them itself, so that
+// few bytes pass between failure domains; else the region keeps them together.
+func (t *Table) keepNear(near []*upstream, tiers map[*upstream]int) {
+	if !t.domainKeeps(t.self.FailureDomain) {
+		for _, u := range near[:min(t.copies(len(near)), len(near))] {
+			tiers[u] = tierKept
+		}
+		return
+	}
+	seen := map[string]bool{}
+	for _, u := range near {
+		if seen[u.FailureDomain] || !t.domainKeeps(u.FailureDomain) {
+			continue
+		}
+		seen[u.FailureDomain] = true
+		tiers[u] = tierBeside
+		if u.FailureDomain == t.self.FailureDomain {
+			tiers[u] = tierKept
+		}
+	}
+}
+
+// domainKeeps reports whether the upstreams of a failure domain have memory for all
+// objects, by themselves. It changes only when the estimate of objects does clearly.
+func (t *Table) domainKeeps(domain string) bool {
+	memory, count := float64(t.keepers[domain]*domainKept), t.objects.count()
+	apart, known := t.apart[domain]
+	switch {
+	case known && apart:
+		count /= domainBand
+	case known:
+		count *= domainBand
+	}
+	t.apart[domain] = memory >= count
+	return t.apart[domain]
+}
+
 // keeps reports whether an upstream counts for where objects are kept. Short
 // troubles do not move objects.
 func (t *Table) keeps(u *upstream) bool {
@@ -86,8 +123,7 @@
 // copies returns how many upstreams of the region keep one object: as many as they
 // have memory for, so that one that is full has a substitute that is warm.
 func (t *Table) copies(upstreams int) int {
-	objects := max(t.objects.count(), 1)
-	return min(max(upstreams*objectsKept/objects, 1), maxCopies)
+	return min(max(int(float64(upstreams*objectsKept)/t.objects.count()), 1), maxCopies)
 }
 
 func (t *Table) orderOf(now time.Time, u *upstream, q *Query, tiers map[*upstream]int) order {
--- a/gateway/placement/table.go
+++ b/gateway/placement/table.go
@@ -26,6 +26,10 @@
 	warmupRate float64
 	pace       *Pace
 	objects    objects
+	// keepers is the number of upstreams that keep objects, by failure domain.
+	keepers map[string]int
+	// apart says which failure domains keep all objects by themselves.
+	apart map[string]bool
 	// capacity is the number of slots by region before the last outage.
 	capacity map[string]float64
 	// vms are the entry VMs of the fleet, in order of their names.
@@ -36,7 +40,7 @@
 
 // NewTable returns a table without upstreams. The pace is shared by the tables of a VM.
 func NewTable(self Place, pace *Pace) *Table {
-	return &Table{self: self, byID: map[string]*upstream{}, pace: pace}
+	return &Table{self: self, byID: map[string]*upstream{}, pace: pace, apart: map[string]bool{}}
 }
 
 // SetWarmup sets for how long upstreams are cold and what they take then.
