Let shares of rates follow the states of entry VMs

Cause: an entry VM looked at who keeps a customer's rate only when the list of VMs changed. After a start of all VMs, each one learned of the others while they were still starting, found too few that serve, asked for a share of every rate, and kept it: their states changed without a change of the list. At 83 VMs the keeper of a rate had an 83rd of it, with a burst of two to five requests, and up to 1,500 of 2,000 requests a second were refused within the rate at the start of traffic.

Shares are now looked at with the other housekeeping, VMs that are starting count where too few serve, and a VM that starts asks early for what it will keep.

Ruled out: the wait of a new leader for the holders of earlier terms; it ended 0.7 s after the election, with all 83 heard.

--- a/gateway/keep.go
+++ b/gateway/keep.go
@@ -75,7 +75,8 @@
 	g.serveWhenReady()
 }
 
-// maintain probes ejected upstreams and closes idle connections.
+// maintain probes ejected upstreams, closes idle connections and keeps the shares of
+// rates at the VMs that hand them out.
 func (g *Gateway) maintain(ctx context.Context) {
 	reported := time.Now()
 	for ctx.Err() == nil {
@@ -89,13 +90,10 @@
 		g.serveWhenReady()
 		if vms, _ := g.fleetNames(); !slices.Equal(vms, g.vms) {
 			g.handOver(func(string) bool { return false })
-			if view := g.follower.View(); view.Index != nil {
-				g.rates.keepShares(view.Index.Plan.Customers)
-			}
 		}
 		g.mu.Unlock()
-		view := g.follower.View()
-		if view.Index != nil {
+		if view := g.follower.View(); view.Index != nil {
+			g.rates.keepShares(view.Index.Plan.Customers)
 			g.probeEjected(ctx, view)
 		}
 	}
--- a/gateway/rates.go
+++ b/gateway/rates.go
@@ -52,7 +52,7 @@
 
 // take takes a token. Without one it returns when one is likely to be there.
 func (r *rates) take(ctx context.Context, customer string) (*token, time.Duration) {
-	for _, keeper := range keepersOf(customer, r.pool()) {
+	for _, keeper := range keepersOf(customer, poolOf(r.region, r.follower.Fleet())) {
 		if keeper.Name == r.self {
 			break
 		}
@@ -75,15 +75,17 @@
 
 // keepShares asks for shares of the rates that this VM keeps, before the first request
 // comes, and hands back those of others: a share left at a VM that does not keep the
-// rate is of no use to anyone.
+// rate is of no use to anyone. It is called again and again, since who keeps a rate
+// changes with the states of VMs, and requests that found no keeper leave shares behind.
 func (r *rates) keepShares(customers []plan.Customer) {
-	if len(r.follower.Fleet()) == 0 {
+	fleet := r.follower.Fleet()
+	if len(fleet) == 0 {
 		return // which VM keeps what is not known yet
 	}
 	for _, c := range customers {
 		switch {
 		case c.Rate <= 0:
-		case r.keeps(c.Name):
+		case keeps(r.self, c.Name, r.region, fleet):
 			r.follower.Holder().Bucket(grant.CustomerID(c.Name))
 		default:
 			r.follower.Holder().Forget(grant.CustomerID(c.Name))
@@ -91,23 +93,42 @@
 	}
 }
 
-// keeps reports whether this VM keeps the customer's rate for its region.
-func (r *rates) keeps(customer string) bool {
-	keepers := keepersOf(customer, r.pool())
-	return len(keepers) == 0 || keepers[0].Name == r.self
+// keeps reports whether a VM asks for a share of the customer's rate: if it keeps the
+// rate, or will do so once the VMs that are starting serve.
+func keeps(self, customer, region string, fleet []*apipb.Vm) bool {
+	for _, vms := range [][]*apipb.Vm{poolOf(region, fleet), running(region, fleet)} {
+		if keepers := keepersOf(customer, vms); len(vms) < pooledVMs || keepers[0].Name == self {
+			return true
+		}
+	}
+	return false
+}
+
+// poolOf returns the VMs of a region that share rates, nil if there are too few. Those
+// that are starting count only where too few serve, as after a start of all.
+func poolOf(region string, fleet []*apipb.Vm) []*apipb.Vm {
+	vms := running(region, fleet)
+	serving := slices.DeleteFunc(slices.Clone(vms), func(vm *apipb.Vm) bool {
+		return vm.State != apipb.VmState_VM_STATE_SERVING
+	})
+	switch {
+	case len(serving) >= pooledVMs:
+		return serving
+	case len(vms) >= pooledVMs:
+		return vms
+	}
+	return nil
 }
 
-// pool returns the VMs of the region that share rates, nil if there are too few.
-func (r *rates) pool() []*apipb.Vm {
+// running returns the VMs of a region that serve or will do so.
+func running(region string, fleet []*apipb.Vm) []*apipb.Vm {
 	var vms []*apipb.Vm
-	for _, vm := range r.follower.Fleet() {
-		if vm.Region == r.region && vm.RpcAddress != "" && vm.State == apipb.VmState_VM_STATE_SERVING {
+	for _, vm := range fleet {
+		starting := vm.State == apipb.VmState_VM_STATE_STARTING
+		if vm.Region == region && vm.RpcAddress != "" && (starting || vm.State == apipb.VmState_VM_STATE_SERVING) {
 			vms = append(vms, vm)
 		}
 	}
-	if len(vms) < pooledVMs {
-		return nil
-	}
 	return vms
 }
 
--- a/gateway/rates_test.go
+++ b/gateway/rates_test.go
@@ -47,3 +47,42 @@
 	}
 	is.Equal(len(keepersOf("c", nil)), 0)
 }
+
+func withState(vms []*apipb.Vm, state apipb.VmState) []*apipb.Vm {
+	for _, vm := range vms {
+		vm.Region, vm.RpcAddress, vm.State = "r", "a", state
+	}
+	return vms
+}
+
+// Guards against a start of all VMs after which each one holds a share of every rate:
+// they know each other before any of them serves.
+func TestOneVMKeepsARateAlsoWhileAllStart(t *testing.T) {
+	is := is.New(t)
+	vms := withState(regionOf(20), apipb.VmState_VM_STATE_STARTING)
+	for _, serving := range []int{0, 3, 10, 20} {
+		for _, vm := range vms[:serving] {
+			vm.State = apipb.VmState_VM_STATE_SERVING
+		}
+		for i := range 50 {
+			customer := fmt.Sprint("customer", i)
+			holders := 0
+			for _, vm := range vms {
+				if keeps(vm.Name, customer, "r", vms) {
+					holders++
+				}
+			}
+			is.True(holders >= 1 && holders <= 2) // the next keeper asks early
+			is.True(keeps(keepersOf(customer, poolOf("r", vms))[0].Name, customer, "r", vms))
+		}
+	}
+}
+
+// Guards against rates that are pooled in a region with few VMs, or by VMs that leave.
+func TestFewVMsKeepTheirOwnShares(t *testing.T) {
+	is := is.New(t)
+	few := withState(regionOf(pooledVMs-1), apipb.VmState_VM_STATE_SERVING)
+	is.Equal(len(poolOf("r", few)), 0)
+	is.True(keeps("vm0", "customer", "r", few))
+	is.Equal(len(poolOf("r", withState(regionOf(20), apipb.VmState_VM_STATE_LEAVING))), 0)
+}
