--- /dev/null
+++ b/e2e/fleet_test.go
@@ -0,0 +1,241 @@
+package e2e_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// Ports of the fleet. Each VM has a loopback address of its own.
+const (
+	fleetInternalPort  = 7510
+	fleetCallerPort    = 8010
+	fleetReadyPort     = 8011
+	fleetOperatorPort  = 8012
+	fleetDirectoryPort = 8013
+)
+
+var fleetZones = []string{"z1", "z2", "z3"}
+
+// fleet is the system as the platform runs it: gateways and control daemons that
+// learn three seeds from a settings file, a list of upstreams, and upstreams behind a
+// forwarder.
+type fleet struct {
+	t         *testing.T
+	dir       string
+	net       string // first three bytes of the VMs' addresses
+	gateways  []*process
+	controls  []*process
+	upstreams []*fleetUpstream
+	list      *httptest.Server
+}
+
+// fleetUpstream records what it runs.
+type fleetUpstream struct {
+	id, zone string
+	server   *httptest.Server
+	link     *forwarder
+
+	mu  sync.Mutex
+	ran map[string]int // by request id
+}
+
+func newFleet(t *testing.T, controls, gateways, upstreams int) *fleet {
+	t.Helper()
+	f := &fleet{t: t, dir: t.TempDir(), net: fmt.Sprintf("127.%d.%d", 1+rand.IntN(250), rand.IntN(250))}
+	for i := range upstreams {
+		f.addUpstream(i)
+	}
+	f.list = httptest.NewServer(http.HandlerFunc(f.serveList))
+	t.Cleanup(f.list.Close)
+	for i := range controls {
+		f.controls = append(f.controls, f.startVM("control", i))
+	}
+	for i := range gateways {
+		f.gateways = append(f.gateways, f.startVM("gateway", i))
+	}
+	return f
+}
+
+func (f *fleet) addUpstream(i int) {
+	u := &fleetUpstream{id: fmt.Sprintf("u-%d", i), zone: fleetZones[i%len(fleetZones)], ran: map[string]int{}}
+	u.server = httptest.NewServer(u)
+	f.t.Cleanup(u.server.Close)
+	u.link = newForwarder(f.t, u.server.Listener.Addr().String())
+	f.upstreams = append(f.upstreams, u)
+}
+
+// ServeHTTP runs a request and answers with its id.
+func (u *fleetUpstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("X-Request-Id")
+	if r.Header.Get("X-Expected-Instance") != u.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	_, _ = io.Copy(io.Discard, r.Body) // a cut body is a request that still ran
+	u.mu.Lock()
+	u.ran[id]++
+	u.mu.Unlock()
+	time.Sleep(time.Duration(2+rand.IntN(20)) * time.Millisecond)
+	w.Header().Set("X-Request-Id", id)
+	w.Header().Set("X-Response-Signature", "s-"+id)
+	w.Header().Set("X-Server-Load", "1,0,8")
+	_, _ = io.WriteString(w, "ran "+id)
+}
+
+func (f *fleet) serveList(w http.ResponseWriter, r *http.Request) {
+	var rows []string
+	for _, u := range f.upstreams {
+		if zone := r.URL.Query().Get("zone"); zone == "" || zone == u.zone {
+			rows = append(rows, fmt.Sprintf(`["%s","s","%s","%s",8,"ready"]`, u.id, u.link.address(), u.zone))
+		}
+	}
+	_, _ = fmt.Fprintf(w, `{"instances":{"columns":["id","service","address","zone","slots","state"],"rows":[%s]},"nextPageToken":null}`,
+		strings.Join(rows, ","))
+}
+
+// address returns where a VM is. Control VMs come first, so that the seeds are theirs.
+func (f *fleet) address(role string, i, port int) string {
+	return fmt.Sprintf("%s:%d", f.ip(role, i), port)
+}
+
+func (f *fleet) ip(role string, i int) string {
+	if role == "control" {
+		return fmt.Sprintf("%s.%d", f.net, 10+i)
+	}
+	return fmt.Sprintf("%s.%d", f.net, 50+i)
+}
+
+func (f *fleet) dataDir(control int) string {
+	return filepath.Join(f.dir, fmt.Sprintf("data-%d", control))
+}
+
+func (f *fleet) settingsPath(role string, i int) string {
+	return filepath.Join(f.dir, fmt.Sprintf("%s-%d.toml", role, i))
+}
+
+func (f *fleet) startVM(role string, i int) *process {
+	f.t.Helper()
+	f.writeSettings(role, i, true)
+	name := fmt.Sprintf("%s-%d", role, i)
+	return startWith(f.t, []string{"PISTACHIOMOUNT_BOOT=" + f.settingsPath(role, i)}, name, "pistachiomount", role)
+}
+
+// restart starts an ended VM again, as the platform does after the first start.
+func (f *fleet) restart(role string, i int) {
+	f.t.Helper()
+	f.writeSettings(role, i, false)
+	if role == "control" {
+		f.controls[i].launch()
+		return
+	}
+	f.gateways[i].launch()
+}
+
+func (f *fleet) writeSettings(role string, i int, first bool) {
+	f.t.Helper()
+	zone := fleetZones[i%len(fleetZones)]
+	listen := fmt.Sprintf("front = %q\nreadiness = %q\ndirectory = %q\n", f.address(role, i, fleetCallerPort),
+		f.address(role, i, fleetReadyPort), f.address(role, i, fleetDirectoryPort))
+	if role == "control" {
+		listen = fmt.Sprintf("control = %q\n", f.address(role, i, fleetOperatorPort))
+	}
+	seeds := []string{}
+	for c := range 3 {
+		seeds = append(seeds, fmt.Sprintf("%q", f.address("control", c, fleetOperatorPort)))
+	}
+	text := fmt.Sprintf(`nodeName = "%s-%d"
+ip = "%s"
+zone = "%s"
+region = "r-%s"
+internalPorts = [%d,%d]
+seeds = [%s]
+bootstrap = %t
+dataDir = "%s"
+[zones]
+z1 = "r-z1"
+z2 = "r-z2"
+z3 = "r-z3"
+[listen]
+%s[cloud]
+address = "%s"
+ratePerS = 50.0
+`, role, i, f.ip(role, i), zone, zone, fleetInternalPort, fleetInternalPort+15, strings.Join(seeds, ","), first,
+		f.dataDir(i), listen, f.list.Listener.Addr())
+	if err := os.WriteFile(f.settingsPath(role, i), []byte(text), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// put sends a configuration to the control VMs until one acknowledges it.
+func (f *fleet) put(version, base int) {
+	f.t.Helper()
+	config := fmt.Sprintf(`{"version":%d,"baseVersion":%d,"routes":[
+{"name":"look","host":"a.example","pathPrefix":"/look/","kind":"safe","timeout":"2s","targetLatency":"400ms","priority":1,"service":"s","maxAttempts":3,"cacheAffinity":true},
+{"name":"book","host":"a.example","pathPrefix":"/book/","kind":"unsafe","timeout":"2s","targetLatency":"400ms","priority":0,"service":"s","maxAttempts":3}],
+"services":[{"name":"s","healthPath":"/health","maxConnections":100,"warmup":"1s","warmupPerS":50}],
+"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1048576,"headerTimeout":"3s","idleTimeout":"15s"},
+"tenants":[{"name":"t","apiKeys":["soak-key"],"ratePerS":2000,"burst":2000}]}`, version, base)
+	eventually(f.t, fmt.Sprintf("version %d acknowledged", version), func() bool {
+		return slices.ContainsFunc(f.operators(), func(address string) bool {
+			response, err := http.Post("http://"+address+"/pistachiomount/Config.Put", "application/json", bytes.NewReader([]byte(config)))
+			if err != nil {
+				return false
+			}
+			defer func() { _ = response.Body.Close() }()
+			return response.StatusCode == http.StatusOK
+		})
+	})
+}
+
+// versionKept reports whether a control VM answers with at least that version, and
+// none with an older one.
+func (f *fleet) versionKept(version int) bool {
+	kept := false
+	for _, address := range f.operators() {
+		response, err := http.Get("http://" + address + "/pistachiomount/Config.Get")
+		if err != nil {
+			continue
+		}
+		body, err := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		if err != nil || response.StatusCode != http.StatusOK {
+			continue
+		}
+		if !strings.Contains(string(body), fmt.Sprintf(`"version":%d,`, version)) {
+			f.t.Errorf("%s answers with another version than %d: %.40s", address, version, body)
+		}
+		kept = true
+	}
+	return kept
+}
+
+func (f *fleet) operators() []string {
+	var addresses []string
+	for i, c := range f.controls {
+		if !c.ended() {
+			addresses = append(addresses, f.address("control", i, fleetOperatorPort))
+		}
+	}
+	return addresses
+}
+
+// ran returns how often a request was run.
+func (f *fleet) ran(id string) (n int) {
+	for _, u := range f.upstreams {
+		u.mu.Lock()
+		n += u.ran[id]
+		u.mu.Unlock()
+	}
+	return n
+}
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -45,6 +45,7 @@
 	t    *testing.T
 	name string
 	args []string
+	env  []string // added to that of the test
 	cmd  *exec.Cmd
 
 	mu        sync.Mutex
@@ -57,7 +58,13 @@
 // start runs a program until the end of the test.
 func start(t *testing.T, name, program string, args ...string) *process {
 	t.Helper()
-	p := &process{t: t, name: name, args: append([]string{program}, args...)}
+	return startWith(t, nil, name, program, args...)
+}
+
+// startWith does so with further environment variables.
+func startWith(t *testing.T, env []string, name, program string, args ...string) *process {
+	t.Helper()
+	p := &process{t: t, name: name, args: append([]string{program}, args...), env: env}
 	p.launch()
 	running.Store(p, true)
 	t.Cleanup(func() {
@@ -73,11 +80,12 @@
 func (p *process) launch() {
 	p.t.Helper()
 	p.cmd = exec.Command(filepath.Join(binaries, p.args[0]), p.args[1:]...)
-	p.cmd.Env = append(os.Environ(), "PM_INSECURE=true", "PM_LOG_LEVEL=info")
+	p.cmd.Env = append(append(os.Environ(), "PM_INSECURE=true", "PM_LOG_LEVEL=info"), p.env...)
 	stderr, err := p.cmd.StderrPipe()
 	if err != nil {
 		p.t.Fatal(err)
 	}
+	p.cmd.Stdout = p.cmd.Stderr // the platform's daemons log to standard output
 	if err := p.cmd.Start(); err != nil {
 		p.t.Fatal(err)
 	}
--- a/e2e/stops_test.go
+++ b/e2e/stops_test.go
@@ -1,7 +1,9 @@
 package e2e_test
 
 import (
+	"syscall"
 	"testing"
+	"time"
 
 	"pistachiomount.example/pistachiomount/caller"
 )
@@ -93,3 +95,23 @@
 		t.Errorf("%d of %d requests succeeded: %v", summary.OK, summary.Requests, summary.Rejections)
 	}
 }
+
+// Guards against requests that are refused for an expected wait which they would not
+// have had: all upstreams stand still for an eighth of the deadline.
+func TestShortPauseOfUpstreamsRefusesNothing(t *testing.T) {
+	t.Parallel()
+	in := newInstallation(t, 3, 3, "--service-time", "20ms")
+	in.awaitServing(in.accept(documentWith(t, 1)).Revision)
+	in.warmUp()
+	l := in.startLoad(map[string]float64{"catedral-primada": 150, "san-ignacio": 150}, nil)
+	in.awaitMore("/records", 300)
+	for _, u := range in.upstreams {
+		u.signal(syscall.SIGSTOP)
+	}
+	time.Sleep(250 * time.Millisecond) // below the 500 ms that a request waits for capacity
+	for _, u := range in.upstreams {
+		u.signal(syscall.SIGCONT)
+	}
+	in.awaitMore("/records", 300)
+	checkNothingLost(t, l.end())
+}
