Remember who keeps the rates for each list of entry VMs

The keepers of a customer are now found with one pass over the region's VMs and remembered until the list changes. The decisions are apart from the calls, in ratePool.

--- a/gateway/rates.go
+++ b/gateway/rates.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
@@ -17,11 +15,6 @@
 )
 
 const (
-	// pooledVMs is the number of VMs in a region from which they share the rates of
-	// customers through one of them. With fewer, each one's own share is large
-	// enough; with more, a share is a fraction of a request a second, and a request
-	// would find it used up though the customer is well within its rate.
-	pooledVMs = 6
 	// takeTimeout bounds taking a token at another VM of the region, which is a few
 	// milliseconds away. On a link of 2 Mbit/s a request body of 24 kB in front of the
 	// call takes 96 ms; with 60 ms up to 700 calls a second failed at 83 VMs.
@@ -40,6 +33,7 @@
 
 	mu          sync.Mutex
 	unreachable map[string]time.Time // VMs that did not answer
+	known       *ratePool
 }
 
 // token is one admitted request.
@@ -52,7 +46,7 @@
 
 // take takes a token. Without one it returns when one is likely to be there.
 func (r *rates) take(ctx context.Context, customer string) (*token, time.Duration) {
-	for _, keeper := range keepersOf(customer, poolOf(r.region, r.follower.Fleet())) {
+	for _, keeper := range r.pool().keepers(customer) {
 		if keeper.Name == r.self {
 			break
 		}
@@ -78,14 +72,14 @@
 // rate is of no use to anyone. It is called again and again, since who keeps a rate
 // changes with the states of VMs, and requests that found no keeper leave shares behind.
 func (r *rates) keepShares(customers []plan.Customer) {
-	fleet := r.follower.Fleet()
-	if len(fleet) == 0 {
+	pool := r.pool()
+	if pool.empty() {
 		return // which VM keeps what is not known yet
 	}
 	for _, c := range customers {
 		switch {
 		case c.Rate <= 0:
-		case keeps(r.self, c.Name, r.region, fleet):
+		case pool.asks(r.self, c.Name):
 			r.follower.Holder().Bucket(grant.CustomerID(c.Name))
 		default:
 			r.follower.Holder().Forget(grant.CustomerID(c.Name))
@@ -93,65 +87,15 @@
 	}
 }
 
-// keeps reports whether a VM asks for a share of the customer's rate: if it keeps the
-// rate, or will do so once the VMs that are starting serve.
-func keeps(self, customer, region string, fleet []*apipb.Vm) bool {
-	for _, vms := range [][]*apipb.Vm{poolOf(region, fleet), running(region, fleet)} {
-		if keepers := keepersOf(customer, vms); len(vms) < pooledVMs || keepers[0].Name == self {
-			return true
-		}
-	}
-	return false
-}
-
-// poolOf returns the VMs of a region that share rates, nil if there are too few. Those
-// that are starting count only where too few serve, as after a start of all.
-func poolOf(region string, fleet []*apipb.Vm) []*apipb.Vm {
-	vms := running(region, fleet)
-	serving := slices.DeleteFunc(slices.Clone(vms), func(vm *apipb.Vm) bool {
-		return vm.State != apipb.VmState_VM_STATE_SERVING
-	})
-	switch {
-	case len(serving) >= pooledVMs:
-		return serving
-	case len(vms) >= pooledVMs:
-		return vms
-	}
-	return nil
-}
-
-// running returns the VMs of a region that serve or will do so.
-func running(region string, fleet []*apipb.Vm) []*apipb.Vm {
-	var vms []*apipb.Vm
-	for _, vm := range fleet {
-		starting := vm.State == apipb.VmState_VM_STATE_STARTING
-		if vm.Region == region && vm.RpcAddress != "" && (starting || vm.State == apipb.VmState_VM_STATE_SERVING) {
-			vms = append(vms, vm)
-		}
-	}
-	return vms
-}
-
-// keeperCandidates is how many VMs are asked for a token before the own share is used.
-const keeperCandidates = 2
-
-// keepersOf returns the VMs that keep a customer's rate, the first choice first. All
-// VMs of the region come to the same result.
-func keepersOf(customer string, vms []*apipb.Vm) []*apipb.Vm {
-	if len(vms) == 0 {
-		return nil
+// pool returns the VMs of the region as last heard of.
+func (r *rates) pool() *ratePool {
+	fleet := r.follower.Fleet()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.known == nil || !r.known.of(fleet) {
+		r.known = newRatePool(r.region, fleet)
 	}
-	score := func(vm *apipb.Vm) uint64 { return xxhash.Sum64String(customer + "/" + vm.Name) }
-	sorted := slices.SortedFunc(slices.Values(vms), func(a, b *apipb.Vm) int {
-		switch x, y := score(a), score(b); {
-		case x > y:
-			return -1
-		case x < y:
-			return 1
-		}
-		return 0
-	})
-	return sorted[:min(keeperCandidates, len(sorted))]
+	return r.known
 }
 
 func (r *rates) takeAt(ctx context.Context, keeper *apipb.Vm, customer string) (*token, time.Duration, error) {
--- a/gateway/rates_test.go
+++ b/gateway/rates_test.go
@@ -67,13 +67,14 @@
 		for i := range 50 {
 			customer := fmt.Sprint("customer", i)
 			holders := 0
+			pool := newRatePool("r", vms)
 			for _, vm := range vms {
-				if keeps(vm.Name, customer, "r", vms) {
+				if pool.asks(vm.Name, customer) {
 					holders++
 				}
 			}
 			is.True(holders >= 1 && holders <= 2) // the next keeper asks early
-			is.True(keeps(keepersOf(customer, poolOf("r", vms))[0].Name, customer, "r", vms))
+			is.True(pool.asks(pool.keepers(customer)[0].Name, customer))
 		}
 	}
 }
@@ -82,7 +83,21 @@
 func TestFewVMsKeepTheirOwnShares(t *testing.T) {
 	is := is.New(t)
 	few := withState(regionOf(pooledVMs-1), apipb.VmState_VM_STATE_SERVING)
-	is.Equal(len(poolOf("r", few)), 0)
-	is.True(keeps("vm0", "customer", "r", few))
-	is.Equal(len(poolOf("r", withState(regionOf(20), apipb.VmState_VM_STATE_LEAVING))), 0)
+	is.Equal(len(newRatePool("r", few).keepers("customer")), 0)
+	is.True(newRatePool("r", few).asks("vm0", "customer"))
+	leaving := newRatePool("r", withState(regionOf(20), apipb.VmState_VM_STATE_LEAVING))
+	is.Equal(len(leaving.keepers("customer")), 0)
+}
+
+// Guards against keepers that are remembered for a list of VMs that has changed.
+func TestKeepersFollowTheList(t *testing.T) {
+	is := is.New(t)
+	vms := withState(regionOf(20), apipb.VmState_VM_STATE_SERVING)
+	pool := newRatePool("r", vms)
+	is.True(pool.of(vms))
+	is.True(!pool.of(vms[1:]))
+	is.True(!pool.of(append([]*apipb.Vm(nil), vms...)))
+	first := pool.keepers("customer")[0]
+	first.State = apipb.VmState_VM_STATE_LEAVING
+	is.True(newRatePool("r", vms).keepers("customer")[0] != first)
 }
