--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -104,7 +104,7 @@
 		strings.Join(rows, ","))
 }
 
-// address returns where a VM is. Control VMs come first, so that the seeds are theirs.
+// address returns where a VM listens on a port.
 func (f *fleet) address(role string, i, port int) string {
 	return fmt.Sprintf("%s:%d", f.ip(role, i), port)
 }
