Leave no ended connections behind in the fault soak

Cause: the soak opened a connection for each of its 22,000 requests. Ended connections stay in the kernel's socket table for a minute, and the forwarders of package e2e read that table to tell which process connected. They came to a standstill, and with them the tests and the soak's own upstreams, which run in the same process.

With the table filled by one soak and nothing else running, the three fail with the same messages. Reading the table took 113 of 427 s of processor time in a profile.

Before: 22,136 lines in the table after a soak; of four tests right after it, three fail. After: 1,021 lines, all four pass. The soak's connections are reset when they are closed; what it checks is unchanged.

--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"strconv"
@@ -205,7 +206,9 @@
 }
 
 func (s *soak) exchange(r *http.Request, id string) int {
-	response, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(r)
+	fresh := &http.Transport{DialContext: dialUntraced}
+	defer fresh.CloseIdleConnections()
+	response, err := fresh.RoundTrip(r)
 	if err != nil {
 		return 0
 	}
@@ -220,6 +223,18 @@
 	return response.StatusCode
 }
 
+// dialUntraced opens a connection that leaves nothing in the socket table when it is
+// closed. The forwarders of other tests read that table to tell processes apart; with
+// 20,000 ended connections in it they came to a standstill.
+func dialUntraced(ctx context.Context, network, address string) (net.Conn, error) {
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return conn, conn.(*net.TCPConn).SetLinger(0)
+}
+
 // check compares what callers were told with what the upstreams ran.
 func (s *soak) check() {
 	t := s.f.t
