Look up once when a lookup has just ended

The single flight joins only lookups that are under way.

Ruled out: load of the machine as the cause; the order of the two steps alone decides, and the test added here fails without load.

Conclusion: the cache is read again inside the flight.

--- a/caller/directory.go
+++ b/caller/directory.go
@@ -72,7 +72,7 @@
 	}
 	// The lookup is shared, so it does not end with the request that began it.
 	shared := context.WithoutCancel(ctx)
-	result := d.flight.DoChan("lookup", func() (any, error) { return nil, d.refresh(shared) })
+	result := d.flight.DoChan("lookup", func() (any, error) { return nil, d.refreshOnce(shared) })
 	var err error
 	select {
 	case <-ctx.Done():
@@ -100,6 +100,15 @@
 	return d.ranked, len(d.ranked) > 0 && d.clock.Now().Before(d.expiresAt)
 }
 
+// refreshOnce looks up unless another caller's lookup has ended since this
+// caller found the cache expired.
+func (d *Directory) refreshOnce(ctx context.Context) error {
+	if _, fresh := d.cached(); fresh {
+		return nil
+	}
+	return d.refresh(ctx)
+}
+
 // refresh asks the known VMs and then the seeds until one answers.
 func (d *Directory) refresh(ctx context.Context) error {
 	known, _ := d.cached()
--- /dev/null
+++ b/caller/directory_test.go
@@ -0,0 +1,51 @@
+package caller_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"pistachiomount.example/pistachiomount/caller"
+	"pistachiomount.example/pistachiomount/clock"
+)
+
+// lookupRounds was enough for the unguarded lookup to be repeated in each of ten runs.
+const lookupRounds = 2000
+
+// roundTripper answers requests without a network.
+type roundTripper func(*http.Request) (*http.Response, error)
+
+func (r roundTripper) RoundTrip(request *http.Request) (*http.Response, error) { return r(request) }
+
+// Guards against a second lookup by a caller that found no answer just before
+// the first lookup brought one.
+func TestCallersShareOneLookup(t *testing.T) {
+	is := is.New(t)
+	vm := netip.MustParseAddrPort("127.0.0.1:1")
+	for range lookupRounds {
+		var lookups atomic.Int64
+		answer := roundTripper(func(*http.Request) (*http.Response, error) {
+			lookups.Add(1)
+			body := io.NopCloser(strings.NewReader(`{"ttl_ms":5000,"entry_vms":[{"address":"127.0.0.1:1"}]}`))
+			return &http.Response{StatusCode: http.StatusOK, Body: body}, nil
+		})
+		directory := caller.NewDirectory("records", []netip.AddrPort{vm}, &clock.Manual{}, answer)
+		var callers sync.WaitGroup
+		for range 20 {
+			callers.Go(func() {
+				if _, err := directory.EntryVMs(context.Background()); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		callers.Wait()
+		is.Equal(lookups.Load(), int64(1))
+	}
+}
