Decide waits and returns in a package of their own; stop head-of-line waits

Causes: - A request that waited for one upstream held back all later ones of its rank at that VM, also those whose upstreams had room: 0 of 10 placed before, 8 after (TestAFullUpstreamHoldsBackOnlyItsOwnRequests). - Callers that found no room came back after 0.1 to 0.4 s, when the answer to a request with a target of 0.3 or 0.4 s is late. They now come back while it can be in time. - A VM without a share of a customer's rate, as after a start, said 429 "over rate" and a time to come back within the outage. It now says 503 "no_share" and a time up to a third of what the caller has left. - Requests bound to a region could fill it from afar once their objects were found there; they may use half of the slots of an upstream.

Waiting, returning and the queue move to gateway/admission, without input and output.

--- a/gateway/placement/queue.go
+++ b/gateway/admission/queue.go
@@ -1,13 +1,15 @@
-package placement
+package admission
 
 import (
 	"slices"
 	"time"
+
+	"pistachiomount.example/pistachiomount/gateway/placement"
 )
 
 // Waiter is a request that waits for room.
 type Waiter struct {
-	Query Query
+	Query placement.Query
 	// Arrived and Until bound its wait.
 	Arrived, Until time.Time
 }
@@ -21,7 +23,7 @@
 // Add puts a request into the queue.
 func (q *Queue) Add(w *Waiter) {
 	at, _ := slices.BinarySearchFunc(q.waiting, w, func(a, b *Waiter) int {
-		if order := a.Query.compare(&b.Query); order != 0 {
+		if order := a.Query.Compare(&b.Query); order != 0 {
 			return order
 		}
 		return a.Arrived.Compare(b.Arrived)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
+	"pistachiomount.example/pistachiomount/gateway/admission"
 	"pistachiomount.example/pistachiomount/gateway/egress"
 	"pistachiomount.example/pistachiomount/gateway/ingress"
 	"pistachiomount.example/pistachiomount/gateway/placement"
@@ -80,7 +82,7 @@
 	if a.deadline.Sub(now) < minLeft {
 		return inventory.Upstream{}, a.giveUp(ReasonTimeout)
 	}
-	chosen, verdict := a.service.turns.acquire(ctx, a.query, a.holdUntil(now))
+	chosen, verdict := a.service.turns.acquire(ctx, a.query, admission.HoldUntil(a.request.Received, now, a.deadline, a.route.Target))
 	a.waited += time.Since(now)
 	switch {
 	case ctx.Err() != nil:
@@ -99,19 +101,6 @@
 	return chosen, nil
 }
 
-// holdUntil bounds the wait for room.
-func (a *attempt) holdUntil(now time.Time) time.Time {
-	hold := max(time.Duration(float64(a.route.Target)*holdShare), minHold)
-	until := a.request.Received.Add(hold)
-	if until.After(a.deadline) {
-		return a.deadline
-	}
-	if until.Before(now) {
-		return now
-	}
-	return until
-}
-
 // customerName returns the customer's name, or "" on public routes.
 func (a *attempt) customerName() string {
 	if a.customer == nil {
@@ -185,7 +174,7 @@
 func (a *attempt) giveUp(reason Reason) *ingress.Response {
 	a.reason = reason
 	if !a.mayHaveRun {
-		return notRun(http.StatusServiceUnavailable, reason, retryAfter())
+		return notRun(http.StatusServiceUnavailable, reason, a.returnAfter(reason))
 	}
 	if time.Until(a.deadline) < minLeft {
 		return failure(http.StatusGatewayTimeout, ReasonTimeout)
@@ -193,6 +182,18 @@
 	return failure(http.StatusBadGateway, reason)
 }
 
+// returnAfter returns when the caller of a request that did not run comes back.
+func (a *attempt) returnAfter(reason Reason) time.Duration {
+	refused := admission.Refused{
+		Left:  time.Until(a.deadline),
+		Spare: a.route.Target - time.Since(a.request.Received) - a.gateway.usual.of(a.route.Name),
+	}
+	if reason == ReasonNoShare {
+		return admission.AfterOutage(refused, rand.Float64())
+	}
+	return admission.AfterFull(refused, rand.Float64())
+}
+
 func answerOf(reply *egress.Reply) *ingress.Response {
 	return &ingress.Response{
 		Status: reply.Status, Header: reply.Header, Body: reply.Body, Rest: reply.Rest, Length: reply.Length,
--- a/gateway/placement/order.go
+++ b/gateway/placement/order.go
@@ -44,6 +44,11 @@
 // of their requests and the load would stay too high.
 var tierRoom = [...]float64{tierKept: 1, tierBeside: 1, tierAway: 1, tierNear: 0.2, tierOther: 0.1}
 
+// boundRoom is the share of an upstream's slots that requests from other regions may
+// bring it to if they are bound to its region. They can go nowhere else, but without a
+// bound all callers of a bound customer would displace those of a region with few slots.
+const boundRoom = 0.5
+
 // tiersOf returns the upstreams that keep the object of a request with their
 // tiers, or nil for a request without one.
 func (t *Table) tiersOf(now time.Time, q *Query) map[*upstream]int {
--- a/gateway/placement/query.go
+++ b/gateway/placement/query.go
@@ -15,17 +15,14 @@
 
 func (q *Query) allows(region string) bool { return len(q.Regions) == 0 || contains(q.Regions, region) }
 
-// compare orders queries by rank, then by urgency.
-func (q *Query) compare(other *Query) int {
+// Compare orders queries by rank, then by urgency; the first to be served is negative.
+func (q *Query) Compare(other *Query) int {
 	if q.Rank != other.Rank {
 		return q.Rank - other.Rank
 	}
 	return q.Urgency - other.Urgency
 }
 
-// Passes reports whether the request may not overtake the other one.
-func (q *Query) Passes(other *Query) bool { return q.compare(other) < 0 }
-
 func contains(list []string, value string) bool {
 	for _, v := range list {
 		if v == value {
--- a/gateway/placement/table.go
+++ b/gateway/placement/table.go
@@ -185,6 +185,9 @@
 		return false
 	}
 	slots := float64(max(u.Slots, 1))
+	if tier == tierAway && len(q.Regions) > 0 {
+		return u.load(now)+1 <= max(slots*boundRoom, 1)
+	}
 	if q.Object != 0 && tier != tierKept {
 		return u.load(now)+1 <= slots*tierRoom[tier]
 	}
--- a/gateway/rates.go
+++ b/gateway/rates.go
@@ -45,8 +45,16 @@
 	customer    string
 }
 
-// take takes a token. Without one it returns when one is likely to be there.
-func (r *rates) take(ctx context.Context, customer string) (*token, time.Duration) {
+// denial says why there is no token.
+type denial struct {
+	// noShare: this VM holds no share of the rate, so the customer may be within it.
+	noShare bool
+	// wait is when a token is likely to be there.
+	wait time.Duration
+}
+
+// take takes a token, or says why there is none.
+func (r *rates) take(ctx context.Context, customer string) (*token, denial) {
 	for _, keeper := range r.pool().keepers(customer) {
 		if keeper.Name == r.self {
 			break
@@ -56,16 +64,16 @@
 		}
 		taken, delay, err := r.takeAt(ctx, keeper, customer)
 		if err == nil {
-			return taken, delay
+			return taken, denial{wait: delay}
 		}
 		r.markUnreachable(keeper.Name, err)
 	}
 	bucket := r.follower.Holder().Bucket(grant.CustomerID(customer))
 	reservation, ok := bucket.Reserve(1)
 	if !ok {
-		return nil, bucket.DelayFor(1)
+		return nil, denial{noShare: bucket.Depth() == 0, wait: bucket.DelayFor(1)}
 	}
-	return &token{bucket: bucket, reservation: reservation}, 0
+	return &token{bucket: bucket, reservation: reservation}, denial{}
 }
 
 // keepShares asks for shares of the rates that this VM keeps, before the first request
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -14,11 +13,13 @@
 
 // The reasons.
 const (
-	ReasonNoPlan       Reason = "no_plan"
-	ReasonNoRoute      Reason = "route_unknown"
-	ReasonNoKey        Reason = "key_unknown"
-	ReasonViewStale    Reason = "view_stale"
-	ReasonOverRate     Reason = "over_rate"
+	ReasonNoPlan    Reason = "no_plan"
+	ReasonNoRoute   Reason = "route_unknown"
+	ReasonNoKey     Reason = "key_unknown"
+	ReasonViewStale Reason = "view_stale"
+	ReasonOverRate  Reason = "over_rate"
+	// ReasonNoShare: this VM holds no share of the customer's rate, as after a start.
+	ReasonNoShare      Reason = "no_share"
 	ReasonNoRoom       Reason = "over_capacity"
 	ReasonNoUpstream   Reason = "no_upstream"
 	ReasonRetryBudget  Reason = "retry_budget"
@@ -27,16 +28,6 @@
 	ReasonCallerGone   Reason = "caller_gone"
 )
 
-// Bounds of the time after which a refused caller is asked to come back. Spread,
-// so that callers that were refused together do not return together.
-const (
-	minRetryAfter = 100 * time.Millisecond
-	maxRetryAfter = 400 * time.Millisecond
-	// maxRateRetryAfter bounds it for a customer above its rate: a longer time would
-	// exceed the third of a deadline of 3 s that callers are ready to wait.
-	maxRateRetryAfter = time.Second
-)
-
 // notRun answers a request that did not run and never will.
 func notRun(status int, reason Reason, after time.Duration) *ingress.Response {
 	response := failure(status, reason)
@@ -52,7 +43,3 @@
 		Body:   []byte(string(reason) + "\n"),
 	}
 }
-
-func retryAfter() time.Duration {
-	return minRetryAfter + rand.N(maxRetryAfter-minRetryAfter)
-}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -12,6 +13,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"pistachiomount.example/pistachiomount/entry"
+	"pistachiomount.example/pistachiomount/gateway/admission"
 	"pistachiomount.example/pistachiomount/gateway/ingress"
 	"pistachiomount.example/pistachiomount/gateway/placement"
 	"pistachiomount.example/pistachiomount/plan"
@@ -55,10 +57,15 @@
 	if a.customer == nil || a.customer.Rate <= 0 {
 		return a.run(ctx)
 	}
-	taken, delay := g.rates.take(ctx, a.customer.Name)
-	if taken == nil {
+	taken, denied := g.rates.take(ctx, a.customer.Name)
+	switch {
+	case taken != nil:
+	case denied.noShare:
+		return a.giveUp(ReasonNoShare)
+	default:
 		a.reason = ReasonOverRate
-		return notRun(http.StatusTooManyRequests, ReasonOverRate, min(max(delay, minRetryAfter), maxRateRetryAfter))
+		after := admission.AfterRate(admission.Refused{Left: time.Until(a.deadline)}, denied.wait, rand.Float64())
+		return notRun(http.StatusTooManyRequests, ReasonOverRate, after)
 	}
 	response := a.run(ctx)
 	if a.sends == 0 {
@@ -80,7 +87,8 @@
 
 func (g *Gateway) refuse(request *ingress.Request, status int, reason Reason) *ingress.Response {
 	g.refusedEarly(request, status, reason)
-	return notRun(status, reason, retryAfter())
+	left := time.Until(g.deadline(request, &plan.Route{Timeout: unknownTimeout}))
+	return notRun(status, reason, admission.AfterOutage(admission.Refused{Left: left}, rand.Float64()))
 }
 
 // refusedEarly notes a request that was refused before it had a route or a customer.
--- a/gateway/timing.go
+++ b/gateway/timing.go
@@ -18,16 +18,12 @@
 	housekeepingInterval = 250 * time.Millisecond
 	// droppedInterval is how often the number of dropped log lines is logged.
 	droppedInterval = 10 * time.Second
-	// holdShare is the share of a route's target time for which a request waits for
-	// room. One that cannot be placed by then would be late, so its caller is told
-	// while it still has the time to come back.
-	holdShare = 1.0 / 8
-	// minHold is the shortest wait for room: a slot that is freed in the region takes a few
-	// milliseconds to be seen.
-	minHold = 20 * time.Millisecond
 	// minLeft is the least time that must be left to offer a request to an upstream; no
 	// request is answered in less.
 	minLeft = 20 * time.Millisecond
+	// unknownTimeout bounds the wait of a request whose route is not known; the longest
+	// deadline on the sheets is 30 s.
+	unknownTimeout = 30 * time.Second
 	// maxDials bounds how many upstreams are tried that cannot be reached. Each may take
 	// 0.6 s, see egress.dialTimeout.
 	maxDials = 4
--- a/gateway/turns.go
+++ b/gateway/turns.go
@@ -5,22 +5,23 @@
 	"sync"
 	"time"
 
+	"pistachiomount.example/pistachiomount/gateway/admission"
 	"pistachiomount.example/pistachiomount/gateway/placement"
 	"pistachiomount.example/pistachiomount/inventory"
 )
 
-// turns places the requests of one service: it keeps the table and the queue of
-// package placement and carries their decisions to the waiting requests.
+// turns places the requests of one service: it keeps the table of package placement and
+// the queue of package admission and carries their decisions to the waiting requests.
 type turns struct {
 	mu    sync.Mutex
 	table *placement.Table
-	queue placement.Queue
+	queue admission.Queue
 	// waiting holds the channels of the requests in the queue.
-	waiting map[*placement.Waiter]chan inventory.Upstream
+	waiting map[*admission.Waiter]chan inventory.Upstream
 }
 
 func newTurns(self placement.Place, pace *placement.Pace) *turns {
-	return &turns{table: placement.NewTable(self, pace), waiting: map[*placement.Waiter]chan inventory.Upstream{}}
+	return &turns{table: placement.NewTable(self, pace), waiting: map[*admission.Waiter]chan inventory.Upstream{}}
 }
 
 // acquire waits for an upstream with room until the given time. The caller gives
@@ -28,15 +29,13 @@
 func (t *turns) acquire(ctx context.Context, q placement.Query, until time.Time) (inventory.Upstream, placement.Verdict) {
 	t.mu.Lock()
 	now := time.Now()
-	chosen, verdict := inventory.Upstream{}, placement.Full
-	if !t.behind(&q) {
-		chosen, verdict = t.table.Pick(now, &q)
-	}
+	t.place(now) // so that nobody is overtaken at an upstream that has room by now
+	chosen, verdict := t.table.Pick(now, &q)
 	if verdict != placement.Full || !now.Before(until) {
 		t.mu.Unlock()
 		return chosen, verdict
 	}
-	w := &placement.Waiter{Query: q, Arrived: now, Until: until}
+	w := &admission.Waiter{Query: q, Arrived: now, Until: until}
 	turn := make(chan inventory.Upstream, 1)
 	t.queue.Add(w)
 	t.waiting[w] = turn
@@ -44,19 +43,7 @@
 	return t.await(ctx, w, turn)
 }
 
-// behind reports whether the request would overtake a waiting one that goes first.
-func (t *turns) behind(q *placement.Query) bool {
-	passed := false
-	if t.queue.Len() > 0 {
-		t.queue.Each(func(w *placement.Waiter) bool {
-			passed = passed || !q.Passes(&w.Query)
-			return false
-		})
-	}
-	return passed
-}
-
-func (t *turns) await(ctx context.Context, w *placement.Waiter, turn chan inventory.Upstream) (inventory.Upstream, placement.Verdict) {
+func (t *turns) await(ctx context.Context, w *admission.Waiter, turn chan inventory.Upstream) (inventory.Upstream, placement.Verdict) {
 	timer := time.NewTimer(time.Until(w.Until))
 	defer timer.Stop()
 	select {
@@ -85,7 +72,7 @@
 
 // place gives room to waiting requests, in their order.
 func (t *turns) place(now time.Time) {
-	t.queue.Each(func(w *placement.Waiter) bool {
+	t.queue.Each(func(w *admission.Waiter) bool {
 		chosen, verdict := t.table.Pick(now, &w.Query)
 		if verdict != placement.Placed {
 			return false
--- a/gateway/usual.go
+++ b/gateway/usual.go
@@ -31,3 +31,10 @@
 	u.times[route] = before + usualWeight*(took.Seconds()-before)
 	return took.Seconds() / max(before, leastUsual)
 }
+
+// of returns how long an answer of a route usually takes, 0 if there was none.
+func (u *usual) of(route string) time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return time.Duration(u.times[route] * float64(time.Second))
+}
