--- /dev/null
+++ b/gateway/metrics_test.go
@@ -0,0 +1,69 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
+	"github.com/sirupsen/logrus"
+
+	"pistachiomount.example/pistachiomount/clock"
+	"pistachiomount.example/pistachiomount/telemetry"
+	"pistachiomount.example/pistachiomount/transport"
+)
+
+// Guards against a metrics page that the official parser does not read, against names
+// or units outside the conventions, and against labels without a bound.
+func TestMetricsPageIsReadByTheOfficialParser(t *testing.T) {
+	is := is.New(t)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	observed, err := telemetry.New(telemetry.Settings{LogLevel: "info", Traces: "off"}, telemetry.Identity{Service: "gateway", VM: "v"}, telemetry.Outputs{Logs: io.Discard, Traces: io.Discard})
+	is.NoErr(err)
+	defer func() { _ = observed.Shutdown(context.Background()) }()
+	rpc, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = rpc.Close() }()
+	g, err := New(Config{
+		VM: "v", Region: "r", FailureDomain: "d", RPCListener: rpc, Log: log, Clock: clock.NewSteady(),
+		Security: &transport.Security{TrustedNetwork: true}, Meter: observed.MeterProvider.Meter("gateway"),
+	})
+	is.NoErr(err)
+	g.observer.ended("s", http.StatusServiceUnavailable, ReasonNoRoom, 30*time.Millisecond, 20*time.Millisecond)
+	g.observer.offered("s", "answered")
+
+	page := httptest.NewRecorder()
+	observed.MetricsHandler().ServeHTTP(page, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	parser := expfmt.NewTextParser(model.UTF8Validation)
+	families, err := parser.TextToMetricFamilies(page.Body)
+	is.NoErr(err)
+	for _, name := range []string{
+		"pm_gateway_requests_total", "pm_gateway_offers_total", "pm_gateway_request_duration_seconds", "pm_gateway_wait_seconds",
+		"pm_gateway_view_age_seconds", "pm_gateway_fleet", "pm_gateway_connections_opened_total",
+	} {
+		if families[name] == nil {
+			t.Errorf("%s is not on the page", name)
+		}
+	}
+	bounded := []string{"service", "status_class", "reason", "outcome"}
+	for name, family := range families {
+		if !strings.HasPrefix(name, "pm_gateway_") {
+			continue
+		}
+		is.True(family.GetHelp() != "")
+		for _, m := range family.GetMetric() {
+			for _, label := range m.GetLabel() {
+				is.True(slices.Contains(bounded, label.GetName()))
+			}
+		}
+	}
+}
