--- a/cmd/pistachiomount/common.go
+++ b/cmd/pistachiomount/common.go
@@ -22,8 +22,9 @@
 const (
 	// rpcPort is which of the ports for own traffic takes calls between daemons.
 	rpcPort = 0
-	// metricsPort is which of them serves metrics and the product's own interface.
-	metricsPort = 1
+	// ownPort is which of them serves metrics and the product's own interface, unless
+	// the command line names another port.
+	ownPort = 1
 	// memoryShare is the part of a process's memory from which the collector works
 	// harder; the rest is for what it does not count.
 	memoryShare = 0.6
@@ -37,6 +38,8 @@
 type role struct {
 	telemetry.Settings `embed:""`
 
+	MetricsPort uint16 `help:"Port for metrics and the product's own interface; 0 takes the second of the ports for own traffic." default:"0" env:"PM_METRICS_PORT"`
+
 	lines *telemetry.AsyncWriter
 }
 
@@ -49,6 +52,14 @@
 	r.lines.Close()
 }
 
+// ownAddress is where the process serves metrics and the product's own interface.
+func (r *role) ownAddress(s *platform.Settings) string {
+	if r.MetricsPort != 0 {
+		return netip.AddrPortFrom(s.Address, r.MetricsPort).String()
+	}
+	return s.Internal(s.Address, ownPort)
+}
+
 // metricsHandler serves the metrics of the process as text.
 func metricsHandler(observed *telemetry.Telemetry) http.Handler {
 	mux := flow.New()
--- a/cmd/pistachiomount/common_test.go
+++ b/cmd/pistachiomount/common_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"pistachiomount.example/pistachiomount/platform"
 )
 
 // Guards against two control daemons that both form a group at the first start: all
@@ -17,3 +19,12 @@
 	}
 	is.True(!first(nil).IsValid())
 }
+
+// Guards against metrics at another address than the deploy file names: it names one
+// port for all machines, while the ports for own traffic are drawn anew.
+func TestMetricsAreAtThePortOfTheCommandLine(t *testing.T) {
+	is := is.New(t)
+	s := &platform.Settings{Address: netip.MustParseAddr("10.0.0.4"), FirstInternalPort: 7560, LastInternalPort: 7575}
+	is.Equal((&role{MetricsPort: 9464}).ownAddress(s), "10.0.0.4:9464")
+	is.Equal((&role{}).ownAddress(s), "10.0.0.4:7561")
+}
--- a/cmd/pistachiomount/control_role.go
+++ b/cmd/pistachiomount/control_role.go
@@ -35,7 +35,7 @@
 	watch := watchSettings(observed.Logger)
 	form := s.FirstStart && first(s.Seeds) == s.Address
 	for {
-		err := serveControl(ctx, s, observed, watch, form)
+		err := r.serve(ctx, s, observed, watch, form)
 		if ctx.Err() != nil || !errors.Is(err, control.ErrStorage) {
 			return errors.Trace(err)
 		}
@@ -47,12 +47,12 @@
 	}
 }
 
-// serveControl runs one control daemon until the context or its storage ends.
-func serveControl(ctx context.Context, s *platform.Settings, observed *telemetry.Telemetry, watch *settingsWatch, form bool) error {
+// serve runs one control daemon until the context or its storage ends.
+func (r *controlRole) serve(ctx context.Context, s *platform.Settings, observed *telemetry.Telemetry, watch *settingsWatch, form bool) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	log := observed.Logger
-	daemon, err := newControl(ctx, s, observed, form)
+	daemon, err := r.daemon(ctx, s, observed, form)
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -67,13 +67,14 @@
 	return errors.Trace(daemon.Run(ctx))
 }
 
-func newControl(ctx context.Context, s *platform.Settings, observed *telemetry.Telemetry, form bool) (*control.Daemon, error) {
+// daemon makes a control daemon that listens.
+func (r *controlRole) daemon(ctx context.Context, s *platform.Settings, observed *telemetry.Telemetry, form bool) (*control.Daemon, error) {
 	log := observed.Logger
 	rpc, err := listen(ctx, s.Internal(s.Address, rpcPort), "rpc", log)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	own, err := listen(ctx, s.Internal(s.Address, metricsPort), "http", log)
+	own, err := listen(ctx, r.ownAddress(s), "http", log)
 	if err != nil {
 		_ = rpc.Close()
 		return nil, errors.Trace(err)
--- a/cmd/pistachiomount/gateway_role.go
+++ b/cmd/pistachiomount/gateway_role.go
@@ -45,7 +45,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	own, err := listen(ctx, s.Internal(s.Address, metricsPort), "metrics", log)
+	own, err := listen(ctx, r.ownAddress(s), "metrics", log)
 	if err != nil {
 		return errors.Trace(err)
 	}
