Keep rates at their VMs while all VMs of a region start

Cause: after a restart of all, the VMs of a region that keep customers' rates were chosen among those that serve as soon as six did, so nearly each VM that began to serve took rates over without a share, and refused until its next renewal. While a quarter of the VMs are starting they now count as well.

Test: 219 of 700 pairs of customer and newly serving VM moved before, 0 now.

--- a/gateway/rate_pool.go
+++ b/gateway/rate_pool.go
@@ -14,6 +14,10 @@
 	// enough; with more, a share is a fraction of a request a second, and a request
 	// would find it used up though the customer is well within its rate.
 	pooledVMs = 6
+	// servingShare is the share of the VMs of a region that must serve before only those
+	// keep rates. After a start of all, rates would move with each VM that begins to
+	// serve; a start of a few is below it.
+	servingShare = 0.75
 	// keeperCandidates is how many VMs are asked for a token before the own share is used.
 	keeperCandidates = 2
 )
@@ -31,8 +35,8 @@
 	now, later map[string][]*apipb.Vm // by customer
 }
 
-// newRatePool takes in a list of VMs. Those that are starting share rates only where
-// too few serve, as after a start of all.
+// newRatePool takes in a list of VMs. Those that are starting share rates only while
+// they are many, as after a start of all.
 func newRatePool(region string, fleet []*apipb.Vm) *ratePool {
 	p := &ratePool{fleet: fleet, now: map[string][]*apipb.Vm{}, later: map[string][]*apipb.Vm{}}
 	for _, vm := range fleet {
@@ -49,7 +53,7 @@
 	if len(p.running) < pooledVMs {
 		p.running = nil
 	}
-	if len(p.serving) < pooledVMs {
+	if len(p.serving) < pooledVMs || float64(len(p.serving)) < servingShare*float64(len(p.running)) {
 		p.serving = p.running
 	}
 	return p
