--- /dev/null
+++ b/gateway/placement/bench_test.go
@@ -0,0 +1,29 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkPick places and ends one request on an object among the upstreams of a
+// service of 83 entry VMs: three regions of three failure domains.
+func BenchmarkPick(b *testing.B) {
+	table := NewTable(Place{Region: "r0", FailureDomain: "r0-a", VM: "a"}, NewPace(start, "r0"))
+	list := upstreamsOf("r0", "r0-a", 9, 9)
+	for region, n := range []int{9, 36, 44} {
+		for _, domain := range []string{"a", "b", "c"} {
+			if name := fmt.Sprintf("r%d-%s", region, domain); name != "r0-a" {
+				list = append(list, upstreamsOf(fmt.Sprint("r", region), name, n, 9)...)
+			}
+		}
+	}
+	table.SetUpstreams(start, list, true)
+	now := start
+	b.ReportAllocs()
+	for i := range b.N {
+		now = now.Add(time.Millisecond)
+		u, _ := table.Pick(now, &Query{Object: ObjectHash(fmt.Sprint(i % 335)), Urgency: 2})
+		table.Done(now, u.ID, Outcome{Reported: true, Running: 1})
+	}
+}
--- a/gateway/placement/capacity.go
+++ b/gateway/placement/capacity.go
@@ -9,6 +9,9 @@
 	// outageTime is for how long requests move freely after one: until the list shows it
 	// and callers have moved.
 	outageTime = 5 * time.Second
+	// ampleShare is the share of the mean slots of a region from which it takes requests of
+	// others; below the mean by chance, as after the loss of a few upstreams, still counts.
+	ampleShare = 0.8
 )
 
 // watchCapacity lifts the pace when a region has lost a good part of its slots:
@@ -30,6 +33,22 @@
 		}
 	}
 	t.capacity = slots
+	t.ample = ampleRegions(slots)
+}
+
+// ampleRegions returns the regions that have slots for the requests of others, if all
+// regions ask for as much. A region with few slots has none to spare, and objects of
+// others would displace its own.
+func ampleRegions(slots map[string]float64) map[string]bool {
+	total := 0.0
+	for _, n := range slots {
+		total += n
+	}
+	ample := map[string]bool{}
+	for region, n := range slots {
+		ample[region] = n*float64(len(slots)) >= total*ampleShare
+	}
+	return ample
 }
 
 // slots returns the slots of the upstreams that take requests, by region.
--- a/gateway/placement/objects_test.go
+++ b/gateway/placement/objects_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -106,3 +107,19 @@
 		is.True(r.inTime > 6*r.late) // late are the first requests on objects, not every other one
 	}
 }
+
+// Guards against objects that are estimated as too few under load, because a waiting
+// request is counted again each time that room is looked for.
+func TestAWaitingRequestCountsOnce(t *testing.T) {
+	is := is.New(t)
+	table := NewTable(Place{Region: "r", FailureDomain: "r-a", VM: "a"}, NewPace(start, "r"))
+	table.SetUpstreams(start, upstreamsOf("r", "r-a", 1, 2), true)
+	for object := range 200 {
+		q := &Query{Object: ObjectHash(fmt.Sprint(object)), Urgency: 2}
+		for range 5 { // all but the first ones find no room
+			table.Pick(start, q)
+		}
+	}
+	is.Equal(table.objects.requests, 200)
+	is.Equal(table.objects.count(), float64(assumedObjects)) // no repeats to estimate from
+}
--- a/gateway/placement/order.go
+++ b/gateway/placement/order.go
@@ -1,9 +1,6 @@
 package placement
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // order is how well an upstream fits a request; smaller fits better.
 type order struct {
@@ -22,21 +19,6 @@
 	return a.score < b.score
 }
 
-// Tiers for a request on an object. An upstream that handled the object lately is
-// several times as fast, so each object keeps to few upstreams: going far to a warm
-// one takes less of the slots than going near to a cold one.
-const (
-	tierKept   = iota // keeps the object, in this region
-	tierBeside        // keeps it for another failure domain of this region
-	tierAway          // keeps it in another region
-	tierNear          // does not keep it, in this region
-	tierOther         // does not keep it, in another region
-)
-
-// ampleShare is the share of the mean slots of a region from which it takes requests of
-// others; below the mean by chance, as after the loss of a few upstreams, still counts.
-const ampleShare = 0.8
-
 // tierRoom is the share of an upstream's slots that may be in use when a request
 // comes whose object it does not keep for this region. A request on an object that
 // an upstream does not keep takes several times as long and displaces other
@@ -51,72 +33,33 @@
 
 // tiersOf returns the upstreams that keep the object of a request with their
 // tiers, or nil for a request without one.
-func (t *Table) tiersOf(now time.Time, q *Query) map[*upstream]int {
+func (t *Table) tiersOf(now time.Time, q *Query) *tiers {
 	if q.Object == 0 {
 		return nil
 	}
-	t.objects.note(now, q.Object)
-	var near, away []*upstream
+	if !q.noted {
+		q.noted = true
+		t.objects.note(now, q.Object)
+	}
+	var found tiers
+	apart := t.domainKeeps(t.self.FailureDomain)
+	near := 0
 	for _, u := range t.order {
 		switch {
 		case !t.keeps(u) || !q.allows(u.Region):
 		case u.Region == t.self.Region:
-			near = append(near, u)
-		case len(q.Regions) > 0 || t.ample(u.Region):
-			away = append(away, u)
-		}
-	}
-	tiers := map[*upstream]int{}
-	byScore := func(a, b *upstream) int {
-		switch x, y := a.score(q.Object), b.score(q.Object); {
-		case x > y:
-			return -1
-		case x < y:
-			return 1
+			near++
+			found.addNear(u, u.score(q.Object), apart)
+		case len(q.Regions) > 0 || t.ample[u.Region]:
+			found.addAway(u, u.score(q.Object))
 		}
-		return 0
 	}
-	slices.SortFunc(near, byScore)
-	slices.SortFunc(away, byScore)
-	t.keepNear(near, tiers)
-	for _, u := range away[:min(1, len(away))] {
-		tiers[u] = tierAway
-	}
-	return tiers
-}
-
-// ample reports whether a region has slots for the requests of others, if all regions
-// ask for as much. A region with few slots has none to spare, and objects of others
-// would displace its own.
-func (t *Table) ample(region string) bool {
-	total := 0.0
-	for _, n := range t.capacity {
-		total += n
-	}
-	return t.capacity[region]*float64(len(t.capacity)) >= total*ampleShare
-}
-
-// keepNear sets the tiers of the upstreams of this region, best first. Where the
-// failure domain of this VM has memory for all objects, it keeps them itself, so that
-// few bytes pass between failure domains; else the region keeps them together.
-func (t *Table) keepNear(near []*upstream, tiers map[*upstream]int) {
-	if !t.domainKeeps(t.self.FailureDomain) {
-		for _, u := range near[:min(t.copies(len(near)), len(near))] {
-			tiers[u] = tierKept
-		}
-		return
-	}
-	seen := map[string]bool{}
-	for _, u := range near {
-		if seen[u.FailureDomain] || !t.domainKeeps(u.FailureDomain) {
-			continue
-		}
-		seen[u.FailureDomain] = true
-		tiers[u] = tierBeside
-		if u.FailureDomain == t.self.FailureDomain {
-			tiers[u] = tierKept
-		}
+	if apart {
+		found.dropDomains(t.domainKeeps)
+	} else {
+		found.copies = min(t.copies(near), near)
 	}
+	return &found
 }
 
 // domainKeeps reports whether the upstreams of a failure domain have memory for all
@@ -146,22 +89,14 @@
 	return min(max(int(float64(upstreams*objectsKept)/t.objects.count()), 1), maxCopies)
 }
 
-func (t *Table) orderOf(now time.Time, u *upstream, q *Query, tiers map[*upstream]int) order {
+func (t *Table) orderOf(now time.Time, u *upstream, q *Query, kept *tiers) order {
 	at := order{degraded: u.degraded(now)}
 	if q.Object == 0 {
 		at.tier = t.distance(u)
 		at.score = u.load(now) / float64(max(u.Slots, 1))
 		return at
 	}
-	tier, kept := tiers[u]
-	switch {
-	case kept:
-		at.tier = tier
-	case u.Region == t.self.Region:
-		at.tier = tierNear
-	default:
-		at.tier = tierOther
-	}
+	at.tier = kept.of(u, t.self)
 	at.score = -float64(u.score(q.Object) >> 11)
 	return at
 }
--- a/gateway/placement/table.go
+++ b/gateway/placement/table.go
@@ -32,6 +32,8 @@
 	apart map[string]bool
 	// capacity is the number of slots by region before the last outage.
 	capacity map[string]float64
+	// ample says which regions have slots for requests of others.
+	ample map[string]bool
 	// vms are the entry VMs of the fleet, in order of their names.
 	vms []string
 	// neighbours is how many of them are in the region of this one, itself included.
@@ -149,20 +151,22 @@
 	if paced {
 		allowed = t.pace.Allowed(now)
 	}
-	tiers := t.tiersOf(now, q)
+	kept := t.tiersOf(now, q)
 	for _, u := range t.order {
 		if !t.eligible(now, u, q) {
 			continue
 		}
 		verdict = Full
-		at := t.orderOf(now, u, q, tiers)
-		if !t.room(now, u, q, at.tier) {
-			continue
+		at := t.orderOf(now, u, q, kept)
+		freer := free == nil || at.before(freeOrder)
+		better := (best == nil || at.before(bestOrder)) && allowed(u.Region)
+		if !freer && !better || !t.room(now, u, q, at.tier) {
+			continue // most upstreams end here, before their load is estimated
 		}
-		if free == nil || at.before(freeOrder) {
+		if freer {
 			free, freeOrder = u, at
 		}
-		if allowed(u.Region) && (best == nil || at.before(bestOrder)) {
+		if better {
 			best, bestOrder = u, at
 		}
 	}
