--- a/gateway/placement/tiers.go
+++ b/gateway/placement/tiers.go
@@ -16,7 +16,7 @@
 	// near are the best upstreams of this region, or the best of each failure domain if
 	// domains keep objects by themselves. There are few of either.
 	near []keeper
-	// copies is how many of near keep the object; it is not used for domains.
+	// copies is how many of near keep the object.
 	copies   int
 	byDomain bool
 	away     keeper
