Bound the heads of responses; end endless bodies with their requests

A body of more than 1 MiB outlived the departure of its caller until the deadline, gave its slot back while the upstream still sent, and did not degrade its upstream.

headlimit.MaxBytes is the one limit for heads from upstreams, daemons, the platform and operators; interim responses count toward it. A response without end fails the request as one that may have run, closes the connection and degrades the upstream at once. A long body holds its slot until it ends and stops with the caller's departure.

A response without request ID is accepted on a new connection only: on a reused one it may be a late copy of the response to an earlier request.

--- a/caller/attempt.go
+++ b/caller/attempt.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"pistachiomount.example/pistachiomount/headlimit"
 )
 
 // dialTimeout bounds connection setup, so that an unreachable VM does not use up
@@ -48,11 +50,12 @@
 // whether the request arrived.
 func newTransport(keepAlive bool, connections int) *http.Transport {
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		DisableKeepAlives:   !keepAlive,
-		MaxIdleConns:        connections,
-		MaxIdleConnsPerHost: connections,
-		DisableCompression:  true,
+		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DisableKeepAlives:      !keepAlive,
+		MaxIdleConns:           connections,
+		MaxIdleConnsPerHost:    connections,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: headlimit.MaxBytes,
 	}
 }
 
--- a/cmd/pistachiomount/base_role.go
+++ b/cmd/pistachiomount/base_role.go
@@ -14,6 +14,7 @@
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
+	"pistachiomount.example/pistachiomount/headlimit"
 	"pistachiomount.example/pistachiomount/platform"
 	"pistachiomount.example/pistachiomount/telemetry"
 	"pistachiomount.example/pistachiomount/transport"
@@ -101,7 +102,9 @@
 
 // serveHTTP serves handler on listener in the background until the returned server is closed.
 func serveHTTP(listener net.Listener, handler http.Handler, log logrus.FieldLogger) *http.Server {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: telemetry.ServerLog(log)}
+	server := &http.Server{
+		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: headlimit.MaxBytes, ErrorLog: telemetry.ServerLog(log),
+	}
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			log.WithError(err).Error("HTTP server failed")
--- a/control/daemon.go
+++ b/control/daemon.go
@@ -16,6 +16,7 @@
 	"pistachiomount.example/pistachiomount/apipb"
 	"pistachiomount.example/pistachiomount/consensus"
 	"pistachiomount.example/pistachiomount/document"
+	"pistachiomount.example/pistachiomount/headlimit"
 	"pistachiomount.example/pistachiomount/telemetry"
 	"pistachiomount.example/pistachiomount/transport"
 	"pistachiomount.example/pistachiomount/wal"
@@ -27,7 +28,6 @@
 	httpWriteTimeout    = 15 * time.Second
 	httpIdleTimeout     = 60 * time.Second
 	httpShutdownTimeout = 5 * time.Second
-	maxHeaderBytes      = 16 << 10
 )
 
 // Daemon runs one control daemon: its member of the consensus group and its servers.
@@ -259,7 +259,7 @@
 func (d *Daemon) serveHTTP(ctx context.Context) error {
 	server := &http.Server{
 		Handler: d.handler(), ReadTimeout: httpReadTimeout, WriteTimeout: httpWriteTimeout,
-		IdleTimeout: httpIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		IdleTimeout: httpIdleTimeout, MaxHeaderBytes: headlimit.MaxBytes,
 		ErrorLog: telemetry.ServerLog(d.cfg.Log),
 	}
 	stopped := make(chan struct{})
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -50,6 +50,8 @@
 
 	mu        sync.Mutex
 	runCounts map[string]int // by request id
+	// endless, if set, is the start of a response that has no end.
+	endless []byte
 }
 
 func newFleet(t *testing.T, controls, gateways, upstreams int) *fleet {
@@ -88,7 +90,12 @@
 	_, _ = io.Copy(io.Discard, r.Body) // a request with a truncated body still counts as run
 	u.mu.Lock()
 	u.runCounts[id]++
+	endless := u.endless
 	u.mu.Unlock()
+	if endless != nil {
+		writeWithoutEnd(w, endless)
+		return
+	}
 	time.Sleep(time.Duration(2+rand.IntN(20)) * time.Millisecond)
 	w.Header().Set(names.RequestID, id)
 	w.Header().Set(names.Signature, "s-"+id)
@@ -96,6 +103,19 @@
 	_, _ = io.WriteString(w, "ran "+id)
 }
 
+// writeWithoutEnd writes start and then bytes until the connection ends.
+func writeWithoutEnd(w http.ResponseWriter, start []byte) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	more := bytes.Repeat([]byte("x"), 32<<10)
+	for data := start; err == nil; data = more {
+		_, err = conn.Write(data)
+	}
+}
+
 func (f *fleet) serveList(w http.ResponseWriter, r *http.Request) {
 	var rows []string
 	for _, u := range f.upstreams {
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -17,6 +17,7 @@
 	"pistachiomount.example/pistachiomount/forward/pool"
 	"pistachiomount.example/pistachiomount/forward/reject"
 	"pistachiomount.example/pistachiomount/grant"
+	"pistachiomount.example/pistachiomount/headlimit"
 	"pistachiomount.example/pistachiomount/inventory"
 	"pistachiomount.example/pistachiomount/membership"
 	"pistachiomount.example/pistachiomount/steering"
@@ -28,7 +29,6 @@
 const (
 	headerTimeout  = 10 * time.Second
 	idleTimeout    = 90 * time.Second
-	maxHeaderBytes = 32 << 10
 	stopTimeout    = 45 * time.Second // above the longest route deadline
 	platformPeriod = time.Second
 	// probePeriod allows for one lost report before a load report counts as too old, at
@@ -190,7 +190,7 @@
 	mux.Handle("/...", d.rejectWhileStarting(d.forwarder))
 	return &http.Server{
 		Handler: d.countInFlight(mux), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes,
+		MaxHeaderBytes: headlimit.MaxBytes,
 		ErrorLog:       telemetry.ServerLog(d.cfg.Log),
 		// OPTIONS * is rejected like any other unknown target.
 		DisableGeneralOptionsHandler: true,
@@ -229,7 +229,7 @@
 	}
 	mux.HandleFunc("/v1/steering", d.serveSteering, http.MethodGet)
 	return &http.Server{
-		Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headlimit.MaxBytes,
 		ErrorLog: telemetry.ServerLog(d.cfg.Log), DisableGeneralOptionsHandler: true,
 	}
 }
--- a/gateway/egress/errors.go
+++ b/gateway/egress/errors.go
@@ -12,6 +12,8 @@
 	ErrMismatched = errors.ConstError("upstream answered a different request")
 	// ErrRejected: the upstream declared that it did not run the request.
 	ErrRejected = errors.ConstError("upstream did not accept the request")
+	// ErrOverlong: the head of the response, with interim responses, exceeded its limit.
+	ErrOverlong = errors.ConstError("head of upstream's response too large")
 	// ErrTimeout: the response did not arrive in time.
 	ErrTimeout = errors.ConstError("upstream did not answer in time")
 )
--- a/gateway/egress/exchange.go
+++ b/gateway/egress/exchange.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"pistachiomount.example/pistachiomount/headlimit"
 )
 
 // Do sends the request once and waits for the response. When the context ends, it closes the
@@ -23,6 +25,10 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.nc.Close() })
 	reply := p.exchange(c, call)
+	if rest, ok := reply.Rest.(*restBody); ok {
+		rest.stopWatch = stop // the context still closes the connection while the rest is read
+		return reply
+	}
 	if !stop() {
 		return &Reply{Outcome: Unknown, Err: errors.Trace(ctx.Err())}
 	}
@@ -33,7 +39,6 @@
 // keepOrClose returns the connection to the pool or closes it.
 func (p *Pool) keepOrClose(key poolKey, c *upstreamConn, reply *Reply) {
 	switch {
-	case reply.Rest != nil: // closed by the reader of Rest
 	case reply.Status != 0 && !c.usableUntil.IsZero() && c.br.Buffered() == 0:
 		p.put(key, c)
 	default:
@@ -111,30 +116,53 @@
 	id := call.Header.Get(p.names.RequestID)
 	request := &http.Request{Method: call.Method}
 	for range maxMismatched + 1 {
-		response, err := http.ReadResponse(c.br, request)
+		response, err := readHead(c, request)
 		if err != nil {
-			return &Reply{Outcome: Unknown, Err: readError(err)}
-		}
-		if response.StatusCode < http.StatusOK {
-			continue // interim response, such as 100 Continue
+			return &Reply{Outcome: Unknown, Endless: errors.Is(err, headlimit.ErrTooLarge), Err: readError(err)}
 		}
-		if echoed := response.Header.Get(p.names.RequestID); echoed == id || echoed == "" {
+		echoed := response.Header.Get(p.names.RequestID)
+		if echoed == id || echoed == "" && c.fresh {
 			return p.readReply(c, call, response)
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedBody)); err != nil {
+		if echoed == "" {
+			// On a connection that has carried another request, this may be a late copy of the
+			// response to that one.
+			return &Reply{Outcome: Unknown, Err: errors.Trace(ErrMismatched)}
+		}
+		n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedBody))
+		if err != nil {
 			return &Reply{Outcome: Unknown, Err: readError(err)}
 		}
+		if n == maxBufferedBody {
+			break // the rest of the body would be parsed as the next response
+		}
 	}
 	return &Reply{Outcome: Unknown, Err: errors.Trace(ErrMismatched)}
 }
 
+// readHead reads the head of a response and skips interim responses, such as 100 Continue, whose
+// bytes count toward the same limit.
+func readHead(c *upstreamConn, request *http.Request) (*http.Response, error) {
+	c.head.Limit(headlimit.MaxBytes)
+	defer c.head.Lift()
+	for {
+		response, err := http.ReadResponse(c.br, request)
+		if err != nil || response.StatusCode >= http.StatusOK {
+			return response, err
+		}
+	}
+}
+
 // readReply reads the body of a response and converts it into a reply.
 func (p *Pool) readReply(c *upstreamConn, call *Call, response *http.Response) *Reply {
 	reply := &Reply{Status: response.StatusCode, Header: p.forwardedHeaders(response.Header)}
 	reply.Load, reply.LoadReported = parseLoad(response.Header.Get(p.names.Load))
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBody+1))
+	body, err := readBuffered(response)
 	if err != nil {
-		return &Reply{Outcome: Unknown, Err: readError(err), Load: reply.Load, LoadReported: reply.LoadReported}
+		err = readError(err)
+		return &Reply{
+			Outcome: Unknown, Endless: errors.Is(err, ErrTimeout), Err: err, Load: reply.Load, LoadReported: reply.LoadReported,
+		}
 	}
 	if !call.healthCheck && response.StatusCode < http.StatusMultipleChoices && response.Header.Get(p.names.Signature) == "" {
 		return &Reply{Outcome: Unknown, Err: errors.Annotate(ErrBroken, "success response without a signature"), Load: reply.Load, LoadReported: reply.LoadReported}
@@ -151,6 +179,33 @@
 	return reply
 }
 
+// readBuffered reads a body up to one byte more than maxBufferedBody.
+func readBuffered(response *http.Response) ([]byte, error) {
+	if length := response.ContentLength; length > 0 && length <= maxBufferedBody && response.Body != http.NoBody {
+		body := make([]byte, length)
+		_, err := io.ReadFull(response.Body, body)
+		return body, err
+	}
+	body := make([]byte, 0, readBufferSize)
+	for {
+		n, err := response.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if err == io.EOF {
+			return body, nil
+		}
+		if err != nil || len(body) > maxBufferedBody {
+			return body, err
+		}
+		if len(body) == cap(body) {
+			size := cap(body) * bodyBufferGrowth
+			if size >= maxBufferedBody {
+				size = maxBufferedBody + 1
+			}
+			body = append(make([]byte, 0, size), body...)
+		}
+	}
+}
+
 // detectNotRun marks a reply that declares that the request did not run.
 func (p *Pool) detectNotRun(reply *Reply, response *http.Response) {
 	reply.Misdirected = response.StatusCode == http.StatusMisdirectedRequest
@@ -169,19 +224,12 @@
 }
 
 func readError(err error) error {
+	if errors.Is(err, headlimit.ErrTooLarge) {
+		return errors.Annotatef(ErrOverlong, "more than %d bytes", headlimit.MaxBytes)
+	}
 	var timeout interface{ Timeout() bool }
 	if errors.As(err, &timeout) && timeout.Timeout() {
 		return errors.Annotate(ErrTimeout, err.Error())
 	}
 	return errors.Annotate(ErrBroken, err.Error())
 }
-
-// restBody reads the remainder of a long response. Its connection is not reused.
-type restBody struct {
-	body io.ReadCloser
-	conn *upstreamConn
-}
-
-func (b *restBody) Read(p []byte) (int, error) { return b.body.Read(p) }
-
-func (b *restBody) Close() error { return b.conn.nc.Close() }
--- a/gateway/egress/reply.go
+++ b/gateway/egress/reply.go
@@ -23,6 +23,9 @@
 	Misdirected bool
 	// Unreachable is set if no connection could be established or nothing could be sent.
 	Unreachable bool
+	// Endless is set if the response had no end: its head exceeded the limit, or its body lasted until
+	// the deadline.
+	Endless bool
 	// Err is the reason why the outcome is not Answered.
 	Err error
 }
--- a/gateway/egress/timing.go
+++ b/gateway/egress/timing.go
@@ -29,6 +29,11 @@
 	maxBufferedBody = 1 << 20
 	// headBufferSize is the initial buffer size for a request head, in bytes.
 	headBufferSize = 1 << 10
+	// readBufferSize is the buffer size for reading responses, in bytes.
+	readBufferSize = 4 << 10
+	// bodyBufferGrowth is the factor by which the buffer of a body of unknown length grows, so that it
+	// never holds much more than the body.
+	bodyBufferGrowth = 4
 	// restBufferSize is the buffer size for copying the remainder of a long body, in bytes.
 	restBufferSize = 32 << 10
 	// maxMismatched limits the responses to other requests that are skipped.
--- a/gateway/egress/upstream_conn.go
+++ b/gateway/egress/upstream_conn.go
@@ -10,19 +10,25 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"pistachiomount.example/pistachiomount/headlimit"
 )
 
 // upstreamConn is one connection to an upstream.
 type upstreamConn struct {
 	nc net.Conn
 	br *bufio.Reader
+	// head limits the bytes of response heads.
+	head *headlimit.Reader
 	// usableUntil is when the idle connection expires; zero if the connection must not be reused.
 	usableUntil time.Time
-	fresh       bool
+	// fresh is set until the connection has carried a response.
+	fresh bool
 }
 
 func newUpstreamConn(nc net.Conn) *upstreamConn {
-	return &upstreamConn{nc: nc, br: bufio.NewReaderSize(nc, 4<<10), fresh: true}
+	head := headlimit.NewReader(nc)
+	return &upstreamConn{nc: nc, head: head, br: bufio.NewReaderSize(head, readBufferSize), fresh: true}
 }
 
 // isIdle reports whether the idle connection is open and has no unread data: unsolicited bytes would
--- a/gateway/ingress/conn.go
+++ b/gateway/ingress/conn.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"pistachiomount.example/pistachiomount/headlimit"
 )
 
 // conn is one connection of a caller. It reads requests ahead while earlier ones are answered, which
@@ -20,7 +22,7 @@
 type conn struct {
 	server    *Server
 	nc        net.Conn
-	headLimit *headLimitReader
+	headLimit *headlimit.Reader
 	br        *bufio.Reader
 	ctx       context.Context
 	cancel    context.CancelFunc
@@ -39,7 +41,7 @@
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
-	c := &conn{server: s, nc: nc, opened: time.Now(), headLimit: &headLimitReader{r: nc}}
+	c := &conn{server: s, nc: nc, opened: time.Now(), headLimit: headlimit.NewReader(nc)}
 	c.br = bufio.NewReaderSize(c.headLimit, 4<<10)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return c
@@ -138,9 +140,9 @@
 	defer c.reading.Store(false)
 	limits := c.server.limits.Load()
 	_ = c.nc.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
-	c.headLimit.left, c.headLimit.active = limits.MaxHeaderBytes, true
+	c.headLimit.Limit(limits.MaxHeaderBytes)
 	request, err := http.ReadRequest(c.br)
-	c.headLimit.active = false
+	c.headLimit.Lift()
 	if err != nil {
 		return nil, 0, err
 	}
@@ -227,7 +229,7 @@
 	case errors.As(err, &rejected):
 		<-previousDone
 		c.writeResponse(nil, rejection(rejected.status))
-	case errors.Is(err, errHeaderTooLarge):
+	case errors.Is(err, headlimit.ErrTooLarge):
 		<-previousDone
 		c.writeResponse(nil, rejection(http.StatusRequestHeaderFieldsTooLarge))
 	case errors.Is(err, io.EOF) && c.awaitLastResponse(previousDone), errors.Is(err, errIdle):
--- a/gateway/placement/upstream.go
+++ b/gateway/placement/upstream.go
@@ -87,6 +87,9 @@
 		failed = 1
 	}
 	u.failureRate += averageWeight * (failed - u.failureRate)
+	if o.Endless {
+		u.failureRate = 1
+	}
 	if o.LatencyRatio > 0 {
 		u.latencyRatio += averageWeight * (math.Min(o.LatencyRatio, maxLatencyRatio) - u.latencyRatio)
 	}
--- a/gateway/routed_request.go
+++ b/gateway/routed_request.go
@@ -130,6 +130,7 @@
 		Running:  reply.Load.Running, Waiting: reply.Load.Waiting, Reported: reply.LoadReported,
 	}
 	if ctx.Err() == nil {
+		outcome.Endless = reply.Endless
 		outcome.Failed = reply.Outcome == egress.Unknown || reply.Outcome == egress.Answered && reply.Status >= http.StatusInternalServerError
 	}
 	if reply.Outcome == egress.Answered && reply.Status < http.StatusInternalServerError {
@@ -140,6 +141,13 @@
 	if outcome.Unreachable || outcome.AddressReassigned {
 		r.gateway.logEjected(chosen, reply)
 	}
+	if reply.Rest != nil {
+		reply.Rest = &restWithSlot{ReadCloser: reply.Rest, ctx: ctx, release: func(cut bool) {
+			outcome.Failed, outcome.Endless = cut, cut
+			r.service.permits.release(chosen.ID, outcome)
+		}}
+		return reply
+	}
 	r.service.permits.release(chosen.ID, outcome)
 	return reply
 }
--- a/inventory/fetch.go
+++ b/inventory/fetch.go
@@ -7,13 +7,13 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"pistachiomount.example/pistachiomount/headlimit"
 )
 
 const (
 	// maxIdleConns allows one idle connection to each upstream of a service between two probes.
 	maxIdleConns = 256
-	// maxHeaderBytes bounds the headers of a response.
-	maxHeaderBytes = 16 << 10
 	// idleTimeout closes connections to upstreams that are no longer probed.
 	idleTimeout = 30 * time.Second
 )
@@ -24,7 +24,7 @@
 	return &http.Transport{
 		MaxIdleConns:           maxIdleConns,
 		MaxIdleConnsPerHost:    1,
-		MaxResponseHeaderBytes: maxHeaderBytes,
+		MaxResponseHeaderBytes: headlimit.MaxBytes,
 		IdleConnTimeout:        idleTimeout,
 	}
 }
--- a/operator/client.go
+++ b/operator/client.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 
 	"pistachiomount.example/pistachiomount/control"
+	"pistachiomount.example/pistachiomount/headlimit"
 )
 
 const (
@@ -30,7 +31,7 @@
 	Addresses []string
 	// Token is the operator's token.
 	Token string
-	// HTTP defaults to http.DefaultClient.
+	// HTTP defaults to a client without a proxy.
 	HTTP *http.Client
 }
 
@@ -113,9 +114,13 @@
 	if c.HTTP != nil {
 		return c.HTTP
 	}
-	return http.DefaultClient
+	return defaultClient
 }
 
+// defaultClient limits the heads of responses. Like http.DefaultClient, it keeps connections open
+// between calls.
+var defaultClient = &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: headlimit.MaxBytes}}
+
 func decodeError(resp *reply) control.ErrorDetail {
 	report := control.ErrorReport{}
 	if json.Unmarshal(resp.body, &report) != nil || report.Error.Reason == "" {
--- a/standin/serve.go
+++ b/standin/serve.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
+	"pistachiomount.example/pistachiomount/headlimit"
 	"pistachiomount.example/pistachiomount/telemetry"
 )
 
@@ -22,7 +23,7 @@
 // Serve serves the handler on the listener until the context ends, then shuts
 // down gracefully.
 func Serve(ctx context.Context, listener net.Listener, handler http.Handler, logger logrus.FieldLogger) error {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: telemetry.ServerLog(logger)}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: headlimit.MaxBytes, ErrorLog: telemetry.ServerLog(logger)}
 	serveErr := make(chan error, 1)
 	go func() { serveErr <- server.Serve(listener) }()
 	select {
