Read the list of upstreams once for all VMs, also while there is no leader

Cause: an entry VM that had no list from the leader for 3 s read it by itself.

Now a VM reads by itself only if the leader accepts its renewals but sends no list, or after 20 s without a leader, all VMs together at 20 calls a second. Without a leader it holds no rates either, so its list is of little use; the next leader sends the list with the first grants. needsOwnList and ownListInterval are pure.

--- a/entry/plan_follower.go
+++ b/entry/plan_follower.go
@@ -99,6 +99,9 @@
 	return nil
 }
 
+// ConnectedFor returns how long the leader has accepted all renewals, 0 while they fail.
+func (f *PlanFollower) ConnectedFor() time.Duration { return f.renewer.connectedFor() }
+
 // Announce reports a changed state of this VM to the leader at once.
 func (f *PlanFollower) Announce(ctx context.Context) error { return f.renewer.renewWithRetry(ctx) }
 
--- a/entry/renewer.go
+++ b/entry/renewer.go
@@ -36,6 +36,8 @@
 	fleet          map[string]*apipb.Vm
 	failing        bool
 	failedRenewals atomic.Uint64
+	// acceptedSince is when the unbroken series of accepted renewals began; nil while they fail.
+	acceptedSince atomic.Pointer[time.Time]
 }
 
 // run renews until the context ends.
@@ -87,10 +89,22 @@
 	err := r.sendRenewal(ctx)
 	if err != nil {
 		r.failedRenewals.Add(1)
+		r.acceptedSince.Store(nil)
+	} else if r.acceptedSince.Load() == nil {
+		now := time.Now()
+		r.acceptedSince.Store(&now)
 	}
 	return err
 }
 
+// connectedFor returns how long the leader has accepted all renewals, 0 while they fail.
+func (r *renewer) connectedFor() time.Duration {
+	if since := r.acceptedSince.Load(); since != nil {
+		return time.Since(*since)
+	}
+	return 0
+}
+
 func (r *renewer) sendRenewal(ctx context.Context) error {
 	r.renewing <- struct{}{}
 	defer func() { <-r.renewing }()
--- a/gateway/maintenance.go
+++ b/gateway/maintenance.go
@@ -24,18 +24,14 @@
 	}
 }
 
-// listIsStale reports whether the leader's latest list is older than maxListAge.
-func (g *Gateway) listIsStale() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return time.Since(g.listRequested) > maxListAge
-}
-
 // pollList reads the list of upstreams from the platform while the leader sends none.
 func (g *Gateway) pollList(ctx context.Context) {
 	failing := false
 	for ctx.Err() == nil {
-		if !g.listIsStale() {
+		g.mu.Lock()
+		age := time.Since(g.listRequested)
+		g.mu.Unlock()
+		if !needsOwnList(age, g.follower.ConnectedFor()) {
 			sleep(ctx, maintenanceInterval)
 			continue
 		}
@@ -52,18 +48,9 @@
 			g.cfg.Log.Info("reading the list of upstreams succeeds again")
 		}
 		failing = err != nil
-		sleep(ctx, g.pollInterval())
-	}
-}
-
-// pollInterval returns an interval that keeps the reads of all VMs together below MaxListRate.
-func (g *Gateway) pollInterval() time.Duration {
-	if g.cfg.MaxListRate <= 0 {
-		return listInterval
+		vms, _ := g.knownVMs()
+		sleep(ctx, ownListInterval(len(vms)*g.cfg.Lister.Calls(), g.cfg.MaxListRate, g.follower.ConnectedFor() > 0))
 	}
-	vms, _ := g.knownVMs()
-	seconds := float64(len(vms)*g.cfg.Lister.Calls()) / (g.cfg.MaxListRate * listRateShare)
-	return max(listInterval, time.Duration(seconds*float64(time.Second)))
 }
 
 func (g *Gateway) applyList(list []inventory.Upstream) {
--- a/gateway/timing.go
+++ b/gateway/timing.go
@@ -3,17 +3,8 @@
 import "time"
 
 const (
-	// listInterval is the shortest interval at which the list of upstreams is read. An upstream that
-	// is leaving must get no new requests a few seconds after the list shows it.
-	listInterval = time.Second
-	// maxListAge is the age up to which the leader's list is used: two of its reads plus a renewal,
-	// one of which may fail.
-	maxListAge = 3 * time.Second
 	// listTimeout limits one read of the list.
 	listTimeout = 2 * time.Second
-	// listRateShare is the share of MaxListRate that is used. The rest is for the leader's reads and
-	// for VMs that know of too few others.
-	listRateShare = 0.5
 	// maintenanceInterval is how often probes, idle connections and shares of rates are checked.
 	maintenanceInterval = 250 * time.Millisecond
 	// droppedReportInterval is how often the number of dropped log lines is logged.
