Assign objects to regions by the slots and the demand of all VMs; ask other regions for tokens

An upstream is warm for about the last 16 others.

Package demand: VMs record rate, running requests and a HyperLogLog sketch of objects for each service (axiomhq/hyperloglog, 256 registers) and send them once a second with a renewal; the leader merges them by region and returns the totals. With six or more VMs in a region, a region keeps the share of its objects that makes utilization equal among regions; the other objects have their one upstream elsewhere. The share moves slowly. Requests bound to a region come first there. Failure domains of services with small responses keep all objects only up to nine at each upstream.

A VM without a token now asks the owners in two other regions before it rejects, and remembers for 100 ms that none had one.

--- a/control/ownership.go
+++ b/control/ownership.go
@@ -48,6 +48,7 @@
 
 	// list is the list of upstreams. It is empty unless this daemon reads it.
 	list      *inventory.VersionedList
+	demands   *demands
 	startedAt clock.Instant
 	// holdersMu guards removalProposed and lastCleanup. It is not held during calls.
 	holdersMu sync.Mutex
@@ -120,6 +121,11 @@
 	if request.WantsList {
 		t.addUpstreamList(reply, request.HaveListVersion)
 	}
+	if len(request.Demands) > 0 {
+		if err := t.demands.addTo(reply, request, o.cfg.Clock.Now()); err != nil {
+			o.cfg.Log.WithError(err).WithField("vm", request.Vm.Name).Warn("ignored the demand that a VM reports")
+		}
+	}
 	return reply, nil
 }
 
@@ -164,7 +170,7 @@
 		ExpectedHolders: expected, SingleProcessPerVM: expected != nil,
 		Term: term, Quarantine: o.cfg.Quarantine, NoPredecessor: term == o.firstTerm,
 	}, o.cfg.Clock)
-	return &termState{owner: owner, fleet: membership.NewFleet(term, o.cfg.Clock), startedAt: o.cfg.Clock.Now(), removalProposed: map[string]uint64{}, list: inventory.NewVersionedList(term<<32, o.cfg.Clock)}
+	return &termState{owner: owner, fleet: membership.NewFleet(term, o.cfg.Clock), startedAt: o.cfg.Clock.Now(), removalProposed: map[string]uint64{}, list: inventory.NewVersionedList(term<<32, o.cfg.Clock), demands: newDemands()}
 }
 
 // refreshCaps updates the caps if the document or the list of upstreams changed.
--- a/entry/plan_follower.go
+++ b/entry/plan_follower.go
@@ -10,6 +10,7 @@
 
 	"pistachiomount.example/pistachiomount/apipb"
 	"pistachiomount.example/pistachiomount/clock"
+	"pistachiomount.example/pistachiomount/demand"
 	"pistachiomount.example/pistachiomount/grant"
 	"pistachiomount.example/pistachiomount/inventory"
 	"pistachiomount.example/pistachiomount/transport"
@@ -34,6 +35,10 @@
 	// OnUpstreams is called with the list of upstreams as read by the leader, whether it
 	// has changed, and how long ago the leader read it.
 	OnUpstreams func(list []inventory.Upstream, changed bool, age time.Duration)
+	// Demand returns what this VM's callers ask of each service, and OnDemand is called with what
+	// those of all VMs ask, by region.
+	Demand   func() []demand.Report
+	OnDemand func(map[demand.Key]demand.Region)
 }
 
 // PlanFollower synchronizes an entry VM with the control daemons: it follows the
@@ -66,6 +71,7 @@
 		onFleet:   func(_ uint64, vms []*apipb.Vm) { f.fleet.Store(&vms) },
 		onRenewed: func() {}, renewing: make(chan struct{}, 1),
 		upstreams: &upstreamList{log: cfg.Log, onUpstreams: cfg.OnUpstreams},
+		demands:   demandExchange{reports: cfg.Demand, onRegions: cfg.OnDemand},
 	}
 	return f
 }
--- a/entry/renewer.go
+++ b/entry/renewer.go
@@ -26,6 +26,7 @@
 	onFleet func(version uint64, vms []*apipb.Vm)
 	// upstreams receives the list of upstreams; nil if it is not wanted.
 	upstreams *upstreamList
+	demands   demandExchange
 	// onRenewed is called after each accepted renewal.
 	onRenewed func()
 
@@ -121,6 +122,7 @@
 	if r.upstreams != nil {
 		request.WantsList, request.HaveListVersion = true, r.upstreams.version
 	}
+	r.demands.addTo(request, time.Now())
 	reply, err := client.Renew(ctx, request)
 	if err != nil {
 		r.controls.dropLeader(address)
@@ -135,6 +137,7 @@
 	if r.upstreams != nil && reply.ListVersion != 0 {
 		r.upstreams.applyReply(reply)
 	}
+	r.demands.applyReply(reply)
 	if reply.FleetVersion != r.fleetVersion {
 		r.applyFleet(reply)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -67,8 +67,9 @@
 		VM: cfg.VM, Region: cfg.Region, FailureDomain: cfg.FailureDomain, Address: cfg.Address, RPCAddress: cfg.RPCListener.Addr().String(),
 		Controls: cfg.Controls, Security: cfg.Security, Clock: cfg.Clock, Log: cfg.Log,
 		State: g.lifecycle.State, Load: func() float64 { return 0 }, OnChange: g.applyView, OnUpstreams: g.applyLeaderList,
+		Demand: g.reportDemand, OnDemand: g.applyDemand,
 	})
-	g.rateLimiter = &rateLimiter{self: cfg.VM, region: cfg.Region, follower: g.follower, log: cfg.Log, unreachable: map[string]time.Time{}}
+	g.rateLimiter = &rateLimiter{self: cfg.VM, region: cfg.Region, follower: g.follower, log: cfg.Log, unreachable: map[string]time.Time{}, exhausted: map[string]time.Time{}}
 	var err error
 	g.metrics, err = newRequestMetrics(cfg.Meter, g)
 	return g, errors.Annotate(err, "create metrics")
--- a/gateway/placement/cache_holders.go
+++ b/gateway/placement/cache_holders.go
@@ -20,6 +20,8 @@
 	copies   int
 	byDomain bool
 	remote   cacheHolder
+	// away is set if the object is assigned to the upstream of another region.
+	away bool
 }
 
 // cacheHolder is an upstream with its score for the object.
@@ -83,6 +85,9 @@
 // tierOf returns the tier of an upstream for a VM. If failure domains cache all objects by
 // themselves, the domain of the VM comes first, which avoids traffic between domains.
 func (h *cacheHolders) tierOf(u *upstream, self Location) int {
+	if h.away && h.remote.upstream != nil {
+		return h.awayTierOf(u, self)
+	}
 	for _, holder := range h.local[:min(h.copies, len(h.local))] {
 		switch {
 		case holder.upstream != u:
@@ -100,3 +105,14 @@
 	}
 	return tierRemote
 }
+
+// awayTierOf does the same for an object that is assigned to another region.
+func (h *cacheHolders) awayTierOf(u *upstream, self Location) int {
+	switch {
+	case u == h.remote.upstream:
+		return tierHolder
+	case u.Region == self.Region:
+		return tierLocal
+	}
+	return tierRemote
+}
--- a/gateway/placement/capacity.go
+++ b/gateway/placement/capacity.go
@@ -36,6 +36,7 @@
 	}
 	t.lastSlots = slots
 	t.spareSlots = regionsWithSpareSlots(slots)
+	t.updateHomeShare()
 }
 
 // regionsWithSpareSlots returns the regions that have slots for requests of other regions, assuming
@@ -77,7 +78,7 @@
 	if total == 0 || own == total {
 		return map[string]float64{t.self.Region: 1}
 	}
-	shares := map[string]float64{t.self.Region: min(1, own/(total/float64(len(slots))))}
+	shares := map[string]float64{t.self.Region: homeShare(t.self.Region, slots, nil)}
 	for region, n := range slots {
 		if region != t.self.Region {
 			shares[region] = (1 - shares[t.self.Region]) * n / (total - own)
--- a/gateway/placement/objects.go
+++ b/gateway/placement/objects.go
@@ -14,6 +14,13 @@
 	// caches all objects by itself. With 21, a failure domain of 8 upstreams in a deployment of 83
 	// VMs would cache 163 objects by itself and stay cold for most of them.
 	domainObjectsPerUpstream = 18
+	// smallDomainObjects is the same for services with small responses: to take them from another
+	// failure domain costs less than the first request on each object in each domain, which is slow.
+	smallDomainObjects = 9
+	// smallResponse is the mean length of responses, in bytes, up to which they count as small.
+	smallResponse = 4 << 10
+	// responseBytesWeight is the weight of one response in the moving average of their length.
+	responseBytesWeight = 0.02
 	// domainHysteresis is the factor by which the object estimate must cross the capacity of a
 	// failure domain before the domain switches between caching all objects and sharing them, since
 	// the switch leaves all its objects cold. It exceeds the error of the first estimate, which is
--- a/gateway/placement/outcome.go
+++ b/gateway/placement/outcome.go
@@ -14,6 +14,8 @@
 	AddressReassigned bool
 	// LatencyRatio is the response time as a multiple of the route's average; 0 if unknown.
 	LatencyRatio float64
+	// ResponseBytes is the length of the response body; 0 if unknown.
+	ResponseBytes int
 	// Running and Waiting are the load reported by the upstream, valid if Reported is set.
 	Running, Waiting int
 	Reported         bool
--- a/gateway/placement/ranking.go
+++ b/gateway/placement/ranking.go
@@ -34,15 +34,11 @@
 
 // cacheHoldersOf returns the upstreams that cache the object of a request, or nil for a request
 // without an object.
-func (t *Table) cacheHoldersOf(now time.Time, q *Query) *cacheHolders {
+func (t *Table) cacheHoldersOf(q *Query) *cacheHolders {
 	if q.Object == 0 {
 		return nil
 	}
-	if !q.counted {
-		q.counted = true
-		t.objects.record(now, q.Object)
-	}
-	var found cacheHolders
+	found := cacheHolders{away: t.isAway(q)}
 	selfSufficient := t.isSelfSufficient(t.self.FailureDomain)
 	localUpstreams := 0
 	for _, u := range t.upstreams {
@@ -67,7 +63,7 @@
 // themselves. It stores the result, which changes only when the object estimate changes by more
 // than domainHysteresis.
 func (t *Table) isSelfSufficient(domain string) bool {
-	memory, count := float64(t.cacheCandidates[domain]*domainObjectsPerUpstream), t.objects.count()
+	memory, count := float64(t.cacheCandidates[domain]*t.domainObjects()), t.homeObjects()
 	selfSufficient, known := t.selfSufficient[domain]
 	switch {
 	case known && selfSufficient:
@@ -79,6 +75,14 @@
 	return t.selfSufficient[domain]
 }
 
+// domainObjects is the number of objects per upstream up to which a failure domain caches all of them.
+func (t *Table) domainObjects() int {
+	if t.planned() && t.responseBytes > 0 && t.responseBytes <= smallResponse {
+		return smallDomainObjects
+	}
+	return domainObjectsPerUpstream
+}
+
 // isCacheCandidate reports whether objects are assigned to an upstream. Ejected and degraded
 // upstreams remain candidates, so that short failures do not move objects.
 func (t *Table) isCacheCandidate(u *upstream) bool {
@@ -88,7 +92,7 @@
 // copies returns how many upstreams of the region cache one object: as many as their memory allows,
 // so that a full upstream has a warm alternative.
 func (t *Table) copies(upstreams int) int {
-	return min(max(int(float64(upstreams*cachedObjectsPerUpstream)/t.objects.count()), 1), maxCopies)
+	return min(max(int(float64(upstreams*cachedObjectsPerUpstream)/t.homeObjects()), 1), maxCopies)
 }
 
 // sortKeyOf returns the key of an upstream: by load and proximity for a request without an object,
--- a/gateway/placement/table.go
+++ b/gateway/placement/table.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"pistachiomount.example/pistachiomount/demand"
 	"pistachiomount.example/pistachiomount/inventory"
 )
 
@@ -26,6 +27,14 @@
 	warmupRate   float64
 	shiftLimiter *ShiftLimiter
 	objects      objectEstimator
+	recorder     demand.Recorder
+	// demand is what the callers of each region ask of the service, as merged from all VMs; empty
+	// until it is known.
+	demand map[string]demand.Region
+	// homeShare is the share of objects that are assigned to upstreams of this region.
+	homeShare float64
+	// responseBytes is the moving average of the length of responses.
+	responseBytes float64
 	// cacheCandidates is the number of upstreams that objects are assigned to, by failure domain.
 	cacheCandidates map[string]int
 	// selfSufficient says which failure domains cache all objects by themselves.
@@ -42,7 +51,7 @@
 
 // NewTable returns a table without upstreams. The shift limiter is shared by all tables of a VM.
 func NewTable(self Location, shiftLimiter *ShiftLimiter) *Table {
-	return &Table{self: self, byID: map[string]*upstream{}, shiftLimiter: shiftLimiter, selfSufficient: map[string]bool{}}
+	return &Table{self: self, byID: map[string]*upstream{}, shiftLimiter: shiftLimiter, selfSufficient: map[string]bool{}, homeShare: 1}
 }
 
 // SetWarmup sets how long upstreams are cold and the rate of requests that they accept in that
@@ -127,6 +136,7 @@
 
 // Pick selects an upstream for a request and counts the request as in flight there.
 func (t *Table) Pick(now time.Time, q *Query) (inventory.Upstream, Verdict) {
+	t.recordDemand(now, q)
 	best, verdict := t.best(now, q)
 	if best == nil {
 		return inventory.Upstream{}, verdict
@@ -152,7 +162,7 @@
 	if limited {
 		allowed = t.shiftLimiter.Allowed(now)
 	}
-	holders := t.cacheHoldersOf(now, q)
+	holders := t.cacheHoldersOf(q)
 	for _, u := range t.upstreams {
 		if !t.eligible(now, u, q) {
 			continue
@@ -238,6 +248,9 @@
 	u.inFlight = max(0, u.inFlight-1)
 	u.recordLoad(now, o)
 	u.recordOutcome(now, o)
+	if o.ResponseBytes > 0 {
+		t.responseBytes += responseBytesWeight * (float64(o.ResponseBytes) - t.responseBytes)
+	}
 	if o.Unreachable || o.AddressReassigned {
 		u.eject(now)
 		t.updateCapacity(now)
--- a/gateway/rate_limiter.go
+++ b/gateway/rate_limiter.go
@@ -21,6 +21,11 @@
 	takeTimeout = 300 * time.Millisecond
 	// ownerRetryInterval is how long a VM that did not answer is skipped.
 	ownerRetryInterval = time.Second
+	// exhaustedInterval is how long a customer without a token in any region is rejected at once.
+	exhaustedInterval = 100 * time.Millisecond
+	// minLendingTime is the time that must be left to ask other regions for a token: their round trips,
+	// and as much again for the request.
+	minLendingTime = 500 * time.Millisecond
 )
 
 // rateLimiter admits requests within the rates of customers, using this VM's own grants or those of
@@ -33,6 +38,7 @@
 
 	mu          sync.Mutex
 	unreachable map[string]time.Time // until when VMs that did not answer are skipped
+	exhausted   map[string]time.Time // until when customers are rejected without asking other regions
 	currentPool *ratePool
 }
 
@@ -52,13 +58,35 @@
 	wait time.Duration
 }
 
-// take returns a token, or nil and the reason.
-func (r *rateLimiter) take(ctx context.Context, customer string) (*token, denial) {
+// take returns a token, or nil and the reason. timeLeft is the time until the caller's deadline.
+func (r *rateLimiter) take(ctx context.Context, customer string, timeLeft time.Duration) (*token, denial) {
+	taken, denied := r.takeInRegion(ctx, customer)
+	if taken != nil || timeLeft < minLendingTime || r.isMarked(r.exhausted, customer) {
+		return taken, denied
+	}
+	for _, lender := range r.pool().lenders(customer) {
+		if ctx.Err() != nil || r.isMarked(r.unreachable, lender.Name) {
+			continue
+		}
+		taken, _, err := r.takeFrom(ctx, lender, customer)
+		if err != nil {
+			r.markUnreachable(lender.Name, err)
+		} else if taken != nil {
+			return taken, denial{}
+		}
+	}
+	r.mark(r.exhausted, customer, exhaustedInterval)
+	return nil, denied
+}
+
+// takeInRegion takes a token from the VM of the region that owns the customer's rate, or from this VM's
+// share.
+func (r *rateLimiter) takeInRegion(ctx context.Context, customer string) (*token, denial) {
 	for _, owner := range r.pool().rateOwners(customer) {
 		if owner.Name == r.self {
 			break
 		}
-		if r.isUnreachable(owner.Name) {
+		if r.isMarked(r.unreachable, owner.Name) {
 			continue
 		}
 		taken, delay, err := r.takeFrom(ctx, owner, customer)
@@ -143,17 +171,22 @@
 	}()
 }
 
-func (r *rateLimiter) isUnreachable(vm string) bool {
+// isMarked reports whether a VM or customer is marked until a later time.
+func (r *rateLimiter) isMarked(marks map[string]time.Time, name string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return time.Now().Before(r.unreachable[vm])
+	return time.Now().Before(marks[name])
 }
 
-func (r *rateLimiter) markUnreachable(vm string, err error) {
-	r.log.WithError(err).WithField("keeper", vm).Warn("failed to take a token from the VM that owns a customer's rate; trying another one")
+func (r *rateLimiter) mark(marks map[string]time.Time, name string, d time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.unreachable[vm] = time.Now().Add(ownerRetryInterval)
+	marks[name] = time.Now().Add(d)
+}
+
+func (r *rateLimiter) markUnreachable(vm string, err error) {
+	r.log.WithError(err).WithField("keeper", vm).Warn("failed to take a token from the VM that owns a customer's rate; trying another one")
+	r.mark(r.unreachable, vm, ownerRetryInterval)
 }
 
 // rateService serves tokens to the other VMs of the region.
--- a/gateway/rate_pool.go
+++ b/gateway/rate_pool.go
@@ -20,6 +20,8 @@
 	minServingShare = 0.75
 	// maxRateOwners is how many VMs are asked for a token before the VM's own share is used.
 	maxRateOwners = 2
+	// maxLenders is how many further VMs are asked for a token before a request is rejected.
+	maxLenders = 2
 )
 
 // ratePool determines which VMs of a region own the rates of customers, for one list of VMs. It caches
@@ -30,16 +32,25 @@
 	// serving are the VMs that own rates, nil if there are too few; active also includes those that
 	// are starting.
 	serving, active []*apipb.Vm
+	// elsewhere are the serving VMs of the other regions, by region.
+	elsewhere map[string][]*apipb.Vm
 
 	mu                   sync.Mutex
 	owners, futureOwners map[string][]*apipb.Vm // by customer
+	ownersElsewhere      map[string][]*apipb.Vm // by customer, the preferred one of each other region
 }
 
 // newRatePool builds a pool from a list of VMs. Starting VMs own rates only while they are many, as
 // after a restart of all VMs.
 func newRatePool(region string, fleet []*apipb.Vm) *ratePool {
-	p := &ratePool{fleet: fleet, owners: map[string][]*apipb.Vm{}, futureOwners: map[string][]*apipb.Vm{}}
+	p := &ratePool{
+		fleet: fleet, owners: map[string][]*apipb.Vm{}, futureOwners: map[string][]*apipb.Vm{},
+		elsewhere: map[string][]*apipb.Vm{}, ownersElsewhere: map[string][]*apipb.Vm{},
+	}
 	for _, vm := range fleet {
+		if vm.Region != region && vm.RpcAddress != "" && vm.State == apipb.VmState_VM_STATE_SERVING {
+			p.elsewhere[vm.Region] = append(p.elsewhere[vm.Region], vm)
+		}
 		if vm.Region != region || vm.RpcAddress == "" {
 			continue
 		}
@@ -84,6 +95,25 @@
 	return len(current) == 0 || current[0].Name == self || len(future) > 0 && future[0].Name == self
 }
 
+// lenders returns VMs outside of the region that hold shares of a customer's rate: callers move between
+// regions faster than shares do. The order is the same for all requests of the customer.
+func (p *ratePool) lenders(customer string) []*apipb.Vm {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	lenders, found := p.ownersElsewhere[customer]
+	if found {
+		return lenders
+	}
+	for _, vms := range p.elsewhere {
+		if owners := rankOwners(customer, vms); len(owners) > 0 {
+			lenders = append(lenders, owners[0])
+		}
+	}
+	lenders = rankOwners(customer, lenders)[:min(len(lenders), maxLenders)]
+	p.ownersElsewhere[customer] = lenders
+	return lenders
+}
+
 func cachedOwners(cache map[string][]*apipb.Vm, customer string, vms []*apipb.Vm) []*apipb.Vm {
 	owners, found := cache[customer]
 	if !found {
--- a/gateway/routed_request.go
+++ b/gateway/routed_request.go
@@ -134,6 +134,7 @@
 		outcome.Failed = reply.Outcome == egress.Unknown || reply.Outcome == egress.Answered && reply.Status >= http.StatusInternalServerError
 	}
 	if reply.Outcome == egress.Answered && reply.Status < http.StatusInternalServerError {
+		outcome.ResponseBytes = len(reply.Body)
 		outcome.LatencyRatio = r.gateway.latencies.record(r.route.Name, time.Since(sent))
 	}
 	r.gateway.metrics.countAttempt(r.serviceName(), reply.Outcome.String())
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -57,7 +57,7 @@
 	if r.customer == nil || r.customer.Rate <= 0 {
 		return r.run(ctx)
 	}
-	taken, denied := g.rateLimiter.take(ctx, r.customer.Name)
+	taken, denied := g.rateLimiter.take(ctx, r.customer.Name, time.Until(r.deadline))
 	switch {
 	case taken != nil:
 	case denied.noShare:
