Leave a region at once while its upstreams fail

Cause: an upstream that accepts connections and fails all requests kept its slots in the count of its region, so no outage was seen, and the bound on shifts between regions held its requests back: with three upstreams in three regions, one of which responds without end, 139 of 200 requests were rejected. An upstream above a failure rate of 0.5, some five failures in a row, now counts as lost slots. Ruled out: the bound on use by requests whose object is kept elsewhere; the upstream that keeps it for other regions takes them up to all its slots.

TestFailingRegionIsLeftAtOnce failed before.

--- a/gateway/placement/capacity.go
+++ b/gateway/placement/capacity.go
@@ -58,7 +58,7 @@
 func (t *Table) slotsByRegion() map[string]float64 {
 	slots := map[string]float64{}
 	for _, u := range t.upstreams {
-		if t.isCacheCandidate(u) && !u.ejected {
+		if t.isCacheCandidate(u) && !u.ejected && !u.failing() {
 			slots[u.Region] += float64(u.Slots)
 		}
 	}
--- a/gateway/placement/constants.go
+++ b/gateway/placement/constants.go
@@ -13,6 +13,9 @@
 	// degradedFailureRate is the failure rate above which an upstream is used only if no other has
 	// capacity. Healthy upstreams fail less than 0.01 of their requests.
 	degradedFailureRate = 0.25
+	// failingRate is the failure rate above which the slots of an upstream count as lost: some five
+	// failures in a row.
+	failingRate = 0.5
 	// degradedLatencyRatio is the multiple of the average response time above which the same applies.
 	// A few cold requests, which take 3.3 times as long as warm ones, stay below it on average.
 	degradedLatencyRatio = 2.0
--- a/gateway/placement/table.go
+++ b/gateway/placement/table.go
@@ -247,14 +247,19 @@
 	}
 	u.inFlight = max(0, u.inFlight-1)
 	u.recordLoad(now, o)
+	failing := u.failing()
 	u.recordOutcome(now, o)
 	if o.ResponseBytes > 0 {
 		t.responseBytes += responseBytesWeight * (float64(o.ResponseBytes) - t.responseBytes)
 	}
-	if o.Unreachable || o.AddressReassigned {
+	switch {
+	case o.Unreachable || o.AddressReassigned:
 		u.eject(now)
 		t.updateCapacity(now)
-	} else if !o.Failed {
+	case u.failing() != failing:
+		t.updateCapacity(now)
+	}
+	if !o.Failed && !u.ejected {
 		u.ejectionPeriod = 0
 	}
 	if o.Rejected && !o.Reported {
--- a/gateway/placement/upstream.go
+++ b/gateway/placement/upstream.go
@@ -54,6 +54,9 @@
 		(u.failureRate > degradedFailureRate || u.latencyRatio > degradedLatencyRatio)
 }
 
+// failing reports whether the slots of the upstream count as lost.
+func (u *upstream) failing() bool { return u.failureRate > failingRate }
+
 func (u *upstream) cold(now time.Time) bool { return now.Before(u.coldUntil) }
 
 // score ranks upstreams for one object by rendezvous hashing.
