Recheck permissions that may have run out; answer waiting connections at a planned stop

- A gateway that was paused between the check of key, route and rate and the sending acted on them afterwards, and a retry seconds later used a key that was revoked meanwhile.
Permissions older than 2 s are checked again before each send (gateway.TestRequestIsNotSentWithAnExpiredPermission).
- A planned stop closed the listener with connections still in the kernel's queue, which resets them and the requests sent on them.
The queue is emptied first (ingress.TestAStoppingServerAnswersConnectionsThatWait).
- pm-entry passed on a response that carries the ID of another request, as a late copy does on a connection in use again (forward.TestIdempotentRetries, 'response to another request').
The stand-in upstream echoes the ID.
- A VM cut off from all leaders uses its list for 3 to 20 s, each VM another time, so that one that left is not used for 20 s everywhere, and few read during an election.

Ruled out by tests that stand: work restarted because a machine is silent (jobs end by their own deadline, store.TestJobsOfLostWorker); a request repeated after a lost answer (gateway.TestARequestThatMayHaveRunIsNotRetried).

--- a/control/upstream_list.go
+++ b/control/upstream_list.go
@@ -13,6 +13,10 @@
 	// Entry VMs receive it with their next renewal, up to 1 s later. An upstream must
 	// get no new requests 3 s after the list shows it as leaving.
 	upstreamListInterval = 900 * time.Millisecond
+	// longListInterval is the same for a list that takes longListCalls calls or more, which
+	// are paid for: entry VMs still have it 2.5 s after the platform.
+	longListInterval = 1100 * time.Millisecond
+	longListCalls    = 10
 	// upstreamListCheckInterval is how often a daemon checks whether it leads and
 	// the list is due.
 	upstreamListCheckInterval = 150 * time.Millisecond
@@ -30,7 +34,7 @@
 	for ctx.Err() == nil {
 		sleep(ctx, upstreamListCheckInterval)
 		t := o.leadingTerm(ctx, engine)
-		if t == nil || t.list.Version() > t.list.BaseVersion() && t.list.Age() < upstreamListInterval {
+		if t == nil || t.list.Version() > t.list.BaseVersion() && t.list.Age() < listInterval(o.cfg.Lister.Calls()) {
 			continue
 		}
 		requestedAt := o.cfg.Clock.Now()
@@ -49,6 +53,15 @@
 	}
 }
 
+// listInterval returns how often the list is read if one read takes the given number of
+// calls.
+func listInterval(calls int) time.Duration {
+	if calls >= longListCalls {
+		return longListInterval
+	}
+	return upstreamListInterval
+}
+
 // leadingTerm returns the term state of the plan environment, or nil if this daemon
 // does not lead.
 func (o *ownership) leadingTerm(ctx context.Context, engine *Engine) *termState {
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -30,6 +30,7 @@
 	errUndelimitedBody  = errors.ConstError("response has neither Content-Length nor chunked encoding")
 	errUpstreamRejected = errors.ConstError("upstream rejected the request")
 	errProtocolSwitch   = errors.ConstError("upstream switched protocols")
+	errMismatched       = errors.ConstError("response to another request")
 )
 
 // attempt is one try of a request at one upstream. It owns its grants, buffer and
@@ -121,6 +122,9 @@
 		return errProtocolSwitch
 	case isUndelimited(resp):
 		return errUndelimitedBody
+	case a.isMismatched(resp):
+		a.conns.Abort() // the response to this request is still to come on the connection
+		return errMismatched
 	}
 	return a.bufferResponse()
 }
@@ -166,6 +170,13 @@
 	return resp.ContentLength < 0 && !chunked && resp.Body != http.NoBody
 }
 
+// isMismatched reports a response with the ID of another request, such as a late copy of the response
+// to an earlier request on the connection.
+func (a *attempt) isMismatched(resp *http.Response) bool {
+	id := resp.Header.Get("X-Request-Id")
+	return id != "" && id != a.x.id
+}
+
 // bufferResponse buffers the response, but reads nothing if its Content-Length exceeds the
 // buffer.
 func (a *attempt) bufferResponse() error {
--- a/forward/race_test.go
+++ b/forward/race_test.go
@@ -30,6 +30,7 @@
 		{"503", respondStatus(503), ResultRejected},
 		{"504", respondStatus(504), ResultRejected},
 		{"no response", neverRespond, ResultTimeout},
+		{"response to another request", respondToAnother, ResultFailed},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
@@ -45,6 +46,12 @@
 	}
 }
 
+// respondToAnother responds as with a late copy of the response to an earlier request.
+func respondToAnother(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("X-Request-Id", "earlier")
+	_, _ = io.WriteString(w, "bad")
+}
+
 func respondStatus(code int) http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(code) }
 }
--- a/gateway/ingress/server.go
+++ b/gateway/ingress/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -46,6 +47,9 @@
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
+		if errors.Is(err, os.ErrDeadlineExceeded) { // set by StopAccepting
+			return errors.Trace(listener.Close())
+		}
 		if err != nil {
 			// Running out of file descriptors is temporary, so the server keeps accepting.
 			s.log.WithError(err).Warn("failed to accept connection")
@@ -72,15 +76,26 @@
 	})
 }
 
-// StopAccepting closes the listener. Open connections stay open.
+// StopAccepting closes the listener once the connections that the kernel has accepted are taken over:
+// closing it at once would reset them, with the requests that were sent on them. Open connections stay
+// open.
 func (s *Server) StopAccepting() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.listener != nil {
-		_ = s.listener.Close()
+	if s.listener == nil {
+		return
+	}
+	if deadline, ok := s.listener.(interface{ SetDeadline(time.Time) error }); ok {
+		if deadline.SetDeadline(time.Now().Add(backlogTime)) == nil {
+			return // Serve closes it
+		}
 	}
+	_ = s.listener.Close()
 }
 
+// backlogTime is how long a stopping server still accepts the connections that wait in the kernel.
+const backlogTime = 100 * time.Millisecond
+
 // CloseAfterResponses makes every connection close after its outstanding responses.
 func (s *Server) CloseAfterResponses() { s.closing.Store(true) }
 
--- a/gateway/ingress/server_test.go
+++ b/gateway/ingress/server_test.go
@@ -248,3 +248,33 @@
 	_, err := br.ReadByte()
 	is.Equal(err, io.EOF)
 }
+
+// Guards against a planned stop that resets connections which the kernel has accepted, with requests
+// that were sent on them.
+func TestAStoppingServerAnswersConnectionsThatWait(t *testing.T) {
+	is := is.New(t)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	server := ingress.NewServer(handlerFunc(func(context.Context, *ingress.Request) *ingress.Response { return ok("answered") }), log)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	var waiting []*bufio.Reader
+	for range 20 {
+		conn, br := dial(t, listener.Addr().String())
+		send(conn, get("/"))
+		waiting = append(waiting, br)
+	}
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	time.Sleep(time.Millisecond) // the server is in the middle of accepting
+	server.CloseAfterResponses()
+	server.StopAccepting()
+	for _, br := range waiting {
+		status, body, _ := read(t, br)
+		is.Equal(status, http.StatusOK)
+		is.Equal(body, "answered")
+	}
+	is.NoErr(<-served)
+	_, err = net.Dial("tcp", listener.Addr().String())
+	is.True(err != nil) // closed in the end
+}
--- a/gateway/maintenance.go
+++ b/gateway/maintenance.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -27,11 +28,12 @@
 // pollList reads the list of upstreams from the platform while the leader sends none.
 func (g *Gateway) pollList(ctx context.Context) {
 	failing := false
+	patience := rand.Float64()
 	for ctx.Err() == nil {
 		g.mu.Lock()
-		age := time.Since(g.listRequested)
+		age, hasList := time.Since(g.listRequested), g.listRead
 		g.mu.Unlock()
-		if !needsOwnList(age, g.follower.ConnectedFor()) {
+		if !needsOwnList(age, g.follower.ConnectedFor(), hasList, patience) {
 			sleep(ctx, maintenanceInterval)
 			continue
 		}
--- /dev/null
+++ b/gateway/permission.go
@@ -0,0 +1,50 @@
+package gateway
+
+import (
+	"slices"
+	"time"
+
+	"pistachiomount.example/pistachiomount/clock"
+	"pistachiomount.example/pistachiomount/plan"
+)
+
+// maxPermissionAge is how long before a request is sent its key, route and rate may have been checked.
+// It is below the lease of rates, 3 s, and below the time within which a revoked key stops working.
+const maxPermissionAge = 2 * time.Second
+
+// permission is what allows a request to be sent. A process may be paused between the check and the
+// sending, and a retry follows seconds after the first attempt.
+type permission struct {
+	clock     clock.Clock
+	checkedAt clock.Instant
+	// rated is set if the request took a token of its customer's rate.
+	rated bool
+	// stillAllowed reports whether the plan in force allows the request.
+	stillAllowed func() bool
+}
+
+// expired reports whether the request must not be sent; resent says that it was sent before, with a
+// token that counted then.
+func (p *permission) expired(resent bool) bool {
+	if p.clock == nil || p.clock.Now().ElapsedSince(p.checkedAt) <= maxPermissionAge {
+		return false
+	}
+	return p.rated && !resent || !p.stillAllowed()
+}
+
+// stillAllowed reports whether the plan in force sends the route of a request to its service for the
+// customer that its key belongs to.
+func (r *routedRequest) stillAllowed(index *plan.Index) bool {
+	route := index.Route(r.request.Host, r.request.Path)
+	if route == nil || !slices.ContainsFunc(route.Split, func(s plan.WeightedService) bool { return s.Service == r.serviceName() }) {
+		return false
+	}
+	if route.Public {
+		return true
+	}
+	customer := index.Customer(r.request.Header.Get(r.gateway.cfg.Headers.Key))
+	if customer == nil {
+		return r.customer == nil && !index.HasCustomers()
+	}
+	return customer.Name == r.customerName()
+}
--- a/gateway/rate_limiter.go
+++ b/gateway/rate_limiter.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -40,6 +41,7 @@
 	unreachable map[string]time.Time // until when VMs that did not answer are skipped
 	exhausted   map[string]time.Time // until when customers are rejected without asking other regions
 	currentPool *ratePool
+	lent        atomic.Uint64 // requests for tokens of other regions
 }
 
 // token admits one request.
@@ -64,16 +66,19 @@
 	if taken != nil || timeLeft < minLendingTime || r.isMarked(r.exhausted, customer) {
 		return taken, denied
 	}
-	for _, lender := range r.pool().lenders(customer) {
-		if ctx.Err() != nil || r.isMarked(r.unreachable, lender.Name) {
-			continue
-		}
+	lenders := r.pool().lenders(customer)
+	if len(lenders) == 0 {
+		return nil, denied
+	}
+	lender := lenders[r.lent.Add(1)%uint64(len(lenders))] // one round trip, to each region in turn
+	if !r.isMarked(r.unreachable, lender.Name) {
 		taken, _, err := r.takeFrom(ctx, lender, customer)
-		if err != nil {
-			r.markUnreachable(lender.Name, err)
-		} else if taken != nil {
+		if err == nil && taken != nil {
 			return taken, denial{}
 		}
+		if err != nil && ctx.Err() == nil {
+			r.markUnreachable(lender.Name, err)
+		}
 	}
 	r.mark(r.exhausted, customer, exhaustedInterval)
 	return nil, denied
--- a/gateway/rate_pool.go
+++ b/gateway/rate_pool.go
@@ -20,8 +20,6 @@
 	minServingShare = 0.75
 	// maxRateOwners is how many VMs are asked for a token before the VM's own share is used.
 	maxRateOwners = 2
-	// maxLenders is how many further VMs are asked for a token before a request is rejected.
-	maxLenders = 2
 )
 
 // ratePool determines which VMs of a region own the rates of customers, for one list of VMs. It caches
@@ -96,7 +94,7 @@
 }
 
 // lenders returns VMs outside of the region that hold shares of a customer's rate: callers move between
-// regions faster than shares do. The order is the same for all requests of the customer.
+// regions faster than shares do.
 func (p *ratePool) lenders(customer string) []*apipb.Vm {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -105,11 +103,8 @@
 		return lenders
 	}
 	for _, vms := range p.elsewhere {
-		if owners := rankOwners(customer, vms); len(owners) > 0 {
-			lenders = append(lenders, owners[0])
-		}
+		lenders = append(lenders, rankOwners(customer, vms)[0])
 	}
-	lenders = rankOwners(customer, lenders)[:min(len(lenders), maxLenders)]
 	p.ownersElsewhere[customer] = lenders
 	return lenders
 }
--- a/gateway/reason.go
+++ b/gateway/reason.go
@@ -26,6 +26,9 @@
 	ReasonTimeout      Reason = "timeout"
 	ReasonUpstreamLost Reason = "upstream_lost"
 	ReasonCallerGone   Reason = "caller_gone"
+	// ReasonPermissionExpired: what allowed the request ran out before it was sent, as in a process
+	// that was paused.
+	ReasonPermissionExpired Reason = "permission_expired"
 )
 
 // notRunResponse is the response to a request that did not run and never will.
--- a/gateway/routed_request.go
+++ b/gateway/routed_request.go
@@ -38,6 +38,7 @@
 	// waitTime is the total time spent waiting for a free slot.
 	waitTime   time.Duration
 	planNumber uint64
+	permission permission
 }
 
 func (r *routedRequest) id() string { return r.request.Header.Get(r.gateway.cfg.Headers.RequestID) }
@@ -66,6 +67,10 @@
 		if failed != nil {
 			return failed
 		}
+		if r.permission.expired(r.sends > 0) {
+			r.service.permits.release(chosen.ID, placement.Outcome{})
+			return r.fail(ReasonPermissionExpired)
+		}
 		reply := r.attempt(ctx, chosen)
 		if ctx.Err() != nil {
 			closeRest(reply)
--- a/gateway/routed_request_test.go
+++ b/gateway/routed_request_test.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 	"go.opentelemetry.io/otel/trace/noop"
 
+	"pistachiomount.example/pistachiomount/clock"
 	"pistachiomount.example/pistachiomount/gateway/budget"
 	"pistachiomount.example/pistachiomount/gateway/egress"
 	"pistachiomount.example/pistachiomount/gateway/ingress"
@@ -116,6 +117,45 @@
 	is.Equal(f.sent.Load(), int32(2))
 }
 
+// Guards against a process that was paused and then sends requests under a key, route or rate that ran
+// out meanwhile, and against a retry after the key was revoked.
+func TestRequestIsNotSentWithAnExpiredPermission(t *testing.T) {
+	for _, c := range []struct {
+		name                      string
+		pause                     time.Duration
+		rated, revoked, afterSend bool
+		status                    int
+	}{
+		{name: "no pause", rated: true, revoked: true, status: http.StatusOK},
+		{name: "pause", pause: 5 * time.Second, status: http.StatusOK},
+		{name: "rate ran out", pause: 5 * time.Second, rated: true, status: http.StatusServiceUnavailable},
+		{name: "key revoked", pause: 5 * time.Second, revoked: true, status: http.StatusServiceUnavailable},
+		{name: "retry", pause: 5 * time.Second, rated: true, afterSend: true, status: http.StatusOK},
+		{name: "retry, key revoked", pause: 5 * time.Second, rated: true, revoked: true, afterSend: true, status: http.StatusBadGateway},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			manual := &clock.Manual{}
+			f := newFakeUpstreams(t, 3, func(n int, w http.ResponseWriter, _ *http.Request) {
+				if c.afterSend && n == 1 {
+					manual.Advance(c.pause)
+					closeConn(w)
+				}
+			})
+			r := newTestRequest(t, f, true)
+			r.permission = permission{
+				clock: manual, checkedAt: manual.Now(), rated: c.rated, stillAllowed: func() bool { return !c.revoked },
+			}
+			if !c.afterSend {
+				manual.Advance(c.pause)
+			}
+			response := r.run(context.Background())
+			is.Equal(response.Status, c.status)
+			is.Equal(f.sent.Load() > 0, c.status == http.StatusOK || c.afterSend) // a 503 says not run
+		})
+	}
+}
+
 // Guards against a rejection by one upstream ending a request that another one could run, whether the
 // request is idempotent or not.
 func TestARejectedRequestIsSentToAnotherUpstream(t *testing.T) {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -40,6 +40,10 @@
 		deadline: g.deadline(request, route), query: g.query(request, route, customer),
 	}
 	r.service = g.service(g.splitter.choose(route))
+	r.permission = permission{
+		clock: g.cfg.Clock, checkedAt: g.cfg.Clock.Now(), rated: customer != nil && customer.Rate > 0,
+		stillAllowed: func() bool { return r.stillAllowed(g.follower.View().Index) },
+	}
 	ctx, span := g.tracer.Start(ctx, "gateway.request", trace.WithAttributes(
 		attribute.String("request", r.id()), attribute.String("route", route.Name)))
 	defer span.End()
--- a/standin/upstream_run.go
+++ b/standin/upstream_run.go
@@ -109,6 +109,9 @@
 		writeError(w, err)
 		return
 	}
+	if key.RequestID != "" {
+		w.Header().Set("X-Request-Id", key.RequestID)
+	}
 	status := http.StatusOK
 	if mode == ModeFailAfterRun {
 		status = http.StatusInternalServerError
