Let the home share follow an outage at once; show it as a metric

Cause: the share of objects that a region keeps moved by a twentieth of the difference a second also when the region lost most of its slots, so its other upstreams would have stayed overloaded for half a minute (found by reading the change). It now jumps at an outage, as for the bound on shifts, and returns slowly, since what moves is cold. TestHomeShareFollowsAnOutageAtOnce. The share moved with every list, too; now only with the demand, once a second. pm_gateway_home_share shows it to operators.

--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -68,6 +68,11 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
+	homeShare, err := meter.Float64ObservableGauge("pm_gateway_home_share",
+		metric.WithDescription("Share of objects that are assigned to upstreams of the VM's region, by service."))
+	if err != nil {
+		return errors.Trace(err)
+	}
 	dials, err := meter.Int64ObservableCounter("pm_gateway_connections_opened", metric.WithDescription("Connections opened to upstreams."))
 	if err != nil {
 		return errors.Trace(err)
@@ -82,10 +87,11 @@
 				obs.ObserveInt64(upstreams, int64(table.LiveUpstreams()), attributes)
 				obs.ObserveInt64(running, int64(table.RunningRequests()), attributes)
 				obs.ObserveInt64(waiting, int64(s.permits.queue.Len()), attributes)
+				obs.ObserveFloat64(homeShare, table.HomeShare(), attributes)
 			})
 		}
 		return nil
-	}, viewAge, upstreams, running, waiting, fleet, dials)
+	}, viewAge, upstreams, running, waiting, fleet, homeShare, dials)
 	return errors.Trace(err)
 }
 
--- a/gateway/placement/capacity.go
+++ b/gateway/placement/capacity.go
@@ -29,14 +29,17 @@
 	if t.lastSlots == nil {
 		t.lastSlots = map[string]float64{}
 	}
+	outage := false
 	for region, before := range t.lastSlots {
-		if slots[region] < before*(1-outageSlotFraction) {
-			t.shiftLimiter.Suspend(now.Add(outageSuspension))
-		}
+		outage = outage || slots[region] < before*(1-outageSlotFraction)
 	}
 	t.lastSlots = slots
 	t.spareSlots = regionsWithSpareSlots(slots)
-	t.updateHomeShare()
+	if outage {
+		t.shiftLimiter.Suspend(now.Add(outageSuspension))
+		t.homeShare = t.suggestedHomeShare() // what a region lost is not served there meanwhile
+	}
+	t.updateHomeShare(0)
 }
 
 // regionsWithSpareSlots returns the regions that have slots for requests of other regions, assuming
--- a/gateway/placement/home_share.go
+++ b/gateway/placement/home_share.go
@@ -48,9 +48,12 @@
 // that they assign objects to the same upstreams.
 func (t *Table) SetDemand(regions map[string]demand.Region) {
 	t.demand = regions
-	t.updateHomeShare()
+	t.updateHomeShare(homeShareWeight)
 }
 
+// HomeShare returns the share of objects that are assigned to upstreams of this region.
+func (t *Table) HomeShare() float64 { return t.homeShare }
+
 // homeObjects returns the number of objects that are assigned to upstreams of this region.
 func (t *Table) homeObjects() float64 {
 	objects := t.demand[t.self.Region].Objects
@@ -63,18 +66,21 @@
 // planned reports whether objects are assigned by the demand of all VMs.
 func (t *Table) planned() bool { return t.regionVMs >= minPlannedVMs }
 
-// updateHomeShare moves the home share toward what the slots and the demand of the regions suggest.
-func (t *Table) updateHomeShare() {
-	share := homeShare(t.self.Region, t.lastSlots, t.demand)
+// suggestedHomeShare returns the home share that the slots and the demand of the regions suggest.
+func (t *Table) suggestedHomeShare() float64 {
 	if !t.planned() {
-		t.homeShare = 1
-		return
+		return 1
 	}
-	if len(t.demand) == 0 {
-		t.homeShare = share
-		return
+	return homeShare(t.self.Region, t.lastSlots, t.demand)
+}
+
+// updateHomeShare moves the home share toward the suggested one, by the given part of the difference.
+// While the demand is unknown, nothing is warm yet and the share follows at once.
+func (t *Table) updateHomeShare(weight float64) {
+	if len(t.demand) == 0 || !t.planned() {
+		weight = 1
 	}
-	t.homeShare += homeShareWeight * (share - t.homeShare)
+	t.homeShare += weight * (t.suggestedHomeShare() - t.homeShare)
 }
 
 // homeShare returns the share of a region's requests that its own upstreams serve: as many as make
--- a/gateway/placement/home_share_test.go
+++ b/gateway/placement/home_share_test.go
@@ -75,3 +75,24 @@
 	is.True(moved < 40)
 	is.True(!a.isAway(&Query{Object: math.MaxUint64, Regions: []string{"small"}})) // bound requests stay
 }
+
+// Guards against a region that keeps its objects for half a minute after it lost most of its slots, and
+// against objects that move at once when the slots come back, since what moves is cold.
+func TestHomeShareFollowsAnOutageAtOnce(t *testing.T) {
+	is := is.New(t)
+	table := NewTable(Location{Region: "r", FailureDomain: "r-a", VM: "vm-1"}, NewShiftLimiter(start, "r"))
+	table.SetFleet(nil, minPlannedVMs)
+	all := append(upstreamsOf("r", "r-a", 10, 6), upstreamsOf("r", "r-b", 10, 6)...)
+	all = append(all, upstreamsOf("s", "s-a", 20, 6)...)
+	table.SetUpstreams(start, all, true)
+	table.SetDemand(map[string]demand.Region{"r": {Rate: 100, Running: 60}, "s": {Rate: 100, Running: 60}})
+	is.Equal(table.HomeShare(), 1.0)
+	table.SetEvacuated(start, map[string]bool{"r-a": true})
+	is.True(math.Abs(table.HomeShare()-0.67) < 0.01) // a third of all slots for half of the demand
+	table.SetEvacuated(start, nil)
+	is.True(table.HomeShare() < 0.7)
+	for range 60 {
+		table.SetDemand(table.demand)
+	}
+	is.True(table.HomeShare() > 0.95)
+}
