--- a/control/ownership.go
+++ b/control/ownership.go
@@ -47,11 +47,11 @@
 	decoder       document.Decoder
 
 	// list is the list of upstreams. It is empty unless this daemon reads it.
-	list      *inventory.VersionedList
+	list *inventory.VersionedList
 	// compactList is the encoded list for VMs that need it whole.
 	compactList compactList
 	demands     *demands
-	startedAt clock.Instant
+	startedAt   clock.Instant
 	// holdersMu guards removalProposed and lastCleanup. It is not held during calls.
 	holdersMu sync.Mutex
 	// removalProposed holds the incarnations of holders whose removal was proposed, by
