Reject demand that is not a number; skip the table of VMs when nothing changed

A rate that is NaN or negative in the report of one VM would have spread to the totals of all VMs and to their home shares (found by reading; demand.TestInvalidNumbersAreAnError failed before). The leader looked at and sorted all VMs for each renewal, also for the caller that has the newest table.

--- a/demand/report.go
+++ b/demand/report.go
@@ -1,5 +1,7 @@
 package demand
 
+import "math"
+
 // Report is what the callers of one VM ask of one service.
 type Report struct {
 	Service string
@@ -13,3 +15,16 @@
 	// Bound is the part of Rate that may run in one region only, by region.
 	Bound map[string]float64
 }
+
+// valid reports whether all numbers are finite and not negative. One that is not would spread to the
+// totals of all VMs.
+func (r *Report) valid() bool {
+	for _, rate := range r.Bound {
+		if !isRate(rate) {
+			return false
+		}
+	}
+	return isRate(r.Rate) && isRate(r.Running) && r.Requests >= 0
+}
+
+func isRate(x float64) bool { return x >= 0 && !math.IsInf(x, 1) }
--- a/demand/table.go
+++ b/demand/table.go
@@ -8,8 +8,13 @@
 	"github.com/juju/errors"
 )
 
-// ErrSketch: a report holds a sketch that cannot be read.
-const ErrSketch = errors.ConstError("invalid sketch of objects")
+// Errors of reports.
+const (
+	// ErrSketch: a report holds a sketch that cannot be read.
+	ErrSketch = errors.ConstError("invalid sketch of objects")
+	// ErrRate: a report holds a number that is negative or not finite.
+	ErrRate = errors.ConstError("invalid rate")
+)
 
 const (
 	// reportTimeout is how long the report of a VM counts: a few renewals.
@@ -50,6 +55,9 @@
 func (t *Table) Record(now time.Time, vm, region string, reports []Report) error {
 	r := &vmReports{region: region, at: now}
 	for _, report := range reports {
+		if !report.valid() {
+			return errors.Annotatef(ErrRate, "VM %s, service %s", vm, report.Service)
+		}
 		sketch, err := decodeSketch(report.Sketch)
 		if err != nil {
 			return errors.Annotatef(err, "VM %s, service %s", vm, report.Service)
--- a/demand/table_test.go
+++ b/demand/table_test.go
@@ -88,6 +88,18 @@
 	is.Equal(table.Summary(start)[demand.Key{Service: "s", Region: "r"}].Rate, 5.0)
 }
 
+// Guards against a number of one VM that makes the totals of all VMs useless.
+func TestInvalidNumbersAreAnError(t *testing.T) {
+	is := is.New(t)
+	table := demand.NewTable()
+	for _, bad := range []float64{math.NaN(), math.Inf(1), -1} {
+		for _, report := range []demand.Report{{Rate: bad}, {Running: bad}, {Bound: map[string]float64{"r": bad}}} {
+			is.True(table.Record(start, "a", "r", []demand.Report{report}) != nil)
+		}
+	}
+	is.Equal(len(table.Summary(start)), 0)
+}
+
 // Guards against a sketch of another precision, as from another version, that stops the merging.
 func TestSketchOfAnotherPrecisionIsIgnored(t *testing.T) {
 	is := is.New(t)
--- a/membership/fleet.go
+++ b/membership/fleet.go
@@ -221,6 +221,9 @@
 	if have>>32 != f.version>>32 || have > f.version || have < f.prunedVersion {
 		return nil, f.version, false
 	}
+	if have == f.version {
+		return nil, f.version, true // most heartbeats: no need to look at all VMs
+	}
 	for _, name := range slices.Sorted(maps.Keys(f.members)) {
 		m := f.members[name]
 		if m.changedVersion <= have {
