Wait for the last connections before a planned stop ends the process

StopAccepting now returns when nothing more is accepted; a connection whose first request may be on its way counts as busy for 0.2 s and is not closed as idle.

--- a/gateway/ingress/conn.go
+++ b/gateway/ingress/conn.go
@@ -284,9 +284,16 @@
 		!errors.Is(err, net.ErrClosed)
 }
 
+// isNew reports whether the first request of the connection may still be on its way: it is sent with the
+// connection.
+func (c *conn) isNew() bool {
+	_, ended := c.state()
+	return !ended && c.answeredAt.Load() == 0 && time.Since(c.opened) < firstRequestTime
+}
+
 // closeIfIdle ends the connection if no request is being read or pending.
 func (c *conn) closeIfIdle() {
-	if !c.reading.Load() && c.endIfPending(0) {
+	if !c.reading.Load() && !c.isNew() && c.endIfPending(0) {
 		_ = c.nc.SetReadDeadline(time.Now())
 	}
 }
--- a/gateway/ingress/limits.go
+++ b/gateway/ingress/limits.go
@@ -25,6 +25,8 @@
 	bodyTimeout = 10 * time.Second
 	// writeTimeout limits each write to a caller that reads slowly.
 	writeTimeout = 10 * time.Second
+	// firstRequestTime is how long a stopping server waits for the first request of a connection.
+	firstRequestTime = 200 * time.Millisecond
 	// lingerTimeout is how long a closing connection is read. Closing a connection with unread bytes
 	// resets it, which may destroy the response. A request that arrives meanwhile gets no answer, so the
 	// time is short: the caller then sees that the request was not read.
--- a/gateway/ingress/server.go
+++ b/gateway/ingress/server.go
@@ -20,6 +20,8 @@
 
 	mu       sync.Mutex
 	listener net.Listener
+	// accepting is closed when the listener no longer accepts connections.
+	accepting chan struct{}
 	conns    map[*conn]struct{}
 	// closing makes every connection close after its outstanding responses.
 	closing atomic.Bool
@@ -28,7 +30,7 @@
 
 // NewServer returns a server that passes requests to the handler.
 func NewServer(handler Handler, log logrus.FieldLogger) *Server {
-	s := &Server{handler: handler, log: log, conns: map[*conn]struct{}{}}
+	s := &Server{handler: handler, log: log, conns: map[*conn]struct{}{}, accepting: make(chan struct{})}
 	limits := DefaultLimits
 	s.limits.Store(&limits)
 	return s
@@ -42,6 +44,7 @@
 	s.mu.Lock()
 	s.listener = listener
 	s.mu.Unlock()
+	defer close(s.accepting)
 	for {
 		nc, err := listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -77,20 +80,20 @@
 }
 
 // StopAccepting closes the listener once the connections that the kernel has accepted are taken over:
-// closing it at once would reset them, with the requests that were sent on them. Open connections stay
-// open.
+// closing it at once would reset them, with the requests that were sent on them. It returns when no
+// further connection is accepted. Open connections stay open.
 func (s *Server) StopAccepting() {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.listener == nil {
+	listener := s.listener
+	s.mu.Unlock()
+	if listener == nil {
 		return
 	}
-	if deadline, ok := s.listener.(interface{ SetDeadline(time.Time) error }); ok {
-		if deadline.SetDeadline(time.Now().Add(backlogTime)) == nil {
-			return // Serve closes it
-		}
+	deadline, ok := listener.(interface{ SetDeadline(time.Time) error })
+	if !ok || deadline.SetDeadline(time.Now().Add(backlogTime)) != nil {
+		_ = listener.Close()
 	}
-	_ = s.listener.Close()
+	<-s.accepting
 }
 
 // backlogTime is how long a stopping server still accepts the connections that wait in the kernel.
@@ -108,13 +111,14 @@
 	}
 }
 
-// BusyConns returns the number of connections with pending requests.
+// BusyConns returns the number of connections with pending requests, and of those whose first request
+// may not have been read yet.
 func (s *Server) BusyConns() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	n := 0
 	for c := range s.conns {
-		if pending, _ := c.state(); pending > 0 {
+		if pending, _ := c.state(); pending > 0 || c.isNew() {
 			n++
 		}
 	}
--- a/gateway/ingress/server_test.go
+++ b/gateway/ingress/server_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -255,7 +256,12 @@
 	is := is.New(t)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	server := ingress.NewServer(handlerFunc(func(context.Context, *ingress.Request) *ingress.Response { return ok("answered") }), log)
+	var answers atomic.Int32
+	server := ingress.NewServer(handlerFunc(func(context.Context, *ingress.Request) *ingress.Response {
+		time.Sleep(20 * time.Millisecond) // an upstream is at work
+		answers.Add(1)
+		return ok("answered")
+	}), log)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	var waiting []*bufio.Reader
@@ -268,7 +274,25 @@
 	go func() { served <- server.Serve(listener) }()
 	time.Sleep(time.Millisecond) // the server is in the middle of accepting
 	server.CloseAfterResponses()
+	accepted := make(chan int, 1)
+	go func() { // a caller that connects while the listener closes
+		time.Sleep(30 * time.Millisecond)
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		if err != nil {
+			accepted <- 0
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		send(conn, get("/"))
+		_, _ = http.ReadResponse(bufio.NewReader(conn), nil)
+		accepted <- 1
+	}()
 	server.StopAccepting()
+	for server.CloseIdle(); server.BusyConns() > 0; server.CloseIdle() { // as a planned stop does
+		time.Sleep(time.Millisecond)
+	}
+	atExit := int(answers.Load())
+	is.Equal(atExit, len(waiting)+<-accepted) // the process may exit: all that were accepted are answered
 	for _, br := range waiting {
 		status, body, _ := read(t, br)
 		is.Equal(status, http.StatusOK)
