--- a/gateway/ingress/server.go
+++ b/gateway/ingress/server.go
@@ -22,7 +22,7 @@
 	listener net.Listener
 	// accepting is closed when the listener no longer accepts connections.
 	accepting chan struct{}
-	conns    map[*conn]struct{}
+	conns     map[*conn]struct{}
 	// closing makes every connection close after its outstanding responses.
 	closing atomic.Bool
 	wg      sync.WaitGroup
