Grant shares to the VMs that callers of a stopping VM move to before they come

Waiting alone did not help, as nothing planned the demand.

A stopping VM now announces that it retires. The owner plans its demand also for the others of its region, or for all where there is none; the retiring VM keeps its own share, since callers leave it one by one. It is named to callers for 2.9 s more: one round in which holders release, one in which the heirs get it, and a late reply.

TestPlannedStop of entry asks for the announcement at once and for the leaving state after the handover, in place of the leaving state at once.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -146,10 +146,15 @@
 	return errors.Trace(err)
 }
 
-// shutDown announces to the fleet that this VM leaves, serves for as long as callers
-// may cache an answer that names it, waits until every request has ended, and returns
-// the grants.
+// shutDown lets the leader grant shares to the VMs that callers move to, announces to
+// the fleet that this VM leaves, serves for as long as callers may cache an answer that
+// names it, waits until every request has ended, and returns the grants.
 func (d *Daemon) shutDown(callers *http.Server) error {
+	d.holder.Retire()
+	if err := d.renewer.renewWithRetry(context.Background()); err != nil {
+		d.cfg.Log.WithError(err).Warn("failed to announce a planned stop: other VMs may lack grants")
+	}
+	time.Sleep(handoverTime)
 	if err := d.lifecycle.Leave(); err != nil {
 		return errors.Trace(err)
 	}
--- a/entry/shutdown_test.go
+++ b/entry/shutdown_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -63,13 +65,24 @@
 
 // recordingLeader answers renewals as the leader and records the VM state in each.
 type recordingLeader struct {
-	owner  *grant.Owner
+	owner *grant.Owner
+
+	mu     sync.Mutex
 	states []apipb.VmState
 	last   *apipb.RenewRequest
 }
 
+// recorded returns the VM state in each renewal so far, and the last one.
+func (r *recordingLeader) recorded() ([]apipb.VmState, *apipb.RenewRequest) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.states), r.last
+}
+
 func (r *recordingLeader) answer(_ context.Context, in *apipb.RenewRequest) (*apipb.RenewReply, error) {
+	r.mu.Lock()
 	r.states, r.last = append(r.states, in.Vm.State), in
+	r.mu.Unlock()
 	return r.owner.Renew(in, true), nil
 }
 
@@ -90,8 +103,8 @@
 	d.applyView(v)
 }
 
-// Guards against requests dropped by a planned stop: the VM first tells the fleet that
-// it leaves, then serves callers with an old lookup answer and requests in progress,
+// Guards against requests dropped by a planned stop: the VM first has its demand planned
+// for others, then tells the fleet that it leaves, then serves callers with an old lookup answer and requests in progress,
 // and only then returns its grants.
 func TestPlannedStop(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -113,8 +126,14 @@
 		began := time.Now()
 		go func() { stopped <- d.shutDown(server) }()
 		synctest.Wait()
-		is.Equal(leader.states, []apipb.VmState{apipb.VmState_VM_STATE_LEAVING}) // at once
-		is.True(!leader.last.HandingBack)
+		states, last := leader.recorded()
+		is.Equal(states, []apipb.VmState{apipb.VmState_VM_STATE_SERVING}) // at once
+		is.True(last.Retiring)
+		time.Sleep(handoverTime)
+		synctest.Wait()
+		states, last = leader.recorded()
+		is.Equal(states[1:], []apipb.VmState{apipb.VmState_VM_STATE_LEAVING})
+		is.True(!last.HandingBack)
 		slow := make(chan int, 1)
 		// Another VM may name this one until its own next renewal.
 		time.Sleep(grant.RenewInterval + renewTimeout + LookupTTL)
@@ -123,12 +142,14 @@
 		time.Sleep(document.MaxDeadlineMS * time.Millisecond)
 		is.Equal(listener.get("/fast"), 0)
 		is.Equal(len(stopped), 0)
-		is.Equal(len(leader.states), 1)
+		states, _ = leader.recorded()
+		is.Equal(len(states), 2)
 		close(release)
 		is.Equal(<-slow, 200)
 		is.NoErr(<-stopped)
 		is.True(time.Since(began) < stopTimeout)
-		is.True(leader.last.HandingBack)
+		_, last = leader.recorded()
+		is.True(last.HandingBack)
 		is.Equal(d.lifecycle.State(), apipb.VmState_VM_STATE_STOPPED)
 	})
 }
@@ -146,7 +167,8 @@
 		}}, "a")
 		is.NoErr(d.lifecycle.Serve())
 		is.NoErr(d.shutDown(&http.Server{}))
-		is.True(leader.last.HandingBack)
+		_, last := leader.recorded()
+		is.True(last.HandingBack)
 	})
 }
 
@@ -178,7 +200,8 @@
 		}
 		is.Equal(d.lifecycle.State(), apipb.VmState_VM_STATE_SERVING)
 		is.True(!d.queue.empty()) // and not because the wait timed out
-		for _, state := range leader.states {
+		states, _ := leader.recorded()
+		for _, state := range states {
 			is.Equal(state, apipb.VmState_VM_STATE_STARTING) // as reported to the leader until then
 		}
 	})
--- a/entry/timeouts.go
+++ b/entry/timeouts.go
@@ -1,6 +1,10 @@
 package entry
 
-import "time"
+import (
+	"time"
+
+	"pistachiomount.example/pistachiomount/grant"
+)
 
 const (
 	// MaxViewAge is the revocation bound: a view that was confirmed longer ago is not
@@ -30,6 +34,10 @@
 	tickInterval = 100 * time.Millisecond
 	// LookupTTL is how long callers may cache a lookup answer.
 	LookupTTL = 5 * time.Second
+	// handoverTime is how long a stopping VM is still named to callers, so that others hold
+	// the grants for them before they come: one round of renewals in which holders release
+	// what they have too much, one in which the successors get it, and a late reply.
+	handoverTime = 2*grant.RenewInterval + renewTimeout
 	// stopMargin is added to LookupTTL before a stopping daemon closes its listener.
 	// Other VMs name it until their next renewal, which begins up to 1 s later and is
 	// answered up to 0.9 s after that, and a caller's request may be in transit for 1 s.
--- a/grant/holder.go
+++ b/grant/holder.go
@@ -37,6 +37,7 @@
 	term             uint64 // highest term seen
 	acceptedSequence uint64
 	acceptedTerm     uint64
+	retiring         bool
 	stopped          bool
 
 	subleases    []*sublease // of a RegionalOwner
@@ -126,6 +127,14 @@
 	}
 }
 
+// Retire makes the next requests announce a planned stop: the owner prepares the holders that
+// callers move to. What is held stays in force.
+func (h *Holder) Retire() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.retiring = true
+}
+
 // Stop releases all grants for a planned shutdown: nothing can be taken any more and the next
 // request reports nothing as held. Units in use are reported until they are released.
 func (h *Holder) Stop() {
@@ -188,7 +197,7 @@
 		Environment: h.cfg.Environment,
 		Vm:          &apipb.Vm{Name: h.cfg.VM, Incarnation: h.cfg.Incarnation},
 		Sequence:    h.sequence, AcceptedSequence: h.acceptedSequence,
-		AcceptedTerm: h.acceptedTerm, HandingBack: h.stopped, Weight: h.cfg.Weight,
+		AcceptedTerm: h.acceptedTerm, HandingBack: h.stopped, Retiring: h.retiring, Weight: h.cfg.Weight,
 	}
 	h.writeReports(req, now, followsAccepted)
 	return req
--- a/grant/member.go
+++ b/grant/member.go
@@ -16,11 +16,24 @@
 	receivedAt  clock.Instant
 	live        bool // its lease may still be valid
 	stopping    bool
+	retiring    bool   // a planned stop has begun; its callers move to other VMs soon
+	region      string // empty if unknown
 	holdings    map[ResourceID]*holding
 	holdingList []*holding
 	layout      layout
 }
 
+// setRetiring records whether a planned stop has begun. A change makes new plans due.
+func (m *member) setRetiring(retiring bool) {
+	if retiring == m.retiring {
+		return
+	}
+	m.retiring = retiring
+	for _, h := range m.holdingList {
+		h.pool.dirty = true
+	}
+}
+
 func (m *member) add(p *pool) *holding {
 	h := &holding{member: m, pool: p, poolIndex: len(p.holdings), memberIndex: len(m.holdingList), weight: 1}
 	p.holdings = append(p.holdings, h)
--- a/grant/owner.go
+++ b/grant/owner.go
@@ -160,7 +160,8 @@
 		reply.FullRequestNeeded = true
 		return nil
 	}
-	m.live, m.stopping = true, req.GetHandingBack()
+	m.live, m.stopping, m.region = true, req.GetHandingBack(), req.GetVm().GetRegion()
+	m.setRetiring(req.GetRetiring())
 	return m
 }
 
--- a/grant/plan.go
+++ b/grant/plan.go
@@ -29,13 +29,13 @@
 }
 
 func (d division) part(h *holding) float64 {
-	return d.level.part(h.demand, h.weight)*d.factor + d.floor
+	return d.level.part(h.expectedDemand(), h.weight)*d.factor + d.floor
 }
 
 func (p *pool) divide(capacity float64) division {
 	p.claims = p.claims[:0]
 	for _, h := range p.planned {
-		p.claims = append(p.claims, claim{demand: h.demand, weight: h.weight})
+		p.claims = append(p.claims, claim{demand: h.expectedDemand(), weight: h.weight})
 	}
 	d := division{level: maxMin(capacity, p.claims), factor: 1}
 	rest := max(0, capacity-d.total)
@@ -156,7 +156,7 @@
 	}
 	for _, h := range p.planned {
 		h.rank = h.credit
-		if h.demand > float64(h.target.units) {
+		if h.expectedDemand() > float64(h.target.units) {
 			h.rank += 2*creditLimit + 1
 		}
 	}
--- a/grant/pool.go
+++ b/grant/pool.go
@@ -139,7 +139,7 @@
 		want = h.held.units
 	}
 	next := uint32(min(int64(want), free))
-	if next < h.target.units && h.demand > float64(next) {
+	if next < h.target.units && h.expectedDemand() > float64(next) {
 		p.shortUnits.start(now)
 	}
 	return next
@@ -181,6 +181,7 @@
 	if len(p.planned) == 0 {
 		return
 	}
+	inheritDemand(p.planned)
 	if p.isRate() {
 		p.planRates(elapsed)
 	} else {
