Do not copy all holders for each renewal

Cause: to answer a renewal of the plan environment, the loop of consensus copied the map of all processes that may hold grants, so the cost of one renewal grew with the number of VMs, on the loop that also sends votes and log entries.

Only the holder of the VM is read; all holders are read for a new term and once a second for those that are absent.

--- a/control/formation_test.go
+++ b/control/formation_test.go
@@ -58,7 +58,7 @@
 		t.Fatal(err)
 	}
 	for end := time.Now().Add(waitLimit); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-		if l, err := engine.leadership(t.Context(), apipb.Environment_ENVIRONMENT_PLAN); err == nil && l.valid {
+		if l, err := engine.leadership(t.Context(), apipb.Environment_ENVIRONMENT_PLAN, ""); err == nil && l.valid {
 			return
 		}
 	}
--- a/control/holders.go
+++ b/control/holders.go
@@ -7,6 +7,7 @@
 	"github.com/juju/errors"
 
 	"pistachiomount.example/pistachiomount/apipb"
+	"pistachiomount.example/pistachiomount/clock"
 	"pistachiomount.example/pistachiomount/grant"
 )
 
@@ -18,9 +19,11 @@
 // so that the next leader knows which holders to wait for. It also removes holders
 // that have been silent for longer than any lease.
 func (o *ownership) registerHolder(ctx context.Context, engine *Engine, t *termState, l *leadership, vm *apipb.Vm) error {
-	t.removeAbsentHolders(o, engine, l)
+	if err := t.removeAbsentHolders(ctx, o, engine); err != nil {
+		return errors.Trace(err)
+	}
 	t.holdersMu.Lock()
-	registered := l.holders[vm.Name] == vm.Incarnation && t.removalProposed[vm.Name] != vm.Incarnation
+	registered := l.holder == vm.Incarnation && t.removalProposed[vm.Name] != vm.Incarnation
 	t.holdersMu.Unlock()
 	if registered {
 		return nil
@@ -48,21 +51,23 @@
 // removeAbsentHolders proposes the removal of holders that are not in the fleet list.
 // It waits for two lease times after the start of the term, since the list is complete
 // only after every VM has had time to send a heartbeat.
-func (t *termState) removeAbsentHolders(o *ownership, engine *Engine, l *leadership) {
-	now := o.cfg.Clock.Now()
+func (t *termState) removeAbsentHolders(ctx context.Context, o *ownership, engine *Engine) error {
+	if !t.cleanupDue(o.cfg.Clock.Now()) {
+		return nil
+	}
+	holders, err := engine.holders(ctx)
+	if err != nil {
+		return errors.Trace(err)
+	}
 	t.holdersMu.Lock()
 	defer t.holdersMu.Unlock()
-	if now.ElapsedSince(t.lastCleanup) < holderCleanupInterval || now.ElapsedSince(t.startedAt) < 2*grant.DefaultLease {
-		return
-	}
-	t.lastCleanup = now
 	t.fleet.Expire()
 	vms, _ := t.fleet.List()
 	present := map[string]bool{}
 	for _, vm := range vms {
 		present[vm.Name] = true
 	}
-	for name, incarnation := range l.holders {
+	for name, incarnation := range holders {
 		if present[name] || t.removalProposed[name] == incarnation {
 			continue
 		}
@@ -75,4 +80,16 @@
 			}
 		}()
 	}
+	return nil
+}
+
+// cleanupDue reports whether it is time to look for absent holders, and notes that it is done.
+func (t *termState) cleanupDue(now clock.Instant) bool {
+	t.holdersMu.Lock()
+	defer t.holdersMu.Unlock()
+	if now.ElapsedSince(t.lastCleanup) < holderCleanupInterval || now.ElapsedSince(t.startedAt) < 2*grant.DefaultLease {
+		return false
+	}
+	t.lastCleanup = now
+	return true
 }
--- a/control/leader_test.go
+++ b/control/leader_test.go
@@ -96,7 +96,7 @@
 			o.setFirstTerm(c.first)
 			for _, env := range []apipb.Environment{trial, apipb.Environment_ENVIRONMENT_PRODUCTION} {
 				holder := newHolder(&clock.Manual{}, "entry-1", testCustomer)
-				is.NoErr(holder.Accept(o.termStateFor(env, &leadership{term: c.term, version: version}).owner.Renew(buildRequest(holder, "entry-1"), true)))
+				is.NoErr(holder.Accept(mustTermState(t, o, env, &leadership{term: c.term, version: version}).owner.Renew(buildRequest(holder, "entry-1"), true)))
 				is.Equal(holder.Bucket(testCustomer).Depth() == 0, c.waits)
 			}
 		})
--- a/control/measure_renewal_test.go
+++ b/control/measure_renewal_test.go
@@ -128,7 +128,7 @@
 func TestMeasureFleetList(t *testing.T) {
 	for _, vms := range []int{12, 400, 3200} {
 		o := newOwnership(&Config{Clock: &clock.Manual{}, Log: discardLog()})
-		state := o.termStateFor(trial, &leadership{term: 2})
+		state := mustTermState(t, o, trial, &leadership{term: 2})
 		for i := range vms {
 			if err := state.fleet.Heartbeat(testVM(fmt.Sprintf("entry-%04d", i))); err != nil {
 				t.Fatal(err)
@@ -148,7 +148,7 @@
 // VM's load must not cost every holder the whole list.
 func TestFleetListAtDesignScale(t *testing.T) {
 	clk := &clock.Manual{}
-	state := newOwnership(&Config{Clock: clk, Log: discardLog()}).termStateFor(trial, &leadership{term: 2})
+	state := mustTermState(t, newOwnership(&Config{Clock: clk, Log: discardLog()}), trial, &leadership{term: 2})
 	beat := func(load float64) {
 		clk.Advance(grant.RenewInterval)
 		for i := range 3200 {
--- a/control/ownership.go
+++ b/control/ownership.go
@@ -77,12 +77,12 @@
 	valid   bool
 	leader  string
 	version *store.Version
-	// holders are the processes that may hold grants, as incarnations by VM. Only
-	// read for the plan environment.
-	holders map[string]uint64
+	// holder is the incarnation of the process of the VM that may hold grants, or 0.
+	holder uint64
 }
 
-func (e *Engine) leadership(ctx context.Context, env apipb.Environment) (leadership, error) {
+// leadership returns the state that a renewal of a VM depends on.
+func (e *Engine) leadership(ctx context.Context, env apipb.Environment, vm string) (leadership, error) {
 	var l leadership
 	err := e.do(ctx, func() {
 		status := e.node.Status()
@@ -90,23 +90,31 @@
 		l.valid = status.Role == consensus.RoleLeader && status.LeaseValid && status.TermCommitted && e.appliedTerm == status.Term
 		l.leader = e.leaderAddress()
 		l.version = e.store.InForce(env)
-		if env == apipb.Environment_ENVIRONMENT_PLAN {
-			l.holders = e.store.Holders()
-		}
+		l.holder = e.store.Holder(vm)
 	})
 	return l, errors.Trace(err)
 }
 
+// holders returns the processes that may hold grants, as incarnations by VM.
+func (e *Engine) holders(ctx context.Context) (map[string]uint64, error) {
+	var holders map[string]uint64
+	err := e.do(ctx, func() { holders = e.store.Holders() })
+	return holders, errors.Trace(err)
+}
+
 // renew answers a renewal if this daemon leads, and otherwise names the leader.
 func (o *ownership) renew(ctx context.Context, engine *Engine, request *apipb.RenewRequest) (*apipb.RenewReply, error) {
-	l, err := engine.leadership(ctx, request.Environment)
+	l, err := engine.leadership(ctx, request.Environment, request.GetVm().GetName())
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
 	if !l.valid || request.GetVm().GetName() == "" {
 		return &apipb.RenewReply{NotLeader: true, LeaderAddress: l.leader, Term: l.term, Sequence: request.Sequence}, nil
 	}
-	t := o.termStateFor(request.Environment, &l)
+	t, err := o.termStateFor(ctx, engine, request.Environment, &l)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
 	if t != nil && request.Environment == apipb.Environment_ENVIRONMENT_PLAN {
 		if err := o.registerHolder(ctx, engine, t, &l, request.Vm); err != nil {
 			return nil, errors.Trace(err)
@@ -150,11 +158,18 @@
 
 // termStateFor returns the state of the environment in the term, and creates it in a
 // new term. It returns nil for a term that has ended.
-func (o *ownership) termStateFor(env apipb.Environment, l *leadership) *termState {
+func (o *ownership) termStateFor(ctx context.Context, engine *Engine, env apipb.Environment, l *leadership) (*termState, error) {
+	var expected map[string]uint64
+	if env == apipb.Environment_ENVIRONMENT_PLAN && !o.hasTermState(env, l.term) {
+		var err error
+		if expected, err = engine.holders(ctx); err != nil {
+			return nil, errors.Trace(err)
+		}
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if l.term < o.term {
-		return nil
+		return nil, nil
 	}
 	if l.term > o.term {
 		o.term = l.term
@@ -162,11 +177,18 @@
 	}
 	t := o.environments[env]
 	if t == nil {
-		t = o.newTermState(l.term, l.holders)
+		t = o.newTermState(l.term, expected)
 		o.environments[env] = t
 	}
 	o.refreshCaps(t, env, l.version)
-	return t
+	return t, nil
+}
+
+// hasTermState reports whether the state of the environment exists in this or a later term.
+func (o *ownership) hasTermState(env apipb.Environment, term uint64) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return term < o.term || term == o.term && o.environments[env] != nil
 }
 
 func (o *ownership) newTermState(term uint64, expected map[string]uint64) *termState {
--- a/control/upstream_list.go
+++ b/control/upstream_list.go
@@ -36,8 +36,8 @@
 	failing := false
 	for ctx.Err() == nil {
 		sleep(ctx, upstreamListCheckInterval)
-		t := o.leadingTerm(ctx, engine)
-		if t == nil || t.list.Version() > t.list.BaseVersion() && t.list.Age() < listInterval(o.cfg.Lister.Calls()) {
+		t, err := o.leadingTerm(ctx, engine)
+		if err != nil || t == nil || t.list.Version() > t.list.BaseVersion() && t.list.Age() < listInterval(o.cfg.Lister.Calls()) {
 			continue
 		}
 		requestedAt := o.cfg.Clock.Now()
@@ -67,12 +67,12 @@
 
 // leadingTerm returns the term state of the plan environment, or nil if this daemon
 // does not lead.
-func (o *ownership) leadingTerm(ctx context.Context, engine *Engine) *termState {
-	l, err := engine.leadership(ctx, apipb.Environment_ENVIRONMENT_PLAN)
+func (o *ownership) leadingTerm(ctx context.Context, engine *Engine) (*termState, error) {
+	l, err := engine.leadership(ctx, apipb.Environment_ENVIRONMENT_PLAN, "")
 	if err != nil || !l.valid {
-		return nil
+		return nil, errors.Trace(err)
 	}
-	return o.termStateFor(apipb.Environment_ENVIRONMENT_PLAN, &l)
+	return o.termStateFor(ctx, engine, apipb.Environment_ENVIRONMENT_PLAN, &l)
 }
 
 // addUpstreamList adds the changes of the upstream list since the caller's version.
--- a/store/holders.go
+++ b/store/holders.go
@@ -40,5 +40,8 @@
 	}
 }
 
+// Holder returns the incarnation of the process of a VM that may hold grants, or 0.
+func (s *Store) Holder(vm string) uint64 { return s.holders[vm] }
+
 // Holders returns the processes that may hold grants: the incarnation by VM.
 func (s *Store) Holders() map[string]uint64 { return maps.Clone(s.holders) }
