Let callers come back by their own deadline, and do not call a missing share an exceeded rate

From 33.0 to 35.0 s the VMs serve, but nearly all requests get 429 over_rate, 721 of 1,100 logged in that time: the VM that owns a customer's rate holds no share yet, and the caller's VM took that for an exceeded rate. Retry-After was at most a third of the route's timeout, 0.5 s of 1.5 s, though callers wait 6 s and accept a third of that; with one retry each they were refused for good within the outage.

An owner without a share now says so, and the caller gets 503 with the delay of an outage. Retry-After follows the deadline of the caller, the request itself still the earlier of that and the timeout. In an outage callers come back as late as they accept, less a quarter.

--- a/gateway/admission/retry_after.go
+++ b/gateway/admission/retry_after.go
@@ -10,10 +10,10 @@
 	// minRetrySpread is the shortest interval over which retries are spread, so that
 	// callers rejected together do not retry together.
 	minRetrySpread = 100 * time.Millisecond
-	// minOutageRetryDelay is the shortest delay before a retry at a VM that cannot serve
-	// anyone yet. After a restart of all VMs it takes 1.5 to 3 s until they serve, mostly
-	// for an election.
-	minOutageRetryDelay = 500 * time.Millisecond
+	// outageRetrySpread is the share of the longest delay over which retries at VMs that
+	// cannot serve anyone yet are spread. After a restart of all VMs it takes 1.5 to 3 s
+	// until they serve, mostly for an election.
+	outageRetrySpread = 0.25
 	// maxRetryDelayShare is the share of its remaining time for which a caller is willing to wait.
 	maxRetryDelayShare = 1.0 / 3
 )
@@ -34,9 +34,11 @@
 }
 
 // RetryAfterOutage returns the delay before a caller retries at a VM that does not serve yet: as long
-// as the caller is willing to wait, since an earlier retry would be rejected too.
+// as the caller is willing to wait, less a quarter at most that spreads the retries, since an earlier
+// one would be rejected too and callers have few.
 func RetryAfterOutage(r Rejection, u float64) time.Duration {
-	return spreadDelay(minOutageRetryDelay, time.Duration(float64(r.TimeLeft)*maxRetryDelayShare), r.TimeLeft, u)
+	longest := time.Duration(float64(r.TimeLeft) * maxRetryDelayShare)
+	return max(minRetryDelay, longest-time.Duration(u*outageRetrySpread*float64(longest)))
 }
 
 // RetryAfterRateLimit returns the delay before a caller above its rate retries: wait is
--- a/gateway/rate_limiter.go
+++ b/gateway/rate_limiter.go
@@ -54,7 +54,7 @@
 
 // denial describes why there is no token.
 type denial struct {
-	// noShare: this VM holds no share of the rate, so the customer may be within it.
+	// noShare: the VM that was asked holds no share of the rate, so the customer may be within it.
 	noShare bool
 	// wait is the time until a token is likely to be available.
 	wait time.Duration
@@ -94,9 +94,9 @@
 		if r.isMarked(r.unreachable, owner.Name) {
 			continue
 		}
-		taken, delay, err := r.takeFrom(ctx, owner, customer)
+		taken, denied, err := r.takeFrom(ctx, owner, customer)
 		if err == nil {
-			return taken, denial{wait: delay}
+			return taken, denied
 		}
 		r.markUnreachable(owner.Name, err)
 	}
@@ -138,15 +138,15 @@
 	return r.currentPool
 }
 
-func (r *rateLimiter) takeFrom(ctx context.Context, owner *apipb.Vm, customer string) (*token, time.Duration, error) {
+func (r *rateLimiter) takeFrom(ctx context.Context, owner *apipb.Vm, customer string) (*token, denial, error) {
 	reply, err := r.call(ctx, owner, &apipb.TakeRequest{Customer: customer})
 	if err != nil {
-		return nil, 0, errors.Trace(err)
+		return nil, denial{}, errors.Trace(err)
 	}
 	if !reply.Granted {
-		return nil, time.Duration(reply.DelayMs) * time.Millisecond, nil
+		return nil, denial{noShare: reply.NoShare, wait: time.Duration(reply.DelayMs) * time.Millisecond}, nil
 	}
-	return &token{reservation: grant.RestoreReservation(1, reply.Epoch), owner: owner, customer: customer}, 0, nil
+	return &token{reservation: grant.RestoreReservation(1, reply.Epoch), owner: owner, customer: customer}, denial{}, nil
 }
 
 func (r *rateLimiter) call(ctx context.Context, owner *apipb.Vm, request *apipb.TakeRequest) (*apipb.TakeReply, error) {
@@ -171,7 +171,7 @@
 			Customer: t.customer, Refund: true, Epoch: t.reservation.Epoch(),
 		})
 		if err != nil {
-			r.log.WithError(err).WithField("keeper", t.owner.Name).Debug("failed to return a token; the customer loses one request of its burst")
+			r.log.WithError(err).WithField("owner", t.owner.Name).Debug("failed to return a token; the customer loses one request of its burst")
 		}
 	}()
 }
@@ -190,7 +190,7 @@
 }
 
 func (r *rateLimiter) markUnreachable(vm string, err error) {
-	r.log.WithError(err).WithField("keeper", vm).Warn("failed to take a token from the VM that owns a customer's rate; trying another one")
+	r.log.WithError(err).WithField("owner", vm).Warn("failed to take a token from the VM that owns a customer's rate; trying another one")
 	r.mark(r.unreachable, vm, ownerRetryInterval)
 }
 
@@ -208,7 +208,7 @@
 	}
 	reservation, ok := bucket.Reserve(1)
 	if !ok {
-		return &apipb.TakeReply{DelayMs: uint32(bucket.DelayFor(1).Milliseconds())}, nil
+		return &apipb.TakeReply{DelayMs: uint32(bucket.DelayFor(1).Milliseconds()), NoShare: bucket.Depth() == 0}, nil
 	}
 	return &apipb.TakeReply{Granted: true, Epoch: reservation.Epoch()}, nil
 }
--- a/gateway/routed_request.go
+++ b/gateway/routed_request.go
@@ -26,8 +26,11 @@
 	customer *plan.Customer
 	service  *service
 	query    placement.Query
-	// deadline is when the caller must have a response.
+	// deadline is when the request must have a response: at the end of the caller's time or of the
+	// route's timeout.
 	deadline time.Time
+	// callerDeadline is when the caller gives up, after its retries.
+	callerDeadline time.Time
 
 	// sends counts attempts at which an upstream was reached, failedDials the others.
 	sends, failedDials int
@@ -203,7 +206,7 @@
 // retryAfter returns the delay before the caller of a request that did not run retries.
 func (r *routedRequest) retryAfter(reason Reason) time.Duration {
 	rejection := admission.Rejection{
-		TimeLeft: time.Until(r.deadline),
+		TimeLeft: time.Until(r.callerDeadline),
 		Slack:    r.route.Target - time.Since(r.request.Received) - r.gateway.latencies.average(r.route.Name),
 	}
 	if reason == ReasonNoShare {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -37,8 +37,9 @@
 	}
 	r := &routedRequest{
 		gateway: g, request: request, route: route, customer: customer, planNumber: view.Index.Plan.Number,
-		deadline: g.deadline(request, route), query: g.query(request, route, customer),
+		query: g.query(request, route, customer),
 	}
+	r.deadline, r.callerDeadline = g.deadlines(request, route)
 	r.service = g.service(g.splitter.choose(route))
 	r.permission = permission{
 		clock: g.cfg.Clock, checkedAt: g.cfg.Clock.Now(), rated: customer != nil && customer.Rate > 0,
@@ -68,7 +69,7 @@
 		return r.fail(ReasonNoShare)
 	default:
 		r.reason = ReasonOverRate
-		after := admission.RetryAfterRateLimit(admission.Rejection{TimeLeft: time.Until(r.deadline)}, denied.wait, rand.Float64())
+		after := admission.RetryAfterRateLimit(admission.Rejection{TimeLeft: time.Until(r.callerDeadline)}, denied.wait, rand.Float64())
 		return notRunResponse(http.StatusTooManyRequests, ReasonOverRate, after)
 	}
 	response := r.run(ctx)
@@ -92,8 +93,9 @@
 // reject answers a request that did not run because this VM has no current plan.
 func (g *Gateway) reject(request *ingress.Request, status int, reason Reason) *ingress.Response {
 	g.recordRejection(request, status, reason)
-	left := time.Until(g.deadline(request, &plan.Route{Timeout: unknownRouteTimeout}))
-	return notRunResponse(status, reason, admission.RetryAfterOutage(admission.Rejection{TimeLeft: left}, rand.Float64()))
+	_, callerDeadline := g.deadlines(request, &plan.Route{Timeout: unknownRouteTimeout})
+	rejection := admission.Rejection{TimeLeft: time.Until(callerDeadline)}
+	return notRunResponse(status, reason, admission.RetryAfterOutage(rejection, rand.Float64()))
 }
 
 // recordRejection records a request that was rejected before its route and customer were known.
@@ -102,11 +104,14 @@
 	g.requests.logRejection(request.Header.Get(g.cfg.Headers.RequestID), request, status, reason, g.viewAge())
 }
 
-// deadline returns when the caller stops waiting or the route's timeout ends, whichever is first.
-func (g *Gateway) deadline(request *ingress.Request, route *plan.Route) time.Time {
+// deadlines returns when the request must have a response, at the end of the caller's time or of the
+// route's timeout, and when the caller's time ends. Without a valid deadline header, the caller's time
+// is taken to end with the timeout.
+func (g *Gateway) deadlines(request *ingress.Request, route *plan.Route) (response, caller time.Time) {
+	timeout := request.Received.Add(route.Timeout)
 	text := request.Header.Get(g.cfg.Headers.Deadline)
 	if text == "" {
-		return request.Received.Add(route.Timeout)
+		return timeout, timeout
 	}
 	ms, err := strconv.ParseFloat(text, 64)
 	if err != nil || !(ms >= 0) {
@@ -116,9 +121,13 @@
 				"request": request.Header.Get(g.cfg.Headers.RequestID), "value": text,
 			}).Warn("invalid deadline header; using the timeout of the route")
 		}
-		return request.Received.Add(route.Timeout)
+		return timeout, timeout
 	}
-	return request.Received.Add(min(route.Timeout, time.Duration(ms*float64(time.Millisecond))))
+	caller = request.Received.Add(time.Duration(min(ms, maxCallerTimeMS) * float64(time.Millisecond)))
+	if caller.Before(timeout) {
+		return caller, caller
+	}
+	return timeout, caller
 }
 
 func (g *Gateway) query(request *ingress.Request, route *plan.Route, customer *plan.Customer) placement.Query {
--- a/gateway/timing.go
+++ b/gateway/timing.go
@@ -15,6 +15,8 @@
 	// unknownRouteTimeout limits the deadline of a request whose route is not known. The longest
 	// specified deadline is 30 s.
 	unknownRouteTimeout = 30 * time.Second
+	// maxCallerTimeMS limits the time that a deadline header may name, in milliseconds.
+	maxCallerTimeMS = 3_600_000
 	// maxFailedDials limits how many unreachable upstreams are tried. Each may take 0.6 s, see
 	// egress.dialTimeout.
 	maxFailedDials = 4
