Renew at the leader at once when a control VM names it

In the trace of a loss of all power, a VM that was told who leads renewed there only 200 ms after its last request, while the leader waited for it to grant anything. The second renewal follows the answer, once.

TestRenewalFollowsTheNamedLeaderAtOnce fails without it (it ends after the first daemon).

--- a/entry/controls.go
+++ b/entry/controls.go
@@ -89,6 +89,13 @@
 	return client, leader, errors.Trace(err)
 }
 
+// leaderKnown reports whether the address of the leader is known.
+func (c *controls) leaderKnown() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leader != ""
+}
+
 // dropLeader forgets the leader after a failure at the address, and rotates if that
 // daemon is the selected one.
 func (c *controls) dropLeader(address string) {
--- a/entry/renewer.go
+++ b/entry/renewer.go
@@ -57,8 +57,13 @@
 	}
 }
 
+// renewAndReport renews once, or twice if the first daemon names the leader: a VM that starts holds
+// nothing until the leader knows it, and after a start of all, the others wait for it too.
 func (r *renewer) renewAndReport(ctx context.Context) {
 	err := r.renew(ctx)
+	if errors.Is(err, grant.ErrNotLeader) && r.controls.leaderKnown() {
+		err = r.renew(ctx)
+	}
 	if err != nil && !r.failing && ctx.Err() == nil {
 		r.log.WithError(err).Warn("failed to renew grants")
 	}
--- a/entry/renewer_test.go
+++ b/entry/renewer_test.go
@@ -45,6 +45,20 @@
 
 func replyWithError(*apipb.RenewRequest) (*apipb.RenewReply, error) { return nil, errFake }
 
+// Guards against a VM that waits for its next renewal although it was told who leads, and against one
+// that follows wrong answers without end.
+func TestRenewalFollowsTheNamedLeaderAtOnce(t *testing.T) {
+	for leader, want := range map[string]string{"c": "a c", "": "a", "a": "a a"} {
+		synctest.Test(t, func(t *testing.T) {
+			r, d := newTestRenewer(processClock{}, map[string]func(*apipb.RenewRequest) (*apipb.RenewReply, error){
+				"a": replyAsFollower(leader), "c": replyAsLeader(1),
+			})
+			r.renewAndReport(t.Context())
+			is.New(t).Equal(d.takeDialed(), want)
+		})
+	}
+}
+
 // Guards against grants that expire because renewals keep going to a daemon that does
 // not lead, is dead, or led an earlier term.
 func TestRenewalsFindTheLeader(t *testing.T) {
