Start first shares after a loss of all power with the tokens of the outage

Shares of rates that are new to a VM start without tokens, because others may have used them. After a loss of all power nobody has: every process that the log names as holder has been replaced by a later one. Not counted is time before the election: holders whose leases ended earlier are not named in the log any more.

TestFirstSharesAfterALossOfAllPowerHaveTheTokensOfTheOutage fails without it. Mutations: tokens not subtracted fails TestTokensOfAnOutageAreGrantedOnce; ages not counted fails TestTokensOfAnOutageNeedProofThatNothingWasAdmitted.

--- a/grant/bucket.go
+++ b/grant/bucket.go
@@ -182,6 +182,16 @@
 	b.refilledAt, b.leaseEnd, b.leased = now, leaseEnd, true
 }
 
+// addIdleTokens fills a share that was just put in force, and is new to the bucket, with the tokens of
+// a time in which nobody held one.
+func (b *Bucket) addIdleTokens(idle time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.leased {
+		b.tokens = min(b.depth, b.tokens+b.rate*idle.Seconds())
+	}
+}
+
 // stop drops the share permanently; later calls of apply have no effect.
 func (b *Bucket) stop() {
 	b.mu.Lock()
--- a/grant/holder.go
+++ b/grant/holder.go
@@ -22,8 +22,9 @@
 // Holder keeps the grants of one process and builds the renewals for them. It is safe for
 // concurrent use.
 type Holder struct {
-	cfg   HolderConfig
-	clock clock.Clock
+	cfg       HolderConfig
+	clock     clock.Clock
+	createdAt clock.Instant
 
 	// mu is held before the locks of buckets and units.
 	mu               sync.RWMutex
@@ -48,7 +49,7 @@
 // NewHolder returns a holder without grants.
 func NewHolder(cfg HolderConfig, c clock.Clock) *Holder {
 	return &Holder{
-		cfg: cfg, clock: c,
+		cfg: cfg, clock: c, createdAt: c.Now(),
 		buckets: map[ResourceID]*Bucket{},
 		units:   map[ResourceID]*Units{},
 
@@ -198,6 +199,7 @@
 		Vm:          &apipb.Vm{Name: h.cfg.VM, Incarnation: h.cfg.Incarnation},
 		Sequence:    h.sequence, AcceptedSequence: h.acceptedSequence,
 		AcceptedTerm: h.acceptedTerm, HandingBack: h.stopped, Retiring: h.retiring, Weight: h.cfg.Weight,
+		ProcessAgeMs: uint64(minElapsed(now, h.createdAt).Milliseconds()),
 	}
 	h.writeReports(req, now, followsAccepted)
 	return req
@@ -244,11 +246,15 @@
 		return ErrLeaseExpired
 	}
 	newOwner := reply.GetTerm() != h.acceptedTerm
+	idle := time.Duration(reply.GetIdleMs()) * time.Millisecond
 	h.acceptedSequence, h.acceptedTerm = reply.GetSequence(), reply.GetTerm()
 	for i := range h.entries {
 		e := &h.entries[i]
 		e.granted = shares[i]
 		e.apply(now, e.granted, leaseEnd, newOwner)
+		if b, ok := e.leasedResource.(*Bucket); ok && idle > 0 && e.held.rate == 0 {
+			b.addIdleTokens(idle)
+		}
 	}
 	return nil
 }
--- a/grant/owner.go
+++ b/grant/owner.go
@@ -46,6 +46,7 @@
 	latest     map[string]uint64 // highest incarnation in members by VM
 	// pendingVMs contains the expected VMs that have not reported in this term.
 	pendingVMs map[string]uint64
+	idle       idleTime
 	sweptAt    clock.Instant
 	reports    []report // of the current request
 
@@ -62,7 +63,7 @@
 	}
 	now := c.Now()
 	return &Owner{
-		cfg: cfg, clock: c, elected: now, sweptAt: now,
+		cfg: cfg, clock: c, elected: now, sweptAt: now, idle: idleTime{since: now},
 		pools:      map[ResourceID]*pool{},
 		members:    map[memberKey]*member{},
 		latest:     map[string]uint64{},
@@ -155,6 +156,10 @@
 		o.memberList = append(o.memberList, m)
 		o.latest[key.vm] = key.incarnation
 		o.releaseEarlierProcesses(key)
+		if former, expected := o.cfg.ExpectedHolders[key.vm]; expected && o.cfg.SingleProcessPerVM {
+			age := time.Duration(min(req.GetProcessAgeMs(), maxProcessAgeMS)) * time.Millisecond
+			o.idle.addProcess(key.incarnation, former, age, o.clock.Now())
+		}
 	}
 	if !o.decodeReports(m, req) {
 		reply.FullRequestNeeded = true
@@ -246,10 +251,17 @@
 // issueShares decides the share of each position, records it as issued and writes it to the reply.
 func (o *Owner) issueShares(m *member, reply *apipb.RenewReply, now clock.Instant) {
 	gracePeriod := o.inGracePeriod(now)
+	var idle time.Duration
+	if !gracePeriod && len(o.pendingVMs) == 0 {
+		idle = o.idle.length(now)
+	}
 	for i := range m.layout.positions {
 		at := &m.layout.positions[i]
 		var next portion
 		if h := at.holding; h != nil {
+			if idle > 0 {
+				h.pool.addIdleTokens(idle)
+			}
 			next = o.nextPortion(h, now, gracePeriod)
 			next.rate, next.depth = roundDown(next.rate), roundDown(next.depth)
 			h.update(func() { h.issued = next })
@@ -257,6 +269,9 @@
 		at.granted = next
 		writeShare(reply, at.kind, o.reports[i].held, next)
 	}
+	if idle > 0 {
+		o.grantIdleTime(m, reply, idle)
+	}
 }
 
 func (o *Owner) nextPortion(h *holding, now clock.Instant, gracePeriod bool) portion {
--- a/grant/pool.go
+++ b/grant/pool.go
@@ -56,6 +56,10 @@
 	largestCap            uint32
 	unreportedQuarantined bool
 
+	// idleTokens are left of those that accrued before any share was issued in this term.
+	idleTokens      float64
+	idleTokensKnown bool
+
 	division  division // from the last plan of a rate
 	scale     float64  // factor by which the parts of division add up to the whole rate
 	dirty     bool
--- a/grant/timing.go
+++ b/grant/timing.go
@@ -17,6 +17,8 @@
 	// several round trips between regions, because a new request voids the reply to the
 	// one before.
 	replyTimeout = 300 * time.Millisecond
+	// maxProcessAgeMS bounds the age of a process that a request may report, in milliseconds.
+	maxProcessAgeMS = 3_600_000
 	// driftMargin is the largest relative difference in speed between the clocks of two VMs.
 	driftMargin = 0.02
 )
