Do not count the wait of a poll as age of the view

A poll waits up to 1 s for a change, and the confirmation in its reply was dated back from when the poll was sent, so a view was 2.0 to 2.6 s old in normal operation; the limit is 2 s.

The reply now tells how long the daemon held the poll, by the slower of two clocks and without the wall clock; the VM counts 0.98 of it. The check that a view holds all that was acknowledged before its confirmation uses the later instant too.

TestWaitOfAPollDoesNotCountAsAge and TestViewStaysFreshWithoutChanges fail without it.

--- a/control/watch.go
+++ b/control/watch.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 
 	"pistachiomount.example/pistachiomount/apipb"
+	"pistachiomount.example/pistachiomount/clock"
 	"pistachiomount.example/pistachiomount/document"
 	"pistachiomount.example/pistachiomount/store"
 )
@@ -18,6 +19,7 @@
 	base             *store.Version
 	age              time.Duration
 	confirmed        bool
+	at               clock.Instant // when age was measured
 	leader           string
 	jobsWaiting      bool
 	controlAddresses []string
@@ -30,18 +32,19 @@
 	wait := min(time.Duration(request.WaitMs)*time.Millisecond, MaxWatchWait)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
+	arrived := e.cfg.Clock.Now()
 	for {
 		state, err := e.watchState(ctx, request)
 		if err != nil {
 			return nil, errors.Trace(err)
 		}
 		if state.hasNewer(request) {
-			return state.reply(request), nil
+			return state.reply(request, arrived), nil
 		}
 		select {
 		case <-state.changed:
 		case <-timer.C:
-			return e.replyAfterWait(ctx, request)
+			return e.replyAfterWait(ctx, request, arrived)
 		case <-ctx.Done():
 			return nil, errors.Trace(ctx.Err())
 		case <-e.done:
@@ -52,12 +55,12 @@
 
 // replyAfterWait answers with the state at the end of the wait, whose age is lower
 // than at the start.
-func (e *Engine) replyAfterWait(ctx context.Context, request *apipb.WatchRequest) (*apipb.WatchReply, error) {
+func (e *Engine) replyAfterWait(ctx context.Context, request *apipb.WatchRequest, arrived clock.Instant) (*apipb.WatchReply, error) {
 	state, err := e.watchState(ctx, request)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	return state.reply(request), nil
+	return state.reply(request, arrived), nil
 }
 
 func (e *Engine) watchState(ctx context.Context, request *apipb.WatchRequest) (watchState, error) {
@@ -67,6 +70,7 @@
 		e.confirmation.recordPoll(now)
 		state.version = e.store.InForce(request.Environment)
 		state.base = e.store.ByRevision(request.Environment, request.HaveRevision)
+		state.at = now
 		state.age, state.confirmed = e.confirmation.age(now)
 		state.leader = e.leaderAddress()
 		state.jobsWaiting = e.store.HasUnfinishedJobs(request.Environment)
@@ -82,11 +86,13 @@
 	return s.version != nil && s.version.Revision > request.HaveRevision
 }
 
-func (s *watchState) reply(request *apipb.WatchRequest) *apipb.WatchReply {
+// reply answers a poll that arrived at the given instant.
+func (s *watchState) reply(request *apipb.WatchRequest, arrived clock.Instant) *apipb.WatchReply {
 	reply := &apipb.WatchReply{
 		Kind:             apipb.WatchKind_WATCH_KIND_UNCHANGED,
 		Confirmed:        s.confirmed,
 		ConfirmedAgeMs:   ageMS(s.age),
+		HeldMs:           heldMS(arrived, s.at),
 		LeaderAddress:    s.leader,
 		JobsWaiting:      s.jobsWaiting,
 		ControlAddresses: s.controlAddresses,
@@ -137,3 +143,10 @@
 		Chunks: chunkCount(version.Raw),
 	}, nil
 }
+
+// heldMS returns how long a poll has certainly waited. A wall clock that was set forward must not make
+// the state look more recent, and a suspended VM counts its time in part only.
+func heldMS(arrived, now clock.Instant) uint32 {
+	held := min(now.Mono-arrived.Mono, now.Boot-arrived.Boot)
+	return uint32(max(0, min(held, MaxWatchWait)).Milliseconds())
+}
--- a/control/watch_test.go
+++ b/control/watch_test.go
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"pistachiomount.example/pistachiomount/apipb"
+	"pistachiomount.example/pistachiomount/clock"
 )
 
 // Guards against a partitioned daemon that keeps confirming its state: an entry daemon
@@ -41,13 +42,41 @@
 // instant that no majority has confirmed.
 func TestConfirmedAgeIsNotRoundedDown(t *testing.T) {
 	for _, age := range []time.Duration{0, 1, time.Millisecond - 1, time.Millisecond, 1500 * time.Microsecond} {
-		reply := (&watchState{age: age, confirmed: true}).reply(&apipb.WatchRequest{})
+		reply := (&watchState{age: age, confirmed: true}).reply(&apipb.WatchRequest{}, clock.Instant{})
 		if told := time.Duration(reply.ConfirmedAgeMs) * time.Millisecond; told < age || told >= age+time.Millisecond {
 			t.Errorf("age %v is reported as %v", age, told)
 		}
 	}
 }
 
+// Guards against a view that counts as old because its poll waited: at a daemon that confirms its state
+// all the time, an entry daemon's view stays younger than one wait and one confirmation.
+func TestViewStaysFreshWithoutChanges(t *testing.T) {
+	simulate(t, 3, func(b *simCluster) {
+		is := is.New(b.t)
+		w := &watcher{node: b.leader()}
+		b.eventually("a confirmed view", func() bool { return w.poll() == nil && w.confirmed })
+		for range 10 {
+			is.NoErr(w.poll())
+			is.True(time.Since(w.confirmedAt) < confirmInterval+300*time.Millisecond) // the wait of the poll, 1 s, is not in it
+		}
+	})
+}
+
+// Guards against the wait of a poll counted with a wall clock that was set forward: the view would
+// count as complete up to an instant that no majority has confirmed.
+func TestWaitOfAPollIsNotOverestimated(t *testing.T) {
+	is := is.New(t)
+	var c clock.Manual
+	arrived := c.Now()
+	c.Advance(300 * time.Millisecond)
+	c.AdjustWall(time.Minute)
+	is.Equal(heldMS(arrived, c.Now()), uint32(300))
+	c.AdjustWall(-time.Hour)
+	c.Suspend(time.Second)
+	is.Equal(heldMS(arrived, c.Now()), uint32(300))
+}
+
 // ackedRevisions records the revisions that were acknowledged to operators.
 type ackedRevisions struct {
 	mu        sync.Mutex
--- a/control/watcher_test.go
+++ b/control/watcher_test.go
@@ -49,8 +49,9 @@
 	w.replies.Add(1)
 	w.bytes.Add(int64(proto.Size(request) + proto.Size(reply)))
 	w.age = time.Duration(reply.ConfirmedAgeMs) * time.Millisecond
+	at := sent.Add(time.Duration(reply.HeldMs)*time.Millisecond - w.age)
 	if w.onReply != nil && reply.Confirmed {
-		w.onReply(reply, sent.Add(-w.age))
+		w.onReply(reply, at)
 	}
 	if reply.Revision < w.revision {
 		return errors.Errorf("revision %d after %d", reply.Revision, w.revision)
@@ -59,7 +60,7 @@
 		return err
 	}
 	w.confirmed = reply.Confirmed
-	if at := sent.Add(-w.age); reply.Confirmed && at.After(w.confirmedAt) {
+	if reply.Confirmed && at.After(w.confirmedAt) {
 		w.confirmedAt = at
 	}
 	return nil
--- a/entry/plan_syncer.go
+++ b/entry/plan_syncer.go
@@ -90,7 +90,7 @@
 		}
 	}
 	if reply.Confirmed {
-		next.confirm(sent.Add(-confirmedAge(reply)), s.clock.Now())
+		next.confirm(confirmedAt(reply, sent), s.clock.Now())
 	}
 	if next.Revision != have.Revision {
 		s.onChange(&next) // before the store, so that requests under the new plan find its services
--- a/entry/timeouts.go
+++ b/entry/timeouts.go
@@ -11,6 +11,8 @@
 	// used for requests that need a key. It leaves half of the 8 s within which a change
 	// must be in force on all VMs.
 	MaxViewAge = 4 * time.Second
+	// maxClockDrift is the largest relative difference in speed between the clocks of two VMs.
+	maxClockDrift = 0.02
 	// maxPollWait is how long a control daemon may hold a poll open.
 	maxPollWait = time.Second
 	// pollTimeout bounds a poll: maxPollWait plus a round trip between regions.
--- a/entry/view_syncer.go
+++ b/entry/view_syncer.go
@@ -90,6 +90,13 @@
 	return time.Duration(reply.ConfirmedAgeMs) * time.Millisecond
 }
 
+// confirmedAt returns an instant at which the state of a reply was certainly the newest, on the clock
+// of this VM: the confirmation is as old as the daemon says, counted from the end of the poll's wait.
+func confirmedAt(reply *apipb.WatchReply, sent clock.Instant) clock.Instant {
+	held := time.Duration(float64(reply.HeldMs)*(1-maxClockDrift)) * time.Millisecond
+	return sent.Add(held - confirmedAge(reply))
+}
+
 // applyReply puts the document of a reply in force. The document of a daemon that is
 // partitioned from the majority is applied too if it is newer, but ErrUnconfirmed makes
 // the next poll ask another daemon.
@@ -104,7 +111,7 @@
 	}
 	changed := next.revision != have.revision || next.digest != have.digest
 	if reply.Confirmed {
-		confirm(next, sent.Add(-confirmedAge(reply)), s.clock.Now())
+		confirm(next, confirmedAt(reply, sent), s.clock.Now())
 	}
 	s.current.Store(next)
 	if changed {
--- a/entry/view_syncer_test.go
+++ b/entry/view_syncer_test.go
@@ -125,6 +125,20 @@
 	is.True(r.fresh())
 }
 
+// Guards against a view that counts as old because its poll waited for a change: with the limit of
+// 2 s on the platform, unknown keys were rejected as if this VM were cut off.
+func TestWaitOfAPollDoesNotCountAsAge(t *testing.T) {
+	is := is.New(t)
+	r := newSyncerFixture()
+	is.NoErr(r.pollDocument(exampleDocument(t, 1), 1))
+	sent := r.clock.Now()
+	r.clock.Advance(maxPollWait)
+	reply := unchangedReply(r.load())
+	reply.ConfirmedAgeMs, reply.HeldMs = 300, 1000
+	at := confirmedAt(reply, sent)
+	is.Equal(r.clock.Now().ElapsedSince(at), 320*time.Millisecond) // 20 ms for clocks that differ in speed
+}
+
 // Guards against a late reply or a slower daemon moving the confirmation back.
 func TestConfirmationNeverMovesBack(t *testing.T) {
 	is := is.New(t)
