--- a/grant/holding.go
+++ b/grant/holding.go
@@ -33,7 +33,7 @@
 	quarantinedAt clock.Instant
 
 	demand, weight float64
-	inherited      float64 // demand of retiring holders whose callers are expected here
+	incomingDemand float64 // demand of retiring holders whose callers are expected here
 	plannedDemand  float64
 	target         portion
 	smoothedPart   float64 // part of the rate, smoothed with time constant depthTau
@@ -102,7 +102,7 @@
 }
 
 // expectedDemand returns the demand that shares are planned for.
-func (h *holding) expectedDemand() float64 { return h.demand + h.inherited }
+func (h *holding) expectedDemand() float64 { return h.demand + h.incomingDemand }
 
 func (h *holding) setDemand(demand, weight float64) {
 	if weight == 0 {
--- a/grant/pool.go
+++ b/grant/pool.go
@@ -185,7 +185,7 @@
 	if len(p.planned) == 0 {
 		return
 	}
-	inheritDemand(p.planned)
+	addRetiringDemand(p.planned)
 	if p.isRate() {
 		p.planRates(elapsed)
 	} else {
--- a/grant/inheritance_test.go
+++ b/grant/retiring_demand_test.go
@@ -66,16 +66,16 @@
 	})
 	const rate = 40 // requests a second at each VM with callers
 	retiring := newRegionHolder(&c, "a-1", "a", rate/10)
-	heir := newRegionHolder(&c, "a-2", "a", 0)
+	successor := newRegionHolder(&c, "a-2", "a", 0)
 	other := newRegionHolder(&c, "b-1", "b", rate/10)
 	idle := newRegionHolder(&c, "b-2", "b", 0)
-	holders := []*regionHolder{retiring, heir, other, idle}
+	holders := []*regionHolder{retiring, successor, other, idle}
 	runHolders(is, &c, o, 10*time.Second, holders...)
-	is.True(heir.bucket.rate < rate) // the rate follows demand
+	is.True(successor.bucket.rate < rate) // the rate follows demand
 	retiring.Retire()
 	runHolders(is, &c, o, 2*(RenewInterval+MinRenewInterval), holders...)
-	is.True(heir.bucket.rate >= rate*(1-rateDeadband))     // before any of its callers came
-	is.True(retiring.bucket.rate >= rate*(1-rateDeadband)) // they leave one by one
+	is.True(successor.bucket.rate >= rate*(1-rateDeadband)) // before any of its callers came
+	is.True(retiring.bucket.rate >= rate*(1-rateDeadband))  // they leave one by one
 	is.True(other.bucket.rate >= rate*(1-rateDeadband))
 	is.True(idle.bucket.rate < rate/2)
 }
