--- a/e2e/socket_diag_test.go
+++ b/e2e/socket_diag_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"net"
 	"os"
+	"strconv"
+	"strings"
 	"syscall"
+	"testing"
 
 	"github.com/juju/errors"
+	"github.com/matryer/is"
 )
 
 // Layout of the messages of sock_diag(7) for one TCP socket.
@@ -21,9 +26,36 @@
 )
 
 // inodeOfSocket returns the inode of the TCP socket with these addresses. It asks the kernel for that
-// one socket: reading the table of all sockets took long enough, with thousands of them, that
-// leaders lost their leases behind a forwarder.
+// one socket: reading the table of all sockets takes long enough, with thousands of them, that
+// leaders lose their leases behind a forwarder. The table is read where sock_diag is not available.
 func inodeOfSocket(local, remote net.Addr) (uint32, error) {
+	inode, err := inodeFromDiag(local, remote)
+	var failed *os.SyscallError
+	if errors.As(err, &failed) {
+		return inodeFromTable(local)
+	}
+	return inode, err
+}
+
+// inodeFromTable looks a socket up in the table of all sockets.
+func inodeFromTable(local net.Addr) (uint32, error) {
+	table, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		return 0, errors.Trace(err)
+	}
+	tcp := local.(*net.TCPAddr)
+	address := fmt.Sprintf("%08X:%04X", binary.LittleEndian.Uint32(tcp.IP.To4()), tcp.Port)
+	for _, line := range strings.Split(string(table), "\n") {
+		if fields := strings.Fields(line); len(fields) > 9 && fields[1] == address {
+			inode, err := strconv.ParseUint(fields[9], 10, 32)
+			return uint32(inode), errors.Trace(err)
+		}
+	}
+	return 0, errors.NotFoundf("socket at %v", local)
+}
+
+// inodeFromDiag asks the kernel for the one socket.
+func inodeFromDiag(local, remote net.Addr) (uint32, error) {
 	fd, err := syscall.Socket(syscall.AF_NETLINK, syscall.SOCK_DGRAM|syscall.SOCK_CLOEXEC, netlinkSockDiag)
 	if err != nil {
 		return 0, errors.Trace(os.NewSyscallError("socket", err))
@@ -60,3 +92,26 @@
 	binary.NativeEndian.PutUint32(m[68:], noSocketCookie)
 	return m
 }
+
+// Guards against a forwarder that takes the connection of one process for that of another: both ways to
+// find a socket give the one that the process has open.
+func TestSocketIsFoundByItsAddresses(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = listener.Close() }()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	file, err := conn.(*net.TCPConn).File()
+	is.NoErr(err)
+	defer func() { _ = file.Close() }()
+	want, err := os.Readlink(fmt.Sprintf("/proc/self/fd/%d", file.Fd()))
+	is.NoErr(err)
+	byDiag, err := inodeOfSocket(conn.LocalAddr(), conn.RemoteAddr())
+	is.NoErr(err)
+	byTable, err := inodeFromTable(conn.LocalAddr())
+	is.NoErr(err)
+	is.Equal(fmt.Sprintf("socket:[%d]", byDiag), want)
+	is.Equal(byTable, byDiag)
+}
