--- a/gateway/placement/shift_limiter_test.go
+++ b/gateway/placement/shift_limiter_test.go
@@ -13,7 +13,7 @@
 // consecutive windows.
 func maxMovedShare(requests []placedRequest, from, to time.Time) float64 {
 	worst := 0.0
-	for at := from.Add(2 * shiftWindow); at.Before(to); at = at.Add(250 * time.Millisecond) {
+	for at := from.Add(2 * shiftWindow); !at.After(to); at = at.Add(250 * time.Millisecond) {
 		before, n0 := sharesIn(requests, at.Add(-2*shiftWindow), at.Add(-shiftWindow))
 		after, n1 := sharesIn(requests, at.Add(-shiftWindow), at)
 		if n0 < 40 || n1 < 40 {
@@ -133,3 +133,47 @@
 	is.True(placed["f"] > 0)
 	is.True(float64(placed["f"]) <= 0.15*100)
 }
+
+// Guards against few requests that shift to another region when traffic ends: those that come back after
+// a rejection prefer the region that rejected them. Each VM sees one or two of them.
+func TestShiftOfFewRequestsAfterTrafficEnds(t *testing.T) {
+	const vms, requestsPerVM = 92, 90 // in the two seconds before the end
+	regions := []string{"home", "near", "far"}
+	steady, late := []float64{0.45, 0.75}, []float64{0.2, 0.8} // cumulative shares of the first two regions
+	prefer := func(rng *rand.Rand, shares []float64) string {
+		switch u := rng.Float64(); {
+		case u < shares[0]:
+			return regions[0]
+		case u < shares[1]:
+			return regions[1]
+		}
+		return regions[2]
+	}
+	for seed := range uint64(3) {
+		rng := rand.New(rand.NewPCG(seed, 4))
+		end := start.Add(8 * time.Second)
+		var requests []placedRequest
+		place := func(limiter *ShiftLimiter, now time.Time, region string) {
+			allowed := limiter.Allowed(now)
+			limiter.RecordPreference(region)
+			for _, candidate := range append([]string{region}, regions...) {
+				if allowed(candidate) {
+					limiter.RecordPlacement(now, candidate)
+					requests = append(requests, placedRequest{now, candidate})
+					return
+				}
+			}
+		}
+		for range vms {
+			limiter := NewShiftLimiter(start, "home")
+			limiter.SetInitialShares(map[string]float64{"home": 0.45, "near": 0.3, "far": 0.25})
+			for at := time.Duration(0); at < 8*time.Second; at += 2 * time.Second / requestsPerVM {
+				place(limiter, start.Add(at), prefer(rng, steady))
+			}
+			place(limiter, end.Add(time.Duration(rng.IntN(1500))*time.Millisecond), prefer(rng, late))
+		}
+		worst := maxMovedShare(requests, end.Add(-2*shiftWindow), end.Add(shiftWindow))
+		t.Logf("seed %d: %.3f of the requests moved within 2 s", seed, worst)
+		is.New(t).True(worst <= 0.15)
+	}
+}
