--- a/control/upstream_list.go
+++ b/control/upstream_list.go
@@ -16,8 +16,8 @@
 	// Entry VMs receive it with their next renewal, up to 1 s later. An upstream must
 	// get no new requests 3 s after the list shows it as leaving.
 	upstreamListInterval = 900 * time.Millisecond
-	// longListInterval is the same for a list that takes longListCalls calls or more, which
-	// are paid for: entry VMs still have it 2.5 s after the platform.
+	// longListInterval is the same for a list that takes longListCalls calls or more, to spare
+	// the platform: entry VMs still have it 2.5 s after the platform.
 	longListInterval = 1100 * time.Millisecond
 	longListCalls    = 10
 	// upstreamListCheckInterval is how often a daemon checks whether it leads and
--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -241,8 +241,7 @@
 }
 
 // dialWithoutTimeWait opens a connection that is reset on close and leaves no TIME_WAIT entry.
-// The forwarders of other tests read the socket table to identify processes; with 20,000
-// closed connections in it they stalled.
+// Tests that read the whole socket table stall with 20,000 closed connections in it.
 func dialWithoutTimeWait(ctx context.Context, network, address string) (net.Conn, error) {
 	var dialer net.Dialer
 	conn, err := dialer.DialContext(ctx, network, address)
--- a/entry/renewer.go
+++ b/entry/renewer.go
@@ -57,8 +57,8 @@
 	}
 }
 
-// renewAndReport renews once, or twice if the first daemon names the leader: a VM that starts holds
-// nothing until the leader knows it, and after a start of all, the others wait for it too.
+// renewAndReport renews once, or twice if the first daemon names the leader. After a start of all
+// VMs, the leader grants nothing until each of them has renewed.
 func (r *renewer) renewAndReport(ctx context.Context) {
 	err := r.renew(ctx)
 	if errors.Is(err, grant.ErrNotLeader) && r.controls.leaderKnown() {
