--- a/scripts/ci.sh
+++ b/scripts/ci.sh
@@ -25,5 +25,8 @@
 echo "== invariants table"
 scripts/check-invariants.sh
 
+echo "== tracked files"
+scripts/check-tracked-files.sh
+
 echo "== tests"
 make test
