Log and count the limits that upstreams announce

Logs and metrics named neither a limit nor the requests at limited upstreams, so the hypotheses (limit not read; kept by each VM for itself; kept for new requests only) could not be told apart. The head of each response is read now, in one place for what upstreams say of themselves: of complete and cut responses alike, as the head is whole, but not of interim responses, responses to other requests, and 421, which another process sends. Placement does not use it yet.

--- /dev/null
+++ b/gateway/announce/change.go
@@ -0,0 +1,11 @@
+package announce
+
+// Change is what a response changed in the state of its upstream.
+type Change string
+
+// Changes, as named in logs and metrics.
+const (
+	NoChange   Change = ""
+	LimitBegan Change = "limit_began"
+	LimitEnded Change = "limit_ended"
+)
--- a/gateway/egress/exchange.go
+++ b/gateway/egress/exchange.go
@@ -157,15 +157,19 @@
 func (p *Pool) readReply(c *upstreamConn, call *Call, response *http.Response) *Reply {
 	reply := &Reply{Status: response.StatusCode, Header: p.forwardedHeaders(response.Header)}
 	reply.Load, reply.LoadReported = parseLoad(response.Header.Get(p.names.Load))
+	if response.StatusCode != http.StatusMisdirectedRequest { // sent by another upstream at the same address
+		reply.Announced = p.names.Announced.Parse(response.Header)
+	}
 	body, err := readBuffered(response)
 	if err != nil {
 		err = readError(err)
 		return &Reply{
 			Outcome: Unknown, Endless: errors.Is(err, ErrTimeout), Err: err, Load: reply.Load, LoadReported: reply.LoadReported,
+			Announced: reply.Announced,
 		}
 	}
 	if !call.healthCheck && response.StatusCode < http.StatusMultipleChoices && response.Header.Get(p.names.Signature) == "" {
-		return &Reply{Outcome: Unknown, Err: errors.Annotate(ErrBroken, "success response without a signature"), Load: reply.Load, LoadReported: reply.LoadReported}
+		return &Reply{Outcome: Unknown, Err: errors.Annotate(ErrBroken, "success response without a signature"), Load: reply.Load, LoadReported: reply.LoadReported, Announced: reply.Announced}
 	}
 	reply.Body = body
 	if len(body) > maxBufferedBody {
--- a/gateway/egress/exchange_test.go
+++ b/gateway/egress/exchange_test.go
@@ -14,12 +14,13 @@
 
 	"github.com/matryer/is"
 
+	"pistachiomount.example/pistachiomount/gateway/announce"
 	"pistachiomount.example/pistachiomount/gateway/egress"
 )
 
 var names = egress.HeaderNames{
 	RequestID: "X-Id", Deadline: "X-Left", Customer: "X-Customer", ExpectedUpstream: "X-Expected", NotRun: "X-Not-Run",
-	Signature: "X-Signature", Load: "X-Load", UpstreamID: "X-Instance", Cold: "X-Cold", Stripped: []string{"X-Key"},
+	Signature: "X-Signature", Load: "X-Load", UpstreamID: "X-Instance", Cold: "X-Cold", Announced: announce.HeaderNames{RateLimit: "X-Limit"}, Stripped: []string{"X-Key"},
 }
 
 // scriptedUpstream is an upstream that answers its n-th request with the n-th script. A script gets
--- a/gateway/egress/header_names.go
+++ b/gateway/egress/header_names.go
@@ -1,5 +1,7 @@
 package egress
 
+import "pistachiomount.example/pistachiomount/gateway/announce"
+
 // HeaderNames are the names of the headers between entry VMs and upstreams.
 type HeaderNames struct {
 	RequestID string
@@ -19,6 +21,8 @@
 	UpstreamID string
 	// Cold carries how long the upstream stays cold, in milliseconds.
 	Cold string
+	// Announced are the headers in which upstreams announce something about themselves.
+	Announced announce.HeaderNames
 	// Stripped are the headers that are not forwarded to upstreams.
 	Stripped []string
 }
--- a/gateway/egress/reply.go
+++ b/gateway/egress/reply.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"net/http"
+
+	"pistachiomount.example/pistachiomount/gateway/announce"
 )
 
 // Reply is the result of an exchange.
@@ -19,6 +21,8 @@
 	// Load is the load that the upstream reported; valid only if LoadReported is set.
 	Load         Load
 	LoadReported bool
+	// Announced is what the head of the response says about the upstream.
+	Announced announce.Announcement
 	// Misdirected is set if the address belongs to another upstream by now.
 	Misdirected bool
 	// Unreachable is set if no connection could be established or nothing could be sent.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -9,6 +9,7 @@
 	"go.opentelemetry.io/otel/metric"
 	"go.opentelemetry.io/otel/metric/noop"
 
+	"pistachiomount.example/pistachiomount/gateway/announce"
 	"pistachiomount.example/pistachiomount/gateway/placement"
 )
 
@@ -19,6 +20,10 @@
 	attempts metric.Int64Counter
 	duration metric.Float64Histogram
 	wait     metric.Float64Histogram
+	// announcements counts changes in what upstreams announce.
+	announcements metric.Int64Counter
+	// limitedAttempts counts attempts at upstreams that had announced a limit.
+	limitedAttempts metric.Int64Counter
 }
 
 var durationBounds = metric.WithExplicitBucketBoundaries(0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 12, 30)
@@ -43,6 +48,14 @@
 		metric.WithDescription("Time that requests waited for a free slot at an upstream.")); err != nil {
 		return nil, errors.Trace(err)
 	}
+	if m.announcements, err = meter.Int64Counter("pm_gateway_announcements",
+		metric.WithDescription("Changes in what upstreams announce in their responses, by service and change.")); err != nil {
+		return nil, errors.Trace(err)
+	}
+	if m.limitedAttempts, err = meter.Int64Counter("pm_gateway_limited_attempts",
+		metric.WithDescription("Attempts at upstreams that had announced a limit of requests per second, by service.")); err != nil {
+		return nil, errors.Trace(err)
+	}
 	return m, errors.Trace(registerGauges(meter, g))
 }
 
@@ -77,6 +90,11 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
+	limited, err := meter.Int64ObservableGauge("pm_gateway_limited_upstreams",
+		metric.WithDescription("Upstreams that have announced a limit of requests per second, by service."))
+	if err != nil {
+		return errors.Trace(err)
+	}
 	_, err = meter.RegisterCallback(func(_ context.Context, obs metric.Observer) error {
 		obs.ObserveFloat64(viewAge, g.viewAge())
 		obs.ObserveInt64(fleet, int64(len(g.follower.Fleet())))
@@ -85,13 +103,14 @@
 			attributes := metric.WithAttributes(attribute.String("service", name))
 			s.permits.withTable(func(_ time.Time, table *placement.Table) {
 				obs.ObserveInt64(upstreams, int64(table.LiveUpstreams()), attributes)
+				obs.ObserveInt64(limited, int64(table.LimitedUpstreams()), attributes)
 				obs.ObserveInt64(running, int64(table.RunningRequests()), attributes)
 				obs.ObserveInt64(waiting, int64(s.permits.queue.Len()), attributes)
 				obs.ObserveFloat64(homeShare, table.HomeShare(), attributes)
 			})
 		}
 		return nil
-	}, viewAge, upstreams, running, waiting, fleet, homeShare, dials)
+	}, viewAge, upstreams, limited, running, waiting, fleet, homeShare, dials)
 	return errors.Trace(err)
 }
 
@@ -114,6 +133,17 @@
 	m.wait.Record(ctx, waited.Seconds(), attributes)
 }
 
+// countAnnouncement counts a change in what an upstream announces.
+func (m *requestMetrics) countAnnouncement(service string, change announce.Change) {
+	m.announcements.Add(context.Background(), 1, metric.WithAttributes(
+		attribute.String("service", service), attribute.String("change", string(change))))
+}
+
+// countLimitedAttempt counts an attempt at an upstream that had announced a limit.
+func (m *requestMetrics) countLimitedAttempt(service string) {
+	m.limitedAttempts.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service)))
+}
+
 // countAttempt counts an attempt at an upstream.
 func (m *requestMetrics) countAttempt(service, outcome string) {
 	m.attempts.Add(context.Background(), 1, metric.WithAttributes(
--- a/gateway/permit_queue.go
+++ b/gateway/permit_queue.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"pistachiomount.example/pistachiomount/gateway/admission"
+	"pistachiomount.example/pistachiomount/gateway/announce"
 	"pistachiomount.example/pistachiomount/gateway/placement"
 	"pistachiomount.example/pistachiomount/inventory"
 )
@@ -71,6 +72,20 @@
 	p.issuePermits(now)
 }
 
+// recordAnnouncement records what a response says about its upstream. It reports what changed, and
+// whether the upstream was limited before.
+func (p *permitQueue) recordAnnouncement(id string, a announce.Announcement) (change announce.Change, limited bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	_, limited = p.table.RateLimit(id)
+	change = p.table.RecordAnnouncement(now, id, a)
+	if change != announce.NoChange {
+		p.issuePermits(now)
+	}
+	return change, limited
+}
+
 // issuePermits assigns free slots to waiting requests, in queue order.
 func (p *permitQueue) issuePermits(now time.Time) {
 	p.queue.RemoveFunc(func(w *admission.Waiter) bool {
--- a/gateway/placement/upstream.go
+++ b/gateway/placement/upstream.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"pistachiomount.example/pistachiomount/gateway/announce"
 	"pistachiomount.example/pistachiomount/inventory"
 )
 
@@ -32,6 +33,8 @@
 	ejectionPeriod time.Duration
 	ejected        bool
 
+	announced announce.State
+
 	coldUntil  time.Time
 	coldTokens float64
 	coldAt     time.Time
--- a/gateway/routed_request.go
+++ b/gateway/routed_request.go
@@ -132,6 +132,7 @@
 		attribute.String("upstream", chosen.ID), attribute.String("domain", chosen.FailureDomain)))
 	reply := r.gateway.pool.Do(spanCtx, call)
 	span.End()
+	r.recordAnnouncement(chosen, reply)
 	outcome := placement.Outcome{
 		Unreachable: reply.Unreachable, AddressReassigned: reply.Misdirected,
 		Rejected: reply.Outcome == egress.NotRun && !reply.Unreachable && !reply.Misdirected,
