--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -44,7 +44,7 @@
 	list     []inventory.Upstream
 	listRead bool
 	// vms are the entry VMs that the tables were last updated with.
-	vms []string
+	vms []placement.VM
 	// listRequested is when the leader requested its latest list from the platform; until the first
 	// list arrives, when the gateway was created.
 	listRequested time.Time
@@ -217,12 +217,12 @@
 	for _, u := range g.list {
 		byService[u.Service] = append(byService[u.Service], u)
 	}
-	vms, inRegion := g.knownVMs()
+	vms := g.knownVMs()
 	g.vms = vms
 	for name, s := range *g.services.Load() {
 		s.retries.SetVMs(len(vms))
 		s.permits.withTable(func(now time.Time, table *placement.Table) {
-			table.SetFleet(vms, inRegion)
+			table.SetFleet(vms)
 			for _, id := range table.SetUpstreams(now, byService[name], added(name)) {
 				g.pool.CloseUpstream(id)
 			}
@@ -231,18 +231,13 @@
 	}
 }
 
-// knownVMs returns the names of the known entry VMs and how many of them are in this region; both
-// include this VM.
-func (g *Gateway) knownVMs() (names []string, inRegion int) {
-	names, inRegion = []string{g.cfg.VM}, 1
+// knownVMs returns the known entry VMs, this one included.
+func (g *Gateway) knownVMs() []placement.VM {
+	vms := []placement.VM{{Name: g.cfg.VM, Region: g.cfg.Region}}
 	for _, vm := range g.follower.Fleet() {
-		if vm.Name == g.cfg.VM {
-			continue
-		}
-		names = append(names, vm.Name)
-		if vm.Region == g.cfg.Region {
-			inRegion++
+		if vm.Name != g.cfg.VM {
+			vms = append(vms, placement.VM{Name: vm.Name, Region: vm.Region})
 		}
 	}
-	return names, inRegion
+	return vms
 }
--- a/gateway/maintenance.go
+++ b/gateway/maintenance.go
@@ -50,7 +50,7 @@
 			g.cfg.Log.Info("reading the list of upstreams succeeds again")
 		}
 		failing = err != nil
-		vms, _ := g.knownVMs()
+		vms := g.knownVMs()
 		sleep(ctx, ownListInterval(len(vms)*g.cfg.Lister.Calls(), g.cfg.MaxListRate, g.follower.ConnectedFor() > 0))
 	}
 }
@@ -77,7 +77,7 @@
 		}
 		g.mu.Lock()
 		g.serveWhenReady()
-		if vms, _ := g.knownVMs(); !slices.Equal(vms, g.vms) {
+		if vms := g.knownVMs(); !slices.Equal(vms, g.vms) {
 			g.updateTables(func(string) bool { return false })
 		}
 		g.mu.Unlock()
--- a/gateway/permit_queue_test.go
+++ b/gateway/permit_queue_test.go
@@ -27,7 +27,7 @@
 				Address: netip.MustParseAddrPort("10.0.0.1:80"), State: inventory.Live, Slots: 2,
 			})
 		}
-		table.SetFleet(nil, 1)
+		table.SetFleet(nil)
 		table.SetUpstreams(now, list, true)
 	})
 	object := func(i int) placement.Query {
--- a/gateway/placement/best_holder_test.go
+++ b/gateway/placement/best_holder_test.go
@@ -21,7 +21,15 @@
 func newChangingTable(seed uint64) *changingTable {
 	rng := rand.New(rand.NewPCG(seed, 3))
 	c := &changingTable{rng: rng, now: start, Table: NewTable(Location{Region: "r0", FailureDomain: "r0-a", VM: "a"}, NewShiftLimiter(start, "r0"))}
-	c.SetFleet([]string{"a", "b", "c", "d", "e", "f", "g"}, 1+rng.IntN(12))
+	vms := vmsOf("elsewhere", []string{"b", "c", "d", "e", "f", "g"})
+	for i := range rng.IntN(12) { // some in the region of this VM, as many as twelve with itself
+		if i < len(vms) {
+			vms[i].Region = "r0"
+			continue
+		}
+		vms = append(vms, VM{Name: fmt.Sprint("h", i), Region: "r0"})
+	}
+	c.SetFleet(vms)
 	c.SetWarmup(time.Second, 4)
 	for region := range 1 + rng.IntN(3) {
 		for _, domain := range []string{"a", "b"}[:1+rng.IntN(2)] {
--- a/gateway/placement/cold_test.go
+++ b/gateway/placement/cold_test.go
@@ -25,7 +25,7 @@
 		for _, name := range names {
 			table := NewTable(Location{Region: "r", FailureDomain: "r-a", VM: name}, NewShiftLimiter(start, "r"))
 			table.SetWarmup(4*time.Second, rate)
-			table.SetFleet(names, vms)
+			table.SetFleet(vmsOf("r", names))
 			table.SetUpstreams(start, list, false)
 			tables = append(tables, table)
 		}
--- a/gateway/placement/home_share_test.go
+++ b/gateway/placement/home_share_test.go
@@ -81,7 +81,7 @@
 func TestHomeShareFollowsAnOutageAtOnce(t *testing.T) {
 	is := is.New(t)
 	table := NewTable(Location{Region: "r", FailureDomain: "r-a", VM: "vm-1"}, NewShiftLimiter(start, "r"))
-	table.SetFleet(nil, minPlannedVMs)
+	table.SetFleet(numberedVMs("r", minPlannedVMs))
 	all := append(upstreamsOf("r", "r-a", 10, 6), upstreamsOf("r", "r-b", 10, 6)...)
 	all = append(all, upstreamsOf("s", "s-a", 20, 6)...)
 	table.SetUpstreams(start, all, true)
--- a/gateway/placement/objects_test.go
+++ b/gateway/placement/objects_test.go
@@ -24,7 +24,7 @@
 	for i := range tables {
 		limiter := NewShiftLimiter(start, "r")
 		tables[i] = NewTable(Location{Region: "r", FailureDomain: "r-a", VM: string(rune('a' + i))}, limiter)
-		tables[i].SetFleet(nil, r.vms)
+		tables[i].SetFleet(numberedVMs("r", r.vms))
 		tables[i].SetUpstreams(start, r.list, true)
 	}
 	return tables
--- a/gateway/placement/small_region_test.go
+++ b/gateway/placement/small_region_test.go
@@ -29,7 +29,7 @@
 		self := Location{Region: "r", FailureDomain: "r-" + string(rune('a'+i%3)), VM: fmt.Sprint("vm-", i)}
 		tables[i] = NewTable(self, NewShiftLimiter(start, "r"))
 		if planned {
-			tables[i].SetFleet(nil, vms)
+			tables[i].SetFleet(numberedVMs("r", vms))
 		}
 		tables[i].SetUpstreams(start, r.list, true)
 		tables[i].shiftLimiter.SetInitialShares(tables[i].InitialShares())
--- a/gateway/placement/table.go
+++ b/gateway/placement/table.go
@@ -41,8 +41,8 @@
 	selfSufficient map[string]bool
 	// lastSlots is the number of slots by region at the last update, to detect outages.
 	lastSlots map[string]float64
-	// vms are the names of the entry VMs of the fleet, sorted.
-	vms []string
+	// vms are the entry VMs of the fleet, sorted by name.
+	vms []VM
 	// regionVMs is how many of them are in the region of this VM, itself included.
 	regionVMs int
 }
@@ -56,12 +56,21 @@
 // time.
 func (t *Table) SetWarmup(warmup time.Duration, rate float64) { t.warmup, t.warmupRate = warmup, rate }
 
-// SetFleet sets the entry VMs that share the rate of cold upstreams, and how many of them are in
-// the region of this VM.
-func (t *Table) SetFleet(vms []string, regionVMs int) {
-	t.regionVMs = regionVMs
+// SetFleet sets the entry VMs, which share the rates of cold and of limited upstreams. The list may
+// lack this VM.
+func (t *Table) SetFleet(vms []VM) {
 	t.vms = slices.Clone(vms)
-	slices.Sort(t.vms)
+	self := VM{Name: t.self.VM, Region: t.self.Region}
+	if !slices.Contains(t.vms, self) {
+		t.vms = append(t.vms, self)
+	}
+	slices.SortFunc(t.vms, func(a, b VM) int { return strings.Compare(a.Name, b.Name) })
+	t.regionVMs = 0
+	for _, vm := range t.vms {
+		if vm.Region == t.self.Region {
+			t.regionVMs++
+		}
+	}
 }
 
 // SetEvacuated sets the failure domains that receive no requests. Upstreams of a domain whose
@@ -233,7 +242,7 @@
 	rank := 0
 	mine := u.score(hashOf(t.self.VM))
 	for _, vm := range t.vms {
-		if vm != t.self.VM && u.score(hashOf(vm)) > mine {
+		if vm.Name != t.self.VM && u.score(hashOf(vm.Name)) > mine {
 			rank++
 		}
 	}
--- /dev/null
+++ b/gateway/placement/vm.go
@@ -0,0 +1,6 @@
+package placement
+
+// VM is an entry VM of the fleet.
+type VM struct {
+	Name, Region string
+}
