Share the limit that an upstream announces among the entry VMs

Cause: no VM read the limit; placement chose by slots and load alone. Ruled out: a limit kept by each VM for itself (one VM alone broke the bound too), requests that wait or are retried only (arrivals did not change at all when the limit was named).

Class of fault: a quantity that all VMs together may use and that a VM can only keep for itself. The same class as rates of customers and of cold upstreams. As for cold upstreams, the rate is split without messages, so that it holds while the leader is lost: 2 VMs and one more for each request per second, in the region of the upstream, share 0.9 of it; all others share the rest, which is how they learn of its end. Buckets start empty and hold one request or a quarter of a second. Choice, waiting requests, retries and health checks all take a token. Objects: an upstream keeps as many as its limit can serve, chosen by hash at all VMs alike; the others move to the next upstream, which caches them. A limit ends when responses a second later do not name it, since responses overtake each other, and the rate then doubles every second for 4 s.

With 8 and 12 VMs at least half of the limit is used.

--- a/gateway/announce/state.go
+++ b/gateway/announce/state.go
@@ -1,10 +1,22 @@
 package announce
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
-// limitEndDelay is how long after the last response with a limit one without ends the limit. Responses
-// on several connections may overtake each other.
-const limitEndDelay = time.Second
+const (
+	// limitEndDelay is how long after the last response with a limit one without ends the limit. Responses
+	// on several connections may overtake each other.
+	limitEndDelay = time.Second
+	// recoveryTime is how long an upstream whose limit has ended gets a growing rate of requests, and
+	// recoveryDoubling how often the rate doubles meanwhile. An upstream that names its limit again finds
+	// the VMs near it.
+	recoveryTime     = 4 * time.Second
+	recoveryDoubling = time.Second
+	// minRecoveryRate is the rate, in requests per second, at which a recovery starts at least.
+	minRecoveryRate = 1.0
+)
 
 // State is what one upstream has announced to this VM. Its zero value is an upstream that has announced
 // nothing. It is not safe for concurrent use.
@@ -13,6 +25,8 @@
 	rateLimit float64
 	// limitedAt is when a response last named the limit.
 	limitedAt time.Time
+	// endedAt is when the limit ended.
+	endedAt time.Time
 }
 
 // Record updates the state with a response.
@@ -27,14 +41,27 @@
 			return LimitBegan
 		}
 	case s.limited && now.Sub(s.limitedAt) >= limitEndDelay:
-		s.limited = false
+		s.limited, s.endedAt = false, now
 		return LimitEnded
 	}
 	return NoChange
 }
 
-// RateLimit returns the limit in requests per second; limited is false if there is none.
-func (s *State) RateLimit() (limit float64, limited bool) { return s.rateLimit, s.limited }
+// Limited reports whether responses name a limit.
+func (s *State) Limited() bool { return s.limited }
 
-// Age returns the time since a response last named the limit.
-func (s *State) Age(now time.Time) time.Duration { return now.Sub(s.limitedAt) }
+// RateLimit returns the requests per second that the upstream may receive from all VMs together: its
+// limit, or a growing multiple while it recovers. bounded is false if there is no limit.
+func (s *State) RateLimit(now time.Time) (rate float64, bounded bool) {
+	if s.limited {
+		return s.rateLimit, true
+	}
+	if s.endedAt.IsZero() {
+		return 0, false
+	}
+	recovering := now.Sub(s.endedAt)
+	if recovering >= recoveryTime {
+		return 0, false
+	}
+	return math.Max(s.rateLimit, minRecoveryRate) * math.Exp2(float64(recovering)/float64(recoveryDoubling)), true
+}
--- a/gateway/announce/state_test.go
+++ b/gateway/announce/state_test.go
@@ -20,9 +20,7 @@
 	is.Equal(s.Record(start.Add(100*time.Millisecond), plain), NoChange) // overtaken
 	is.Equal(s.Record(start.Add(3*time.Second), Announcement{}), NoChange)
 	is.Equal(s.Record(start.Add(3*time.Second), Announcement{Heard: true, Invalid: "x"}), NoChange)
-	_, is3 := s.RateLimit()
-	is.True(is3)
+	is.True(s.Limited())
 	is.Equal(s.Record(start.Add(4*time.Second), plain), LimitEnded)
-	_, is4 := s.RateLimit()
-	is.True(!is4)
+	is.True(!s.Limited())
 }
--- a/gateway/permit_queue.go
+++ b/gateway/permit_queue.go
@@ -78,7 +78,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	_, limited = p.table.RateLimit(id)
+	limited = p.table.Limited(id)
 	change = p.table.RecordAnnouncement(now, id, a)
 	if change != announce.NoChange {
 		p.issuePermits(now)
--- /dev/null
+++ b/gateway/placement/announced.go
@@ -0,0 +1,9 @@
+package placement
+
+import "pistachiomount.example/pistachiomount/gateway/announce"
+
+// announced is what an upstream has announced, and what follows from it for this VM.
+type announced struct {
+	announce.State
+	share rateShare
+}
--- a/gateway/placement/best_holder_test.go
+++ b/gateway/placement/best_holder_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"pistachiomount.example/pistachiomount/demand"
+	"pistachiomount.example/pistachiomount/gateway/announce"
 	"pistachiomount.example/pistachiomount/inventory"
 )
 
@@ -79,6 +80,8 @@
 			"r0": {Rate: 100 * c.rng.Float64(), Running: 30, Objects: 600 * c.rng.Float64()},
 			"r1": {Rate: 100 * c.rng.Float64(), Running: 30}, "r2": {Rate: 50, Running: 10},
 		})
+	case 8:
+		c.RecordAnnouncement(c.now, id, announce.Announcement{Heard: true, Limited: c.rng.IntN(2) == 0, RateLimit: 9 * c.rng.Float64()})
 	default:
 		c.Done(c.now, id, Outcome{
 			Reported: true, Running: c.rng.IntN(8), Failed: c.rng.IntN(4) == 0, LatencyRatio: 4 * c.rng.Float64(), ResponseBytes: 8 << 10 * c.rng.IntN(2),
@@ -95,7 +98,7 @@
 		c := newChangingTable(seed)
 		for step := range 300 {
 			q := c.query()
-			holders, _ := c.cacheHoldersOf(q)
+			holders, _ := c.cacheHoldersOf(c.now, q)
 			allowed := c.shiftLimiter.Allowed(c.now)
 			if len(q.Regions) > 0 {
 				allowed = func(string) bool { return true }
--- a/gateway/placement/limit_test.go
+++ b/gateway/placement/limit_test.go
@@ -26,6 +26,7 @@
 type limitFleet struct {
 	rng      *rand.Rand
 	names    []string
+	fleet    []VM
 	tables   []*Table
 	list     []inventory.Upstream
 	objects  int
@@ -33,6 +34,8 @@
 	response time.Duration
 	// limits are the limits that upstreams announce at a time, by ID.
 	limits func(at time.Duration, id string) (float64, bool)
+	// eachSecond is called at each second; it may be nil.
+	eachSecond func(second int)
 
 	sent     map[string][]sentRequest
 	told     map[string]map[int]time.Duration
@@ -56,15 +59,14 @@
 		f.list = append(f.list, upstreamsOf(region, region+"-a", (n+1)/2, slots)...)
 		f.list = append(f.list, upstreamsOf(region, region+"-b", n/2, slots)...)
 	}
-	var fleet []VM
 	for i := range vms {
 		f.names = append(f.names, fmt.Sprint("vm", i))
-		fleet = append(fleet, VM{Name: f.names[i], Region: regions[i%3]})
+		f.fleet = append(f.fleet, VM{Name: f.names[i], Region: regions[i%3]})
 	}
 	for i, name := range f.names {
 		region := regions[i%3]
 		table := NewTable(Location{Region: region, FailureDomain: region + "-" + string("ab"[i/3%2]), VM: name}, NewShiftLimiter(start, region))
-		table.SetFleet(fleet)
+		table.SetFleet(f.fleet)
 		table.SetUpstreams(start, f.list, true)
 		f.tables = append(f.tables, table)
 	}
@@ -81,6 +83,9 @@
 	var inFlight []running
 	for at := time.Duration(0); at < duration; at += time.Millisecond {
 		now := start.Add(at)
+		if f.eachSecond != nil && at%time.Second == 0 {
+			f.eachSecond(int(at / time.Second))
+		}
 		for len(inFlight) > 0 && inFlight[0].end <= at {
 			r := inFlight[0]
 			inFlight = inFlight[1:]
@@ -155,3 +160,76 @@
 		}
 	}
 }
+
+// Guards against a limit that empties the upstream, that rejects callers whom other upstreams can serve,
+// and that lasts after the upstream no longer names it.
+func TestLimitedUpstreamIsUsedWithinItsLimit(t *testing.T) {
+	for _, vms := range []int{8, 12} {
+		t.Run(fmt.Sprint(vms), func(t *testing.T) {
+			is := is.New(t)
+			unlimited := newLimitFleet(uint64(vms), vms, 14, 6, 12)
+			unlimited.limits = func(time.Duration, string) (float64, bool) { return 0, false }
+			unlimited.run(40 * time.Second)
+			f := newLimitFleet(uint64(vms), vms, 14, 6, 12)
+			id := f.list[0].ID
+			f.limits = func(at time.Duration, upstream string) (float64, bool) {
+				return 4, upstream == id && at >= 5*time.Second && at < 15*time.Second
+			}
+			f.run(40 * time.Second)
+			t.Logf("%d of %d refused, %d without a limit", f.refused, f.requests, unlimited.refused)
+			count := func(from, to time.Duration) (n int) {
+				for _, r := range f.sent[id] {
+					if r.at >= from && r.at < to {
+						n++
+					}
+				}
+				return n
+			}
+			is.True(count(7*time.Second, 15*time.Second) >= 16) // half of what it accepts in that time
+			before, after := count(0, 5*time.Second), count(35*time.Second, 40*time.Second)
+			is.True(after*2 >= before)                               // in full use again
+			is.True((f.refused-unlimited.refused)*100 <= f.requests) // others serve the rest
+			is.True(count(15*time.Second, 17*time.Second) <= 4*2*4)  // and the rate grows step by step
+		})
+	}
+}
+
+// Guards against requests above a limit from an upstream that names it again and again, when VMs have
+// not heard of it yet, and from VMs whose share changes as others leave and join.
+func TestAnnouncedLimitHoldsWhileItAndTheFleetChange(t *testing.T) {
+	for seed := range uint64(20) {
+		f := newLimitFleet(seed, 12, 14, 6, 12)
+		id := f.list[int(seed)%len(f.list)].ID
+		limit := 1 + f.rng.Float64()*8
+		f.limits = func(at time.Duration, upstream string) (float64, bool) {
+			return limit, upstream == id && (at >= 5*time.Second && at < 10*time.Second || at >= 14*time.Second)
+		}
+		f.eachSecond = func(int) {
+			missing := f.rng.IntN(len(f.names)) // one VM restarts
+			for i, table := range f.tables {
+				if i != missing {
+					table.SetFleet(append(append([]VM(nil), f.fleet[:missing]...), f.fleet[missing+1:]...))
+				}
+			}
+		}
+		f.run(30 * time.Second)
+		for _, span := range [][2]time.Duration{{5 * time.Second, 10 * time.Second}, {14500 * time.Millisecond, 30 * time.Second}} {
+			if excess, text := f.worst(id, limit, span[0], span[1]); excess > 0 {
+				t.Errorf("seed %d: %s", seed, text)
+			}
+		}
+	}
+}
+
+// Guards against health checks above the limit of an upstream that cannot be reached.
+func TestProbesCountTowardTheLimit(t *testing.T) {
+	is := is.New(t)
+	table := NewTable(Location{Region: "r", FailureDomain: "r-a", VM: "vm-1"}, NewShiftLimiter(start, "r"))
+	list := upstreamsOf("r", "r-a", 1, 6)
+	table.SetFleet(nil)
+	table.SetUpstreams(start, list, true)
+	table.RecordAnnouncement(start, list[0].ID, announce.Announcement{Heard: true, Limited: true, RateLimit: 0.1})
+	table.Done(start, list[0].ID, Outcome{Unreachable: true})
+	is.Equal(len(table.DueProbes(start.Add(2*time.Second))), 0)
+	is.Equal(len(table.DueProbes(start.Add(11*time.Second))), 1)
+}
--- a/gateway/placement/ranking.go
+++ b/gateway/placement/ranking.go
@@ -34,11 +34,11 @@
 
 // cacheHoldersOf returns the upstreams that cache the object of a request. found is false for a request
 // without an object.
-func (t *Table) cacheHoldersOf(q *Query) (holders cacheHolders, found bool) {
+func (t *Table) cacheHoldersOf(now time.Time, q *Query) (holders cacheHolders, found bool) {
 	if q.Object == 0 {
 		return cacheHolders{}, false
 	}
-	holders = t.holdersByScore(q, t.isSelfSufficient(t.self.FailureDomain))
+	holders = t.holdersByScore(now, q, t.isSelfSufficient(t.self.FailureDomain))
 	holders.away = t.isAway(q)
 	if holders.byDomain {
 		holders.retainDomains(t.isSelfSufficient)
@@ -48,12 +48,14 @@
 	return holders, true
 }
 
-// holdersByScore returns the upstreams with the best scores for the object of a request.
-func (t *Table) holdersByScore(q *Query, byDomain bool) cacheHolders {
+// holdersByScore returns the upstreams with the best scores for the object of a request. One whose limit
+// leaves no room for the request holds nothing.
+func (t *Table) holdersByScore(now time.Time, q *Query, byDomain bool) cacheHolders {
 	holders := cacheHolders{byDomain: byDomain}
 	for _, u := range t.upstreams {
 		switch {
 		case !u.candidate || !q.allows(u.Region):
+		case u.announced != nil && !t.keepsObject(now, u, q.Object):
 		case u.local:
 			holders.localUpstreams++
 			holders.addLocal(u, u.score(q.Object))
--- a/gateway/placement/table.go
+++ b/gateway/placement/table.go
@@ -155,6 +155,7 @@
 	if best.cold(now) {
 		best.coldTokens--
 	}
+	t.spendLimit(now, best)
 	return best.Upstream, Placed
 }
 
@@ -166,7 +167,7 @@
 	if limited {
 		allowed = t.shiftLimiter.Allowed(now)
 	}
-	holders, found := t.cacheHoldersOf(q)
+	holders, found := t.cacheHoldersOf(now, q)
 	var best, unlimited *upstream
 	verdict := NoUpstream
 	if found {
@@ -219,7 +220,7 @@
 
 // hasCapacity reports whether an upstream has capacity for a request of the given tier.
 func (t *Table) hasCapacity(now time.Time, u *upstream, q *Query, tier int) bool {
-	if u.cold(now) && !t.hasColdToken(now, u) {
+	if u.cold(now) && !t.hasColdToken(now, u) || u.announced != nil && !t.withinLimit(now, u) {
 		return false
 	}
 	slots := float64(max(u.Slots, 1))
@@ -292,7 +293,8 @@
 func (t *Table) DueProbes(now time.Time) []inventory.Upstream {
 	var due []inventory.Upstream
 	for _, u := range t.upstreams {
-		if u.ejected && !now.Before(u.ejectedUntil) && u.State == inventory.Live && !t.evacuated[u.FailureDomain] {
+		if u.ejected && !now.Before(u.ejectedUntil) && u.State == inventory.Live && !t.evacuated[u.FailureDomain] && t.withinLimit(now, u) {
+			t.spendLimit(now, u)
 			u.ejectedUntil = now.Add(maxEjection) // no second probe before the result
 			due = append(due, u.Upstream)
 		}
--- a/gateway/placement/upstream.go
+++ b/gateway/placement/upstream.go
@@ -6,7 +6,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"pistachiomount.example/pistachiomount/gateway/announce"
 	"pistachiomount.example/pistachiomount/inventory"
 )
 
@@ -20,6 +19,9 @@
 	// the region of this VM, objects are assigned to it, and its region accepts requests of others.
 	local, candidate, acceptsRemote bool
 
+	// announced is nil until the upstream announces something, since each choice reads it.
+	announced *announced
+
 	// inFlight counts the requests of this VM at the upstream.
 	inFlight int
 	// otherLoad is the load of other VMs as of otherLoadAt.
@@ -33,8 +35,6 @@
 	ejectionPeriod time.Duration
 	ejected        bool
 
-	announced announce.State
-
 	coldUntil  time.Time
 	coldTokens float64
 	coldAt     time.Time
