Send requests without an ID on new connections

Report of other operators: a faulty upstream writes an earlier refusal once more on a kept connection, and callers are told 'not run' for a request that runs. For requests with an ID this cannot happen here: a copy with another ID is skipped, one without ID ends the exchange as unknown. For a request without an ID it could: the missing ID of the copy equals its own. Health checks have no ID either. Such requests get a connection of their own now.

--- a/gateway/egress/exchange.go
+++ b/gateway/egress/exchange.go
@@ -18,7 +18,9 @@
 func (p *Pool) Do(ctx context.Context, call *Call) *Reply {
 	key := poolKey{call.Upstream, call.Address}
 	dialCtx, cancel := context.WithDeadline(ctx, call.Deadline)
-	c, err := p.get(dialCtx, key)
+	// Without an ID, a late copy of an earlier response cannot be told from the response to this request.
+	reuse := call.Header.Get(p.names.RequestID) != ""
+	c, err := p.get(dialCtx, key, reuse)
 	cancel()
 	if err != nil {
 		return &Reply{Outcome: NotRun, Unreachable: true, Err: errors.Trace(err)}
--- a/gateway/egress/pool.go
+++ b/gateway/egress/pool.go
@@ -39,8 +39,8 @@
 }
 
 // get returns an idle connection that is still usable, or a new one.
-func (p *Pool) get(ctx context.Context, key poolKey) (*upstreamConn, error) {
-	for {
+func (p *Pool) get(ctx context.Context, key poolKey, reuse bool) (*upstreamConn, error) {
+	for reuse {
 		c := p.pop(key)
 		if c == nil {
 			break
