Take no request behind another once a stopping VM accepts no connection

Report of other operators: in a planned stop, requests that come late are taken, and cut with no answer at the end of the grace period. It could happen here: while a request ran, further requests on its connection were read and sent to upstreams until the process ended. The response to the last one of them would have announced the end of the connection, but with one always pending there is no last one. TestAStoppingServerTakesNoRequestBehindAnother failed (the third request ran). Such requests are left unread now; their callers send them elsewhere, whatever their kind.

--- a/gateway/ingress/conn.go
+++ b/gateway/ingress/conn.go
@@ -99,7 +99,7 @@
 func (c *conn) startRequest() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.ended {
+	if c.ended || c.pending > 0 && c.server.draining.Load() {
 		return false
 	}
 	c.pending++
--- a/gateway/ingress/server.go
+++ b/gateway/ingress/server.go
@@ -25,7 +25,9 @@
 	conns     map[*conn]struct{}
 	// closing makes every connection close after its outstanding responses.
 	closing atomic.Bool
-	wg      sync.WaitGroup
+	// draining is set once no connection is accepted any more, nor a request behind one that runs.
+	draining atomic.Bool
+	wg       sync.WaitGroup
 }
 
 // NewServer returns a server that passes requests to the handler.
@@ -81,8 +83,10 @@
 
 // StopAccepting closes the listener once the connections that the kernel has accepted are taken over:
 // closing it at once would reset them, with the requests that were sent on them. It returns when no
-// further connection is accepted. Open connections stay open.
+// further connection is accepted. Open connections stay open until their requests are answered; requests
+// that arrive behind those are left unread, for the caller to send elsewhere.
 func (s *Server) StopAccepting() {
+	defer s.draining.Store(true)
 	s.mu.Lock()
 	listener := s.listener
 	s.mu.Unlock()
