Reject requests that a planned stop would cut

A stopping VM accepts connections for 2.5 s, until callers know that it leaves, and ends 5.5 s after SIGTERM. A request of a slow route that comes in that time (a catalogue refresh takes 4 to 6 s on the larger deployments) was sent to an upstream and cut, with no answer and possibly run.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -37,6 +37,8 @@
 	metrics      *requestMetrics
 	tracer       trace.Tracer
 
+	// stopsAt is when a planned stop ends all requests, in Unix nanoseconds; 0 while none is under way.
+	stopsAt atomic.Int64
 	// services is replaced as a whole when a new plan is applied.
 	services atomic.Pointer[map[string]*service]
 	// mu protects the list of upstreams and updates of the tables.
@@ -116,6 +118,7 @@
 // a directory response that contains this VM, then until every request has ended.
 func (g *Gateway) shutdown() {
 	limit := time.Now().Add(g.cfg.ShutdownTimeout - shutdownReserve)
+	g.stopsAt.Store(limit.UnixNano())
 	if err := g.lifecycle.Leave(); err != nil {
 		g.cfg.Log.WithError(err).Error("failed to enter the leaving state")
 	}
--- a/gateway/routed_request.go
+++ b/gateway/routed_request.go
@@ -89,8 +89,11 @@
 // ends here.
 func (r *routedRequest) acquireUpstream(ctx context.Context) (inventory.Upstream, *ingress.Response) {
 	now := time.Now()
-	if r.deadline.Sub(now) < minAttemptTime {
+	switch {
+	case r.deadline.Sub(now) < minAttemptTime:
 		return inventory.Upstream{}, r.fail(ReasonTimeout)
+	case r.outlastsStop(now):
+		return inventory.Upstream{}, r.fail(ReasonStopping)
 	}
 	chosen, verdict := r.service.permits.acquire(ctx, r.query, admission.WaitDeadline(r.request.Received, now, r.deadline, r.route.Target))
 	r.waitTime += time.Since(now)
