Send nothing to an upstream whose responses say that it leaves

Cause: VMs learnt it from the list alone. The head of each response is read before the response goes to the caller; the upstream is no candidate from then on, for requests that wait and retries too. Requests that run there end normally.

Another run is known by the list (removed and listed again, or cold for longer than before) or by a health check after the upstream could not be reached; a healthy answer that itself says 'leaving' is no proof. 421 and responses to other requests say nothing.

TestUpstreamThatAnnouncesLeavingGetsNoNewRequests, TestWrongLeavingCostsOnlyTheUpstreamItself and TestNextRequestAvoidsAnUpstreamThatLeaves (real connections) fail without the check and pass with it.

--- a/gateway/announce/change.go
+++ b/gateway/announce/change.go
@@ -5,7 +5,12 @@
 
 // Changes, as named in logs and metrics.
 const (
-	NoChange   Change = ""
-	LimitBegan Change = "limit_began"
-	LimitEnded Change = "limit_ended"
+	NoChange     Change = ""
+	LimitBegan   Change = "limit_began"
+	LimitEnded   Change = "limit_ended"
+	LeavingBegan Change = "leaving_began"
+	// LeavingEnded: another run of the upstream has started under the same ID.
+	LeavingEnded Change = "leaving_ended"
+	PauseBegan   Change = "pause_began"
+	PauseEnded   Change = "pause_ended"
 )
--- a/gateway/announce/parse.go
+++ b/gateway/announce/parse.go
@@ -6,37 +6,71 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 )
 
-// maxQuotedValue limits the bytes of an invalid value in a log line.
-const maxQuotedValue = 40
+const (
+	// maxQuotedValue limits the bytes of an invalid value in a log line.
+	maxQuotedValue = 40
+	// MaxPause bounds how long an upstream may ask for no requests.
+	MaxPause = 5 * time.Minute
+	// leavingValue is the value of the header of an upstream that leaves.
+	leavingValue = "1"
+	// retryAfter is the standard header of a response that rejects a request.
+	retryAfter = "Retry-After"
+)
 
 // HeaderNames are the names of the response headers in which upstreams announce something.
 type HeaderNames struct {
 	// RateLimit carries the requests per second that the upstream accepts from all VMs together.
 	RateLimit string
+	// Leaving says that the upstream is shutting down.
+	Leaving string
 }
 
 // Parse reads the head of a response that came from the upstream itself.
-func (n HeaderNames) Parse(header http.Header) Announcement {
+func (n HeaderNames) Parse(status int, header http.Header) Announcement {
 	a := Announcement{Heard: true}
-	text := strings.TrimSpace(valueOf(header, n.RateLimit))
+	a.Leaving = n.Leaving != "" && strings.TrimSpace(header.Get(n.Leaving)) == leavingValue
+	if n.RateLimit != "" {
+		a.parseLimit(n.RateLimit, header.Get(n.RateLimit))
+	}
+	if status == http.StatusServiceUnavailable {
+		a.parsePause(header.Get(retryAfter))
+	}
+	return a
+}
+
+func (a *Announcement) parseLimit(name, text string) {
 	if text == "" {
-		return a
+		return
 	}
-	limit, err := strconv.ParseFloat(text, 64)
+	limit, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
 	if err != nil || !(limit >= 0) || math.IsInf(limit, 1) {
-		a.Invalid = fmt.Sprintf("%s: %.*q", n.RateLimit, maxQuotedValue, text)
-		return a
+		a.reject(name, text)
+		return
 	}
 	a.Limited, a.RateLimit = true, limit
-	return a
 }
 
-// valueOf returns the first value of a header; "" if the header has no name here.
-func valueOf(header http.Header, name string) string {
-	if name == "" {
-		return ""
+// parsePause reads a delay in seconds, which may have a fraction. One that is too long is bounded, and
+// reported as well.
+func (a *Announcement) parsePause(text string) {
+	if text == "" {
+		return
+	}
+	seconds, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	if err != nil && !math.IsInf(seconds, 1) || !(seconds >= 0) {
+		a.reject(retryAfter, text)
+		return
 	}
-	return header.Get(name)
+	if seconds > MaxPause.Seconds() {
+		a.reject(retryAfter, text)
+		seconds = MaxPause.Seconds()
+	}
+	a.Pause = time.Duration(seconds * float64(time.Second))
+}
+
+func (a *Announcement) reject(name, text string) {
+	a.Invalid = fmt.Sprintf("%s: %.*q", name, maxQuotedValue, text)
 }
--- a/gateway/announce/state.go
+++ b/gateway/announce/state.go
@@ -27,20 +27,43 @@
 	limitedAt time.Time
 	// endedAt is when the limit ended.
 	endedAt time.Time
+	// leavingSince is when a response first said that the upstream leaves; zero if none has. It holds for
+	// the run of the upstream: a later response that does not say so changes nothing, since an upstream
+	// that leaves never takes that back.
+	leavingSince time.Time
+	// pausedUntil is the end of the latest pause.
+	pausedUntil time.Time
 }
 
-// Record updates the state with a response.
+// Record updates the state with a response. If several things change, it returns the one that weighs
+// most.
 func (s *State) Record(now time.Time, a Announcement) Change {
-	switch {
-	case !a.Heard || a.Invalid != "":
+	if !a.Heard {
 		return NoChange
+	}
+	change := s.recordLimit(now, a)
+	if until := now.Add(a.Pause); a.Pause > 0 && until.After(s.pausedUntil) {
+		if !s.Paused(now) {
+			change = PauseBegan
+		}
+		s.pausedUntil = until // an earlier, longer pause stays in force
+	}
+	if a.Leaving && s.leavingSince.IsZero() {
+		s.leavingSince = now
+		change = LeavingBegan
+	}
+	return change
+}
+
+func (s *State) recordLimit(now time.Time, a Announcement) Change {
+	switch {
 	case a.Limited:
 		began := !s.limited
 		s.limited, s.rateLimit, s.limitedAt = true, a.RateLimit, now
 		if began {
 			return LimitBegan
 		}
-	case s.limited && now.Sub(s.limitedAt) >= limitEndDelay:
+	case s.limited && a.Invalid == "" && now.Sub(s.limitedAt) >= limitEndDelay:
 		s.limited, s.endedAt = false, now
 		return LimitEnded
 	}
@@ -65,3 +88,12 @@
 	}
 	return math.Max(s.rateLimit, minRecoveryRate) * math.Exp2(float64(recovering)/float64(recoveryDoubling)), true
 }
+
+// Leaving reports whether the upstream has said that it leaves.
+func (s *State) Leaving() bool { return !s.leavingSince.IsZero() }
+
+// Paused reports whether the upstream wants no requests from this VM now.
+func (s *State) Paused(now time.Time) bool { return now.Before(s.pausedUntil) }
+
+// PausedUntil returns the end of the latest pause.
+func (s *State) PausedUntil() time.Time { return s.pausedUntil }
--- a/gateway/announcements.go
+++ b/gateway/announcements.go
@@ -31,6 +31,7 @@
 	if g.requests.allow(false) {
 		g.cfg.Log.WithFields(logrus.Fields{
 			"upstream": upstream, "service": service, "request": request, "change": change, "limit_per_s": a.RateLimit,
+			"pause_ms": a.Pause.Milliseconds(),
 		}).Info("upstream changed what it announces")
 	}
 }
--- a/gateway/egress/exchange.go
+++ b/gateway/egress/exchange.go
@@ -160,7 +160,7 @@
 	reply := &Reply{Status: response.StatusCode, Header: p.forwardedHeaders(response.Header)}
 	reply.Load, reply.LoadReported = parseLoad(response.Header.Get(p.names.Load))
 	if response.StatusCode != http.StatusMisdirectedRequest { // sent by another upstream at the same address
-		reply.Announced = p.names.Announced.Parse(response.Header)
+		reply.Announced = p.names.Announced.Parse(response.StatusCode, response.Header)
 	}
 	body, err := readBuffered(response)
 	if err != nil {
--- a/gateway/egress/health.go
+++ b/gateway/egress/health.go
@@ -27,7 +27,7 @@
 	if reply.Rest != nil {
 		_ = reply.Rest.Close()
 	}
-	healthy := reply.Status == http.StatusOK && reply.Header.Get(p.names.UpstreamID) == upstream
+	healthy := reply.Status == http.StatusOK && reply.Header.Get(p.names.UpstreamID) == upstream && !reply.Announced.Leaving
 	health := Health{Healthy: healthy}
 	if ms, err := strconv.ParseFloat(reply.Header.Get(p.names.Cold), 64); err == nil {
 		health.Cold = time.Duration(ms * float64(time.Millisecond))
--- a/gateway/placement/announcements.go
+++ b/gateway/placement/announcements.go
@@ -4,18 +4,22 @@
 	"time"
 
 	"pistachiomount.example/pistachiomount/gateway/announce"
+	"pistachiomount.example/pistachiomount/inventory"
 )
 
 // RecordAnnouncement records what a response says about its upstream.
 func (t *Table) RecordAnnouncement(now time.Time, id string, a announce.Announcement) announce.Change {
 	u := t.byID[id]
-	if u == nil || u.announced == nil && !a.Limited {
+	if u == nil || u.announced == nil && a.Empty() {
 		return announce.NoChange
 	}
 	if u.announced == nil {
 		u.announced = &announced{}
 	}
 	change := u.announced.Record(now, a)
+	if change == announce.LeavingBegan {
+		t.updateCapacity(now)
+	}
 	t.shareOfLimit(now, u) // tokens arrive from now on
 	return change
 }
@@ -39,3 +43,15 @@
 
 // limited reports whether the upstream has announced a limit.
 func (u *upstream) limited() bool { return u.announced != nil && u.announced.Limited() }
+
+// leaving reports whether the upstream has said that it shuts down.
+func (u *upstream) leaving() bool { return u.announced != nil && u.announced.Leaving() }
+
+// listsNewRun reports whether an entry of the list describes a later run of an upstream that has said that
+// it leaves: it is cold for longer than the run before would be.
+func (u *upstream) listsNewRun(now time.Time, entry inventory.Upstream) bool {
+	return u.leaving() && entry.State == inventory.Live && entry.Cold > 0 && now.Add(entry.Cold).After(u.coldUntil)
+}
+
+// startRun forgets what an earlier run of the upstream has announced.
+func (u *upstream) startRun() { u.announced = nil }
--- a/gateway/placement/ranking.go
+++ b/gateway/placement/ranking.go
@@ -110,7 +110,7 @@
 // isCacheCandidate reports whether objects are assigned to an upstream. Ejected and degraded
 // upstreams remain candidates, so that short failures do not move objects.
 func (t *Table) isCacheCandidate(u *upstream) bool {
-	return u.usable() && !t.evacuated[u.FailureDomain]
+	return u.usable() && !u.leaving() && !t.evacuated[u.FailureDomain]
 }
 
 // copies returns how many upstreams of the region cache one object: as many as their memory allows,
--- a/gateway/placement/table.go
+++ b/gateway/placement/table.go
@@ -100,6 +100,9 @@
 				entry.Cold = t.warmup
 			}
 		}
+		if u.listsNewRun(now, entry) {
+			u.startRun()
+		}
 		u.Upstream = entry
 		if entry.Cold > 0 {
 			t.markCold(now, u, entry.Cold)
@@ -313,6 +316,10 @@
 		return
 	}
 	u.ejected, u.failureRate, u.latencyRatio = false, 0, 1
+	if u.leaving() { // it does not accept requests while it leaves, so this is another run
+		u.startRun()
+		t.updateCapacity(now)
+	}
 	t.markCold(now, u, cold)
 }
 
@@ -329,7 +336,7 @@
 func (t *Table) LiveUpstreams() int {
 	n := 0
 	for _, u := range t.upstreams {
-		if u.State == inventory.Live && !t.evacuated[u.FailureDomain] && !u.ejected {
+		if u.candidate && !u.ejected {
 			n++
 		}
 	}
--- a/gateway/routed_request_test.go
+++ b/gateway/routed_request_test.go
@@ -16,6 +16,7 @@
 	"go.opentelemetry.io/otel/trace/noop"
 
 	"pistachiomount.example/pistachiomount/clock"
+	"pistachiomount.example/pistachiomount/gateway/announce"
 	"pistachiomount.example/pistachiomount/gateway/budget"
 	"pistachiomount.example/pistachiomount/gateway/egress"
 	"pistachiomount.example/pistachiomount/gateway/ingress"
@@ -26,6 +27,7 @@
 
 var testUpstreamNames = egress.HeaderNames{
 	RequestID: "X-Id", Deadline: "X-Left", Customer: "X-Customer", ExpectedUpstream: "X-Expected", NotRun: "X-Not-Run", Signature: "X-Signature", Load: "X-Load",
+	Announced: announce.HeaderNames{RateLimit: "X-Limit", Leaving: "X-Leaving"},
 }
 
 // fakeUpstreams are upstreams that share one handler and count the requests.
