Leave upstreams alone for as long as they ask when they reject a request

Upstreams saw: one that rejects with 503 and Retry-After got requests again at once, or not for three times as long as it had asked. Cause of the first: no VM read the header. Cause of the second, traced: a rejection without a reported load counts as all slots taken by other VMs, which halves only every 3 s; requests without an object then prefer any other upstream for some 8 s, and objects that it does not keep need a load below 0.2 of its slots. After a pause the load from before it counts for nothing now.

A pause closes the upstream for this VM, with no request and no health check in it; a later, shorter one does not end it. VMs come back over a fifth of the pause, 1 s at most, with one request first and one more for each that is answered. Values that are no number or negative are ignored, those above 5 minutes are bounded, both with a log line. The request that met it goes to another upstream if it did not run. If all upstreams pause, callers are rejected at once with the return of the first as Retry-After; the Retry-After of an upstream is not passed on, as it is about this VM and this upstream only.

--- a/gateway/admission/retry_after.go
+++ b/gateway/admission/retry_after.go
@@ -14,6 +14,8 @@
 	// cannot serve anyone yet are spread. After a restart of all VMs it takes 1.5 to 3 s
 	// until they serve, mostly for an election.
 	outageRetrySpread = 0.25
+	// pauseRetrySpread is the part of a pause over which retries after it are spread.
+	pauseRetrySpread = 0.25
 	// maxRetryDelayShare is the share of its remaining time for which a caller is willing to wait.
 	maxRetryDelayShare = 1.0 / 3
 )
@@ -49,6 +51,13 @@
 	return spreadDelay(wait, 2*wait, r.TimeLeft, u)
 }
 
+// RetryAfterPause returns the delay before a caller retries whose upstreams all pause: not before the
+// first of them is open again, even if the caller is not willing to wait for so long.
+func RetryAfterPause(wait time.Duration, u float64) time.Duration {
+	spread := max(minRetrySpread, time.Duration(pauseRetrySpread*float64(wait)))
+	return max(wait, 0) + minRetryDelay + time.Duration(u*float64(spread))
+}
+
 // spreadDelay returns a delay between first and last, capped at what the caller accepts.
 func spreadDelay(first, last, left time.Duration, u float64) time.Duration {
 	longest := max(time.Duration(float64(left)*maxRetryDelayShare), minRetryDelay)
--- a/gateway/announce/state.go
+++ b/gateway/announce/state.go
@@ -48,6 +48,10 @@
 		}
 		s.pausedUntil = until // an earlier, longer pause stays in force
 	}
+	if a.Pause == 0 && !s.pausedUntil.IsZero() && !s.Paused(now) {
+		s.pausedUntil = time.Time{}
+		change = PauseEnded
+	}
 	if a.Leaving && s.leavingSince.IsZero() {
 		s.leavingSince = now
 		change = LeavingBegan
@@ -97,3 +101,9 @@
 
 // PausedUntil returns the end of the latest pause.
 func (s *State) PausedUntil() time.Time { return s.pausedUntil }
+
+// Settled reports whether nothing that the upstream has announced is in force any more.
+func (s *State) Settled(now time.Time) bool {
+	_, bounded := s.RateLimit(now)
+	return !bounded && !s.Leaving() && s.pausedUntil.IsZero()
+}
--- a/gateway/permit_queue.go
+++ b/gateway/permit_queue.go
@@ -33,7 +33,8 @@
 	now := time.Now()
 	p.issuePermits(now) // so that no new request overtakes a waiting one
 	chosen, verdict := p.table.Pick(now, &q)
-	if verdict != placement.NoCapacity || !now.Before(until) {
+	waits := verdict == placement.NoCapacity || verdict == placement.AllPaused && p.table.EarliestReturn(now, &q).Before(until)
+	if !waits || !now.Before(until) {
 		p.mu.Unlock()
 		return chosen, verdict
 	}
@@ -72,6 +73,14 @@
 	p.issuePermits(now)
 }
 
+// earliestReturn returns how long the upstreams of a request pause at least.
+func (p *permitQueue) earliestReturn(q *placement.Query) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	return p.table.EarliestReturn(now, q).Sub(now)
+}
+
 // recordAnnouncement records what a response says about its upstream. It reports what changed, and
 // whether the upstream was limited before.
 func (p *permitQueue) recordAnnouncement(id string, a announce.Announcement) (change announce.Change, limited bool) {
--- a/gateway/placement/announced.go
+++ b/gateway/placement/announced.go
@@ -5,5 +5,6 @@
 // announced is what an upstream has announced, and what follows from it for this VM.
 type announced struct {
 	announce.State
-	share rateShare
+	share  rateShare
+	resume resumption
 }
--- a/gateway/placement/announcements.go
+++ b/gateway/placement/announcements.go
@@ -17,10 +17,7 @@
 		u.announced = &announced{}
 	}
 	change := u.announced.Record(now, a)
-	if change == announce.LeavingBegan {
-		t.updateCapacity(now)
-	}
-	t.shareOfLimit(now, u) // tokens arrive from now on
+	t.applyChange(now, u, a, change)
 	return change
 }
 
--- a/gateway/placement/best_holder_test.go
+++ b/gateway/placement/best_holder_test.go
@@ -82,6 +82,8 @@
 		})
 	case 8:
 		c.RecordAnnouncement(c.now, id, announce.Announcement{Heard: true, Limited: c.rng.IntN(2) == 0, RateLimit: 9 * c.rng.Float64()})
+	case 9:
+		c.RecordAnnouncement(c.now, id, announce.Announcement{Heard: true, Pause: time.Duration(c.rng.IntN(3)) * time.Second, Leaving: c.rng.IntN(8) == 0})
 	default:
 		c.Done(c.now, id, Outcome{
 			Reported: true, Running: c.rng.IntN(8), Failed: c.rng.IntN(4) == 0, LatencyRatio: 4 * c.rng.Float64(), ResponseBytes: 8 << 10 * c.rng.IntN(2),
--- a/gateway/placement/ranking.go
+++ b/gateway/placement/ranking.go
@@ -49,7 +49,7 @@
 }
 
 // holdersByScore returns the upstreams with the best scores for the object of a request. One whose limit
-// leaves no room for the request holds nothing.
+// or pause leaves no room for the request holds nothing.
 func (t *Table) holdersByScore(now time.Time, q *Query, byDomain bool) cacheHolders {
 	holders := cacheHolders{byDomain: byDomain}
 	for _, u := range t.upstreams {
--- a/gateway/placement/table.go
+++ b/gateway/placement/table.go
@@ -196,6 +196,9 @@
 	verdict = NoUpstream
 	for _, u := range t.upstreams {
 		if !t.eligible(now, u, q) {
+			if verdict == NoUpstream && u.paused(now) && t.eligibleAfterPause(now, u, q) {
+				verdict = AllPaused
+			}
 			continue
 		}
 		verdict = NoCapacity
@@ -217,13 +220,18 @@
 
 // eligible reports whether an upstream may receive a request, regardless of its load.
 func (t *Table) eligible(now time.Time, u *upstream, q *Query) bool {
+	return (u.announced == nil || !u.paused(now)) && t.eligibleAfterPause(now, u, q)
+}
+
+// eligibleAfterPause reports the same for an upstream that pauses, once it is open again.
+func (t *Table) eligibleAfterPause(now time.Time, u *upstream, q *Query) bool {
 	return u.candidate && q.allows(u.Region) &&
 		!u.ejected && !contains(q.Tried, u.ID) && (!u.cold(now) || t.mayUseCold(u))
 }
 
 // hasCapacity reports whether an upstream has capacity for a request of the given tier.
 func (t *Table) hasCapacity(now time.Time, u *upstream, q *Query, tier int) bool {
-	if u.cold(now) && !t.hasColdToken(now, u) || u.announced != nil && !t.withinLimit(now, u) {
+	if u.cold(now) && !t.hasColdToken(now, u) || u.announced != nil && !(t.withinLimit(now, u) && u.withinWindow()) {
 		return false
 	}
 	slots := float64(max(u.Slots, 1))
@@ -287,6 +295,7 @@
 	if !o.Failed && !u.ejected {
 		u.ejectionPeriod = 0
 	}
+	u.widenWindow(now, o)
 	if o.Rejected && !o.Reported {
 		u.otherLoad, u.otherLoadAt = float64(u.Slots), now
 	}
--- a/gateway/placement/verdict.go
+++ b/gateway/placement/verdict.go
@@ -9,6 +9,8 @@
 	Placed Verdict = iota
 	// NoCapacity: there are eligible upstreams, but none has capacity.
 	NoCapacity
+	// AllPaused: all eligible upstreams have asked for a pause.
+	AllPaused
 	// NoUpstream: no upstream is eligible for the request.
 	NoUpstream
 )
--- a/gateway/reason.go
+++ b/gateway/reason.go
@@ -26,6 +26,8 @@
 	ReasonTimeout      Reason = "timeout"
 	ReasonUpstreamLost Reason = "upstream_lost"
 	ReasonCallerGone   Reason = "caller_gone"
+	// ReasonPaused: all upstreams that may run the request have asked for a pause.
+	ReasonPaused Reason = "upstreams_paused"
 	// ReasonStopping: this VM stops before the request is likely to be answered.
 	ReasonStopping Reason = "stopping"
 	// ReasonPermissionExpired: what allowed the request ran out before it was sent, as in a process
--- a/gateway/routed_request.go
+++ b/gateway/routed_request.go
@@ -105,6 +105,8 @@
 		return inventory.Upstream{}, &ingress.Response{Abort: true}
 	case verdict == placement.NoUpstream:
 		return inventory.Upstream{}, r.fail(ReasonNoUpstream)
+	case verdict == placement.AllPaused:
+		return inventory.Upstream{}, r.fail(ReasonPaused)
 	case verdict == placement.NoCapacity:
 		return inventory.Upstream{}, r.fail(ReasonOverCapacity)
 	case r.sends > 0 && !r.service.retries.TryRetry(time.Now()):
@@ -175,6 +177,10 @@
 	r.query.Tried = append(r.query.Tried, chosen.ID)
 	switch reply.Outcome {
 	case egress.Answered:
+		if reply.Announced.Pause > 0 {
+			// The pause is about this VM and this upstream; others may serve the caller at once.
+			reply.Header.Del("Retry-After")
+		}
 		return responseOf(reply)
 	case egress.NotRun:
 		if r.exhausted() {
@@ -213,8 +219,11 @@
 		TimeLeft: time.Until(r.callerDeadline),
 		Slack:    r.route.Target - time.Since(r.request.Received) - r.gateway.latencies.average(r.route.Name),
 	}
-	if reason == ReasonNoShare {
+	switch reason {
+	case ReasonNoShare:
 		return admission.RetryAfterOutage(rejection, rand.Float64())
+	case ReasonPaused:
+		return admission.RetryAfterPause(r.service.permits.earliestReturn(&r.query), rand.Float64())
 	}
 	return admission.RetryAfterOverload(rejection, rand.Float64())
 }
