Play announcements of upstreams in e2e and in the soak, checked at the upstreams

The soak plays the three as well and checks at the upstreams: after a response with 'leaving' is passed on nothing sent 3 s later, at most two requests within a pause, and the platform's bound on limits; VMs that were killed or paused meanwhile are excused.

--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -51,7 +51,8 @@
 	mu        sync.Mutex
 	runCounts map[string]int // by request id
 	// endless, if set, is the start of a response that has no end.
-	endless []byte
+	endless   []byte
+	announced announcements
 }
 
 func newFleet(t *testing.T, controls, gateways, upstreams int) *fleet {
@@ -87,6 +88,12 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if u.announced.record(id, w.Header()) {
+		w.Header().Set(names.RequestID, id)
+		w.Header().Set(names.NotRun, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	_, _ = io.Copy(io.Discard, r.Body) // a request with a truncated body still counts as run
 	u.mu.Lock()
 	u.runCounts[id]++
--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -27,7 +27,7 @@
 	soakSeconds = 20
 	soakSeed    = 20261204
 	// soakFaults is the number of kinds of faults.
-	soakFaults = 9
+	soakFaults = 12
 	// soakRecovery is the time after the last fault within which requests must be served
 	// again; it is the platform's recovery bound.
 	soakRecovery = 15 * time.Second
@@ -41,17 +41,21 @@
 	next     atomic.Int64
 	mu       sync.Mutex
 	statuses map[string]int // by request id; 0 means no response
+	sent     map[string]sentRequest
+	// disturbances are when gateways were killed, stopped or paused; the time until they run again counts.
+	disturbances []disturbance
 }
 
 // Guards against requests that run twice, that run although they were rejected as not
 // run, or whose responses are truncated or belong to other requests, and against a
-// system that loses acknowledged configuration or does not recover, while processes are
-// killed, paused and stopped, and connections to upstreams are closed, delayed or drop data.
+// system that loses acknowledged configuration, does not recover, or sends upstreams more than
+// they announce, while processes are killed, paused and stopped, connections to upstreams are
+// closed, delayed or drop data, and upstreams leave, pause or limit their rate.
 func TestSoakUnderFaults(t *testing.T) {
 	t.Parallel()
 	seed := uint64(soakSetting(t, "SOAK_SEED", soakSeed))
 	rng := rand.New(rand.NewPCG(seed, 0))
-	s := &soak{f: newFleet(t, 3, 4, 6), statuses: map[string]int{}}
+	s := &soak{f: newFleet(t, 3, 4, 6), statuses: map[string]int{}, sent: map[string]sentRequest{}}
 	s.f.putConfig(1, 0)
 	s.awaitServing()
 	ctx, cancel := context.WithCancel(t.Context())
@@ -92,18 +96,25 @@
 		}
 		gateway, control := rng.IntN(len(f.gateways)), rng.IntN(len(f.controls))
 		upstreamForwarder := f.upstreams[rng.IntN(len(f.upstreams))].forwarder
+		announced := &f.upstreams[1+rng.IntN(len(f.upstreams)-1)].announced
 		kind := kinds[0]
 		kinds = kinds[1:]
 		f.t.Logf("fault %d: gateway %d, control %d", kind, gateway, control)
 		switch kind {
 		case 0:
-			f.gateways[gateway].kill()
-			f.restartVM("gateway", gateway)
+			s.disturb(gateway, func() {
+				f.gateways[gateway].kill()
+				f.restartVM("gateway", gateway)
+			})
 		case 1:
-			f.gateways[gateway].stop()
-			f.restartVM("gateway", gateway)
+			s.disturb(gateway, func() {
+				f.gateways[gateway].stop()
+				f.restartVM("gateway", gateway)
+			})
 		case 2:
-			pauseProcess(f.gateways[gateway], time.Duration(200+rng.IntN(1500))*time.Millisecond)
+			s.disturb(gateway, func() {
+				pauseProcess(f.gateways[gateway], time.Duration(200+rng.IntN(1500))*time.Millisecond)
+			})
 		case 3:
 			pauseProcess(f.controls[control], time.Duration(200+rng.IntN(2500))*time.Millisecond)
 		case 4:
@@ -129,6 +140,14 @@
 			removeAll(f.t, f.dataDir(control))
 			f.restartVM("control", control)
 			s.awaitMember(control) // only one lost disk at a time must be tolerated
+		case 9:
+			announced.set(func(a *announcements) { a.rejectEvery, a.pause = 3, time.Duration(500+rng.IntN(2000))*time.Millisecond })
+			time.AfterFunc(3*time.Second, func() { announced.set(func(a *announcements) { a.rejectEvery = 0 }) })
+		case 10:
+			announced.set(func(a *announcements) { a.limit = 1 + 8*rng.Float64() })
+			time.AfterFunc(6*time.Second, func() { announced.set(func(a *announcements) { a.limit = 0 }) })
+		case 11:
+			f.upstreams[0].announced.set(func(a *announcements) { a.leaving = true }) // one only: it does not come back
 		}
 		f.putConfig(version+1, version)
 		version++
@@ -178,16 +197,21 @@
 
 func (s *soak) sendUntilDone(ctx context.Context, rng *rand.Rand) {
 	for ctx.Err() == nil {
-		method, path := http.MethodGet, fmt.Sprintf("/look/%d", rng.IntN(50))
-		if rng.IntN(2) == 0 {
-			method, path = http.MethodPost, "/book/1"
-		}
-		if s.send(context.WithoutCancel(ctx), rng.IntN(len(s.f.gateways)), method, path) == 0 {
+		if s.sendRandom(ctx, rng) == 0 {
 			time.Sleep(20 * time.Millisecond) // no listener, or no complete response
 		}
 	}
 }
 
+// sendRandom sends a request of a random kind to a random gateway and returns its status.
+func (s *soak) sendRandom(ctx context.Context, rng *rand.Rand) int {
+	method, path := http.MethodGet, fmt.Sprintf("/look/%d", rng.IntN(50))
+	if rng.IntN(2) == 0 {
+		method, path = http.MethodPost, "/book/1"
+	}
+	return s.send(context.WithoutCancel(ctx), rng.IntN(len(s.f.gateways)), method, path)
+}
+
 // send sends one request with a unique id and checks the response. It returns the
 // status, or 0 without a complete response.
 func (s *soak) send(ctx context.Context, gateway int, method, path string) int {
@@ -204,9 +228,11 @@
 	r.Header.Set(names.RequestID, id)
 	r.Header.Set(names.Key, "soak-key")
 	r.Header.Set(names.Deadline, "3000")
+	sent := sentRequest{gateway: gateway, at: time.Now()}
 	status := s.roundTrip(r, id)
+	sent.answered = status != 0
 	s.mu.Lock()
-	s.statuses[id] = status
+	s.statuses[id], s.sent[id] = status, sent
 	s.mu.Unlock()
 	return status
 }
@@ -270,8 +296,49 @@
 			t.Errorf("valid request %s was rejected with %d", id, status)
 		}
 	}
+	announced := announcementCheck{t: t, disturbedSince: s.disturbedSince, sent: func(id string) (sentRequest, bool) {
+		sent, ok := s.sent[id]
+		return sent, ok
+	}}
+	for _, u := range s.f.upstreams {
+		announced.check(u)
+	}
 	t.Logf("%d requests, statuses %v", len(s.statuses), statuses)
 	if statuses[http.StatusOK] < len(s.statuses)/2 {
 		t.Errorf("%d of %d requests succeeded", statuses[http.StatusOK], len(s.statuses))
 	}
 }
+
+// countStatus returns the number of requests with a status.
+func (s *soak) countStatus(status int) (n int) {
+	for _, got := range s.statuses {
+		if got == status {
+			n++
+		}
+	}
+	return n
+}
+
+// disturbance is a period in which a gateway did not run, or its view may be that of another process.
+type disturbance struct {
+	gateway  int
+	from, to time.Time
+}
+
+// disturb runs a fault of a gateway and records it.
+func (s *soak) disturb(gateway int, fault func()) {
+	d := disturbance{gateway: gateway, from: time.Now()}
+	fault()
+	d.to = time.Now()
+	s.disturbances = append(s.disturbances, d)
+}
+
+// disturbedSince reports whether a gateway was disturbed in a period.
+func (s *soak) disturbedSince(gateway int, from, to time.Time) bool {
+	for _, d := range s.disturbances {
+		if d.gateway == gateway && d.to.After(from) && d.from.Before(to) {
+			return true
+		}
+	}
+	return false
+}
