Exchange among VMs what upstreams announce

Each VM had to send a request of its own to learn that an upstream leaves or has a limit, and after the end of a limit those that may send least did not notice: with 281 VMs and a limit of 2.8 a VM outside of the few senders may send one request in 1,000 s. VMs now report with their renewals what they have heard, and the leader answers with what all have heard: 64 upstreams at most, some 40 bytes each, as ages since clocks differ. Only what a VM has heard itself is passed on, so that nothing is kept alive by going round; what others no longer report ends; and what was announced before the current run of an upstream does not count for it. Without a leader VMs learn from their own responses as before.

With the exchange off TestVMsLearnOfLimitsFromEachOther and TestNextRunIsUsedThoughOthersReportTheLast fail.

Package announce moves to the top level, as control and entry use it too.

--- a/control/ownership.go
+++ b/control/ownership.go
@@ -51,6 +51,7 @@
 	// compactList is the encoded list for VMs that need it whole.
 	compactList compactList
 	demands     *demands
+	notices     *notices
 	startedAt   clock.Instant
 	// holdersMu guards removalProposed and lastCleanup. It is not held during calls.
 	holdersMu sync.Mutex
@@ -138,6 +139,9 @@
 			o.cfg.Log.WithError(err).WithField("vm", request.Vm.Name).Warn("ignored the demand that a VM reports")
 		}
 	}
+	if request.WantsNotices {
+		t.notices.addTo(reply, request, o.cfg.Clock.Now())
+	}
 	return reply, nil
 }
 
@@ -196,7 +200,7 @@
 		ExpectedHolders: expected, SingleProcessPerVM: expected != nil,
 		Term: term, Quarantine: o.cfg.Quarantine, NoPredecessor: term == o.firstTerm,
 	}, o.cfg.Clock)
-	return &termState{owner: owner, fleet: membership.NewFleet(term, o.cfg.Clock), startedAt: o.cfg.Clock.Now(), removalProposed: map[string]uint64{}, list: inventory.NewVersionedList(term<<32, o.cfg.Clock), demands: newDemands()}
+	return &termState{owner: owner, fleet: membership.NewFleet(term, o.cfg.Clock), startedAt: o.cfg.Clock.Now(), removalProposed: map[string]uint64{}, list: inventory.NewVersionedList(term<<32, o.cfg.Clock), demands: newDemands(), notices: newNotices()}
 }
 
 // refreshCaps updates the caps if the document or the list of upstreams changed.
--- a/entry/plan_follower.go
+++ b/entry/plan_follower.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"pistachiomount.example/pistachiomount/announce"
 	"pistachiomount.example/pistachiomount/apipb"
 	"pistachiomount.example/pistachiomount/clock"
 	"pistachiomount.example/pistachiomount/demand"
@@ -39,6 +40,10 @@
 	// those of all VMs ask, by region.
 	Demand   func() []demand.Report
 	OnDemand func(map[demand.Key]demand.Region)
+	// Notices returns what upstreams announced to this VM, and OnNotices is called with what they
+	// announced to any VM.
+	Notices   func(now time.Time) []announce.Notice
+	OnNotices func(now time.Time, notices []announce.Notice)
 }
 
 // PlanFollower synchronizes an entry VM with the control daemons: it follows the
@@ -72,6 +77,7 @@
 		onRenewed: func() {}, renewing: make(chan struct{}, 1),
 		upstreams: &upstreamList{log: cfg.Log, onUpstreams: cfg.OnUpstreams},
 		demands:   demandExchange{reports: cfg.Demand, onRegions: cfg.OnDemand},
+		notices:   noticeExchange{notices: cfg.Notices, onNotices: cfg.OnNotices},
 	}
 	return f
 }
--- a/entry/renewer.go
+++ b/entry/renewer.go
@@ -27,6 +27,7 @@
 	// upstreams receives the list of upstreams; nil if it is not wanted.
 	upstreams *upstreamList
 	demands   demandExchange
+	notices   noticeExchange
 	// onRenewed is called after each accepted renewal.
 	onRenewed func()
 
@@ -128,6 +129,7 @@
 		request.WantsList, request.HaveListVersion, request.AcceptsCompactList = true, r.upstreams.version, true
 	}
 	r.demands.addTo(request, time.Now())
+	r.notices.addTo(request, time.Now())
 	reply, err := client.Renew(ctx, request)
 	if err != nil {
 		r.controls.dropLeader(address)
@@ -143,6 +145,7 @@
 		r.upstreams.applyReply(reply)
 	}
 	r.demands.applyReply(reply)
+	r.notices.applyReply(reply, time.Now())
 	if reply.FleetVersion != r.fleetVersion {
 		r.applyFleet(reply)
 	}
--- a/gateway/announcements.go
+++ b/gateway/announcements.go
@@ -1,10 +1,13 @@
 package gateway
 
 import (
+	"time"
+
 	"github.com/sirupsen/logrus"
 
-	"pistachiomount.example/pistachiomount/gateway/announce"
+	"pistachiomount.example/pistachiomount/announce"
 	"pistachiomount.example/pistachiomount/gateway/egress"
+	"pistachiomount.example/pistachiomount/gateway/placement"
 	"pistachiomount.example/pistachiomount/inventory"
 )
 
@@ -35,3 +38,31 @@
 		}).Info("upstream changed what it announces")
 	}
 }
+
+// notices returns what upstreams have announced to this VM.
+func (g *Gateway) notices(now time.Time) []announce.Notice {
+	var notices []announce.Notice
+	for _, s := range *g.services.Load() {
+		s.permits.withTable(func(_ time.Time, table *placement.Table) { notices = append(notices, table.Notices(now)...) })
+	}
+	return notices
+}
+
+// applyNotices passes what upstreams have announced to other VMs to the placement tables.
+func (g *Gateway) applyNotices(now time.Time, notices []announce.Notice) {
+	byUpstream := make(map[string]announce.Notice, len(notices))
+	for _, n := range notices {
+		byUpstream[n.Upstream] = n
+	}
+	for name, s := range *g.services.Load() {
+		var changes map[string]announce.Change
+		s.permits.withTable(func(_ time.Time, table *placement.Table) { changes = table.SetNotices(now, byUpstream) })
+		for upstream, change := range changes {
+			g.metrics.countAnnouncement(name, change)
+			if g.requests.allow(false) {
+				g.cfg.Log.WithFields(logrus.Fields{"upstream": upstream, "service": name, "change": change, "heard_by": "other VMs"}).
+					Info("upstream changed what it announces")
+			}
+		}
+	}
+}
--- a/gateway/egress/exchange_test.go
+++ b/gateway/egress/exchange_test.go
@@ -14,7 +14,7 @@
 
 	"github.com/matryer/is"
 
-	"pistachiomount.example/pistachiomount/gateway/announce"
+	"pistachiomount.example/pistachiomount/announce"
 	"pistachiomount.example/pistachiomount/gateway/egress"
 )
 
--- a/gateway/egress/header_names.go
+++ b/gateway/egress/header_names.go
@@ -1,6 +1,6 @@
 package egress
 
-import "pistachiomount.example/pistachiomount/gateway/announce"
+import "pistachiomount.example/pistachiomount/announce"
 
 // HeaderNames are the names of the headers between entry VMs and upstreams.
 type HeaderNames struct {
--- a/gateway/egress/reply.go
+++ b/gateway/egress/reply.go
@@ -4,7 +4,7 @@
 	"io"
 	"net/http"
 
-	"pistachiomount.example/pistachiomount/gateway/announce"
+	"pistachiomount.example/pistachiomount/announce"
 )
 
 // Reply is the result of an exchange.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -69,7 +69,7 @@
 		VM: cfg.VM, Region: cfg.Region, FailureDomain: cfg.FailureDomain, Address: cfg.Address, RPCAddress: cfg.RPCListener.Addr().String(),
 		Controls: cfg.Controls, Security: cfg.Security, Clock: cfg.Clock, Log: cfg.Log,
 		State: g.lifecycle.State, Load: func() float64 { return 0 }, OnChange: g.applyView, OnUpstreams: g.applyLeaderList,
-		Demand: g.reportDemand, OnDemand: g.applyDemand,
+		Demand: g.reportDemand, OnDemand: g.applyDemand, Notices: g.notices, OnNotices: g.applyNotices,
 	})
 	g.rateLimiter = &rateLimiter{self: cfg.VM, region: cfg.Region, follower: g.follower, log: cfg.Log, unreachable: map[string]time.Time{}, exhausted: map[string]time.Time{}}
 	var err error
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -9,7 +9,7 @@
 	"go.opentelemetry.io/otel/metric"
 	"go.opentelemetry.io/otel/metric/noop"
 
-	"pistachiomount.example/pistachiomount/gateway/announce"
+	"pistachiomount.example/pistachiomount/announce"
 	"pistachiomount.example/pistachiomount/gateway/placement"
 )
 
--- a/gateway/permit_queue.go
+++ b/gateway/permit_queue.go
@@ -5,8 +5,8 @@
 	"sync"
 	"time"
 
+	"pistachiomount.example/pistachiomount/announce"
 	"pistachiomount.example/pistachiomount/gateway/admission"
-	"pistachiomount.example/pistachiomount/gateway/announce"
 	"pistachiomount.example/pistachiomount/gateway/placement"
 	"pistachiomount.example/pistachiomount/inventory"
 )
--- a/gateway/placement/announced.go
+++ b/gateway/placement/announced.go
@@ -1,6 +1,6 @@
 package placement
 
-import "pistachiomount.example/pistachiomount/gateway/announce"
+import "pistachiomount.example/pistachiomount/announce"
 
 // announced is what an upstream has announced, and what follows from it for this VM.
 type announced struct {
--- a/gateway/placement/announcements.go
+++ b/gateway/placement/announcements.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"pistachiomount.example/pistachiomount/gateway/announce"
+	"pistachiomount.example/pistachiomount/announce"
 	"pistachiomount.example/pistachiomount/inventory"
 )
 
@@ -51,4 +51,4 @@
 }
 
 // startRun forgets what an earlier run of the upstream has announced.
-func (u *upstream) startRun() { u.announced = nil }
+func (u *upstream) startRun(now time.Time) { u.announced, u.runSince = nil, now }
--- a/gateway/placement/best_holder_test.go
+++ b/gateway/placement/best_holder_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
+	"pistachiomount.example/pistachiomount/announce"
 	"pistachiomount.example/pistachiomount/demand"
-	"pistachiomount.example/pistachiomount/gateway/announce"
 	"pistachiomount.example/pistachiomount/inventory"
 )
 
--- a/gateway/placement/limit_test.go
+++ b/gateway/placement/limit_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/matryer/is"
 
-	"pistachiomount.example/pistachiomount/gateway/announce"
+	"pistachiomount.example/pistachiomount/announce"
 	"pistachiomount.example/pistachiomount/inventory"
 )
 
--- /dev/null
+++ b/gateway/placement/notices.go
@@ -0,0 +1,46 @@
+package placement
+
+import (
+	"time"
+
+	"pistachiomount.example/pistachiomount/announce"
+)
+
+// Notices returns what upstreams have announced that other VMs should know.
+func (t *Table) Notices(now time.Time) []announce.Notice {
+	var notices []announce.Notice
+	for _, u := range t.upstreams {
+		if u.announced == nil {
+			continue
+		}
+		if n, ok := u.announced.Notice(now, u.ID); ok {
+			notices = append(notices, n)
+		}
+	}
+	return notices
+}
+
+// SetNotices replaces what upstreams have announced to all VMs, and returns what changed by upstream. What
+// was announced before the current run of an upstream began says nothing about it.
+func (t *Table) SetNotices(now time.Time, notices map[string]announce.Notice) map[string]announce.Change {
+	changes := map[string]announce.Change{}
+	for _, u := range t.upstreams {
+		n, found := notices[u.ID]
+		if u.announced == nil && !found {
+			continue
+		}
+		n = n.Since(u.runSince)
+		if u.announced == nil {
+			if !n.InForce() {
+				continue
+			}
+			u.announced = &announced{}
+		}
+		change := u.announced.SetOthers(now, n)
+		if change != announce.NoChange {
+			changes[u.ID] = change
+		}
+		t.applyChange(now, u, announce.Announcement{}, change)
+	}
+	return changes
+}
--- a/gateway/placement/pause.go
+++ b/gateway/placement/pause.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"pistachiomount.example/pistachiomount/gateway/announce"
+	"pistachiomount.example/pistachiomount/announce"
 )
 
 const (
@@ -103,7 +103,7 @@
 	if a.Pause > 0 && u.announced.Paused(now) {
 		t.beginPause(now, u)
 	}
-	if change == announce.LeavingBegan {
+	if change == announce.LeavingBegan || change == announce.LeavingEnded {
 		t.updateCapacity(now)
 	}
 	t.shareOfLimit(now, u) // tokens arrive from now on
--- a/gateway/placement/pause_test.go
+++ b/gateway/placement/pause_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/matryer/is"
 
-	"pistachiomount.example/pistachiomount/gateway/announce"
+	"pistachiomount.example/pistachiomount/announce"
 )
 
 func pauseResponse(d time.Duration) announce.Announcement {
--- a/gateway/placement/table.go
+++ b/gateway/placement/table.go
@@ -96,12 +96,15 @@
 			u = newUpstream(entry)
 			t.byID[entry.ID] = u
 			t.assumeLoad(now, u)
+			if !initial {
+				u.runSince = now
+			}
 			if !initial && entry.Cold <= 0 {
 				entry.Cold = t.warmup
 			}
 		}
 		if u.listsNewRun(now, entry) {
-			u.startRun()
+			u.startRun(now)
 		}
 		u.Upstream = entry
 		if entry.Cold > 0 {
@@ -326,7 +329,7 @@
 	}
 	u.ejected, u.failureRate, u.latencyRatio = false, 0, 1
 	if u.leaving() { // it does not accept requests while it leaves, so this is another run
-		u.startRun()
+		u.startRun(now)
 		t.updateCapacity(now)
 	}
 	t.markCold(now, u, cold)
--- a/gateway/placement/upstream.go
+++ b/gateway/placement/upstream.go
@@ -21,6 +21,8 @@
 
 	// announced is nil until the upstream announces something, since each choice reads it.
 	announced *announced
+	// runSince is when this VM learnt of the upstream's current run; zero if it ran before this VM did.
+	runSince time.Time
 
 	// inFlight counts the requests of this VM at the upstream.
 	inFlight int
--- a/gateway/routed_request_test.go
+++ b/gateway/routed_request_test.go
@@ -15,8 +15,8 @@
 	"github.com/sirupsen/logrus"
 	"go.opentelemetry.io/otel/trace/noop"
 
+	"pistachiomount.example/pistachiomount/announce"
 	"pistachiomount.example/pistachiomount/clock"
-	"pistachiomount.example/pistachiomount/gateway/announce"
 	"pistachiomount.example/pistachiomount/gateway/budget"
 	"pistachiomount.example/pistachiomount/gateway/egress"
 	"pistachiomount.example/pistachiomount/gateway/ingress"
