--- a/announce/board_test.go
+++ b/announce/board_test.go
@@ -7,10 +7,15 @@
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	"pistachiomount.example/pistachiomount/apipb"
 )
 
+// maxNoticesBytes bounds the notices of a message: half of the 6 KB that a daemon may spend on control in the
+// second between two renewals.
+const maxNoticesBytes = 3 << 10
+
 // Guards against a limit or an end of it that is lost because another VM's older report comes later, and
 // against reports of VMs that are gone.
 func TestBoardMergesWhatVMsHeard(t *testing.T) {
@@ -43,6 +48,15 @@
 	is.Equal(len(summary), MaxNotices)
 	is.Equal(summary[0].LeavingSince, start.Add(2*time.Second)) // the latest first
 	is.Equal(len(EncodeNotices(start, make([]Notice, 3*MaxNotices))), MaxNotices)
+	full := make([]Notice, MaxNotices)
+	for i := range full {
+		full[i] = Notice{
+			Upstream: fmt.Sprintf("i-%010x", i), RateLimit: 2.8, LimitedAt: start.Add(-time.Minute), UnlimitedAt: start.Add(-time.Hour), LeavingSince: start.Add(-time.Minute),
+		}
+	}
+	size := proto.Size(&apipb.RenewReply{Notices: EncodeNotices(start, full)})
+	t.Logf("%d bytes for %d notices", size, MaxNotices)
+	is.True(size <= maxNoticesBytes)
 }
 
 // Guards against times that are taken from another VM's clock, and against rates that no VM can use.
