Read what upstreams say in answers to health checks

An answer of 503 with Retry-After counted for nothing, so that within a long pause more than two checks could reach it from one VM, and 'leaving' only made it unhealthy. Announcements of an answer under the upstream's own ID are recorded now as those of other responses; of one under another ID, nothing. TestHealthChecksReadAnnouncements fails before (no announcement).

--- a/gateway/egress/announcement_test.go
+++ b/gateway/egress/announcement_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -50,3 +51,21 @@
 		})
 	}
 }
+
+// Guards against health checks that overlook what an upstream says in its answer to them, such as a pause,
+// and against what another upstream at its address says.
+func TestHealthChecksReadAnnouncements(t *testing.T) {
+	for upstream, want := range map[string]announce.Announcement{
+		"u-1": {Heard: true, Pause: 7 * time.Second, Leaving: true},
+		"u-2": {},
+	} {
+		is := is.New(t)
+		pool := egress.NewPool(names)
+		s := serveScripts(t, func(_ string, c net.Conn) {
+			write(c, "HTTP/1.1 503 No\r\nX-Instance: %s\r\nRetry-After: 7\r\nX-Leaving: 1\r\nContent-Length: 0\r\n\r\n", upstream)
+		})
+		health := pool.CheckHealth(context.Background(), "u-1", s.address, "/health")
+		is.Equal(health, egress.Health{Announced: want})
+		pool.Close()
+	}
+}
--- a/gateway/egress/exchange_test.go
+++ b/gateway/egress/exchange_test.go
@@ -20,7 +20,7 @@
 
 var names = egress.HeaderNames{
 	RequestID: "X-Id", Deadline: "X-Left", Customer: "X-Customer", ExpectedUpstream: "X-Expected", NotRun: "X-Not-Run",
-	Signature: "X-Signature", Load: "X-Load", UpstreamID: "X-Instance", Cold: "X-Cold", Announced: announce.HeaderNames{RateLimit: "X-Limit"}, Stripped: []string{"X-Key"},
+	Signature: "X-Signature", Load: "X-Load", UpstreamID: "X-Instance", Cold: "X-Cold", Announced: announce.HeaderNames{RateLimit: "X-Limit", Leaving: "X-Leaving"}, Stripped: []string{"X-Key"},
 }
 
 // scriptedUpstream is an upstream that answers its n-th request with the n-th script. A script gets
--- a/gateway/egress/health.go
+++ b/gateway/egress/health.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"pistachiomount.example/pistachiomount/announce"
 )
 
 // Health is the result of a health check.
@@ -13,6 +15,8 @@
 	Healthy bool
 	// Cold is how long the upstream stays cold; 0 if it reports none.
 	Cold time.Duration
+	// Announced is what the response says about the upstream, if it came from the upstream itself.
+	Announced announce.Announcement
 }
 
 // healthTimeout limits a health check, which waits for a slot like a request does.
@@ -27,8 +31,10 @@
 	if reply.Rest != nil {
 		_ = reply.Rest.Close()
 	}
-	healthy := reply.Status == http.StatusOK && reply.Header.Get(p.names.UpstreamID) == upstream && !reply.Announced.Leaving
-	health := Health{Healthy: healthy}
+	if reply.Header.Get(p.names.UpstreamID) != upstream { // another one at its address, or none
+		return Health{}
+	}
+	health := Health{Healthy: reply.Status == http.StatusOK && !reply.Announced.Leaving, Announced: reply.Announced}
 	if ms, err := strconv.ParseFloat(reply.Header.Get(p.names.Cold), 64); err == nil {
 		health.Cold = time.Duration(ms * float64(time.Millisecond))
 	}
--- a/gateway/maintenance.go
+++ b/gateway/maintenance.go
@@ -110,6 +110,8 @@
 	if cold == 0 {
 		cold = warmup
 	}
+	change, _ := s.permits.recordAnnouncement(u.ID, health.Announced)
+	g.reportAnnouncement(s.name, u.ID, "", health.Announced, change)
 	s.permits.withTable(func(now time.Time, table *placement.Table) { table.RecordProbe(now, u.ID, health.Healthy, cold) })
 	if health.Healthy {
 		g.cfg.Log.WithFields(logrus.Fields{"upstream": u.ID, "service": s.name, "cold": cold.String()}).Info("ejected upstream is healthy again")
