Note the end of a limit also when the upstream begins to leave at that moment

Found in review. One message can say both. The change to 'leaving' hid the end of the limit, so that what the VM had heard of it before counted again once others no longer reported the end. TestLimitEndsWhileTheUpstreamBeginsToLeave fails before.

--- a/announce/board_test.go
+++ b/announce/board_test.go
@@ -97,3 +97,15 @@
 	is.True(!s.Limited())
 	is.True(s.Settled(start.Add(20 * time.Second)))
 }
+
+// Guards against a limit that counts again because it ended at the moment at which the upstream began to
+// leave.
+func TestLimitEndsWhileTheUpstreamBeginsToLeave(t *testing.T) {
+	is := is.New(t)
+	var s State
+	s.Record(start, Announcement{Heard: true, Limited: true, RateLimit: 2})
+	later := start.Add(4 * time.Second)
+	is.Equal(s.SetOthers(later, Notice{Upstream: "u", UnlimitedAt: later, LeavingSince: later}), LeavingBegan)
+	s.SetOthers(later.Add(time.Second), Notice{})
+	is.True(!s.Limited())
+}
--- a/announce/change.go
+++ b/announce/change.go
@@ -9,7 +9,7 @@
 	LimitBegan   Change = "limit_began"
 	LimitEnded   Change = "limit_ended"
 	LeavingBegan Change = "leaving_began"
-	// LeavingEnded: another run of the upstream has started under the same ID.
+	// LeavingEnded: no VM reports any more that the upstream leaves.
 	LeavingEnded Change = "leaving_ended"
 	PauseBegan   Change = "pause_began"
 	PauseEnded   Change = "pause_ended"
--- a/announce/state.go
+++ b/announce/state.go
@@ -70,20 +70,23 @@
 func (s *State) update(now time.Time) Change {
 	limited, leaving, rate := s.Limited(), s.Leaving(), s.known.RateLimit
 	s.known = s.own.Merge(s.others)
+	change := NoChange
 	switch {
-	case s.Leaving() && !leaving:
-		return LeavingBegan
-	case !s.Leaving() && leaving:
-		return LeavingEnded
 	case s.Limited() && !limited:
-		return LimitBegan
+		change = LimitBegan
 	case !s.Limited() && limited:
 		// Once others no longer report the end, what this VM has heard before must not count again.
 		s.endedAt, s.endedRate = now, rate
 		s.own.LimitedAt, s.own.RateLimit = time.Time{}, 0
-		return LimitEnded
+		change = LimitEnded
 	}
-	return NoChange
+	switch {
+	case s.Leaving() && !leaving:
+		change = LeavingBegan
+	case !s.Leaving() && leaving:
+		change = LeavingEnded
+	}
+	return change
 }
 
 func (s *State) recordPause(now time.Time, pause time.Duration) Change {
--- a/gateway/placement/table.go
+++ b/gateway/placement/table.go
@@ -304,37 +304,6 @@
 	}
 }
 
-// DueProbes returns the ejected upstreams that are due for a probe.
-func (t *Table) DueProbes(now time.Time) []inventory.Upstream {
-	var due []inventory.Upstream
-	for _, u := range t.upstreams {
-		if u.ejected && !now.Before(u.ejectedUntil) && u.State == inventory.Live && !t.evacuated[u.FailureDomain] && t.withinLimit(now, u) {
-			t.spendLimit(now, u)
-			u.ejectedUntil = now.Add(maxEjection) // no second probe before the result
-			due = append(due, u.Upstream)
-		}
-	}
-	return due
-}
-
-// RecordProbe records the result of a probe. A recovered upstream may have restarted and be cold.
-func (t *Table) RecordProbe(now time.Time, id string, healthy bool, cold time.Duration) {
-	u := t.byID[id]
-	if u == nil || !u.ejected {
-		return
-	}
-	if !healthy {
-		u.eject(now)
-		return
-	}
-	u.ejected, u.failureRate, u.latencyRatio = false, 0, 1
-	if u.leaving() { // it does not accept requests while it leaves, so this is another run
-		u.startRun(now)
-		t.updateCapacity(now)
-	}
-	t.markCold(now, u, cold)
-}
-
 // RunningRequests returns the number of requests of this VM in flight at upstreams.
 func (t *Table) RunningRequests() int {
 	n := 0
