--- a/e2e/announcements_test.go
+++ b/e2e/announcements_test.go
@@ -16,7 +16,7 @@
 // requests they take, by any of the VMs; and against upstreams that stay unused after it.
 func TestUpstreamsGetNoMoreThanTheyAnnounce(t *testing.T) {
 	t.Parallel()
-	s := &soak{f: newFleet(t, 3, 4, 6), statuses: map[string]int{}, sent: map[string]sentRequest{}}
+	s := newSoak(newFleet(t, 3, 4, 6))
 	s.f.putConfig(1, 0)
 	s.awaitServing()
 	ctx, cancel := context.WithCancel(t.Context())
--- a/e2e/endless_response_test.go
+++ b/e2e/endless_response_test.go
@@ -34,7 +34,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			s := &soak{f: newFleet(t, 3, 1, 3), statuses: map[string]int{}}
+			s := newSoak(newFleet(t, 3, 1, 3))
 			s.f.putConfig(1, 0)
 			s.awaitServing()
 			_, before := s.timeRequests(t, endlessCalls)
--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -46,6 +46,10 @@
 	disturbances []disturbance
 }
 
+func newSoak(f *fleet) *soak {
+	return &soak{f: f, statuses: map[string]int{}, sent: map[string]sentRequest{}}
+}
+
 // Guards against requests that run twice, that run although they were rejected as not
 // run, or whose responses are truncated or belong to other requests, and against a
 // system that loses acknowledged configuration, does not recover, or sends upstreams more than
@@ -55,7 +59,7 @@
 	t.Parallel()
 	seed := uint64(soakSetting(t, "SOAK_SEED", soakSeed))
 	rng := rand.New(rand.NewPCG(seed, 0))
-	s := &soak{f: newFleet(t, 3, 4, 6), statuses: map[string]int{}, sent: map[string]sentRequest{}}
+	s := newSoak(newFleet(t, 3, 4, 6))
 	s.f.putConfig(1, 0)
 	s.awaitServing()
 	ctx, cancel := context.WithCancel(t.Context())
