--- a/gateway/placement/rate_limit.go
+++ b/gateway/placement/rate_limit.go
@@ -79,8 +79,9 @@
 }
 
 // keepsObject reports whether an object stays assigned to an upstream that pauses or has a limit: none
-// during a pause, and as many as it can serve, the same at all VMs, with a limit. A request without a token goes to the next upstream at once, since the
-// rate of one object is too low to wait for the next token.
+// during a pause, and as many as it can serve, the same at all VMs, with a limit. A request without a
+// token goes to the next upstream at once, since the rate of one object is too low to wait for the next
+// token.
 func (t *Table) keepsObject(now time.Time, u *upstream, object uint64) bool {
 	if u.paused(now) || !u.withinWindow() {
 		return false
