Case 2: an interim response stands in the middle of another answer

Cause: the gateway answers Expect: 100-continue of a request that was sent ahead while an earlier, long answer is being written in parts. No code is changed outside review/.

--- /dev/null
+++ b/review/harness/deployment.go
@@ -0,0 +1,263 @@
+package harness
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// internalPorts is the number of ports for the daemons' own traffic. The other ports follow them.
+	internalPorts = 16
+
+	operatorPort = internalPorts + iota - 1
+	frontPort
+	readinessPort
+	directoryPort
+	listPort
+	upstreamPort
+	portCount
+)
+
+// zones are the zones of the deployment, one in each region.
+var zones = []string{"zone-a", "zone-b", "zone-c"}
+
+// Deployment is a small system: three control daemons, one gateway, and three upstreams.
+type Deployment struct {
+	dir       string
+	firstPort int
+	Upstreams []*Upstream
+
+	mu      sync.Mutex
+	daemons []*exec.Cmd
+}
+
+// Start starts everything, and returns once callers are served. run carries out the requests at the upstreams.
+func Start(run http.HandlerFunc) (*Deployment, error) {
+	dir, err := os.MkdirTemp("", "review")
+	if err != nil {
+		return nil, err
+	}
+	d := &Deployment{dir: dir}
+	go d.stopOnSignal()
+	if d.firstPort, err = freePorts(); err != nil {
+		return d, err
+	}
+	for i := range zones {
+		u := &Upstream{ID: fmt.Sprintf("i-%04d", i), address: d.address("127.77.4", i, upstreamPort), zone: zones[i], run: run}
+		if err := serve(u.address, u); err != nil {
+			return d, err
+		}
+		d.Upstreams = append(d.Upstreams, u)
+	}
+	if err := serve(d.address("127.77.3", 0, listPort), http.HandlerFunc(d.list)); err != nil {
+		return d, err
+	}
+	for i := range zones {
+		if err := d.startDaemon("control", i); err != nil {
+			return d, err
+		}
+	}
+	if err := d.startDaemon("gateway", 0); err != nil {
+		return d, err
+	}
+	return d, d.awaitService()
+}
+
+// stopOnSignal ends the daemons when this process is told to end, as by the time limit of a script.
+func (d *Deployment) stopOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	<-signals
+	d.Stop()
+	os.Exit(exitFailed)
+}
+
+// exitFailed is the exit status of a script whose case could not run.
+const exitFailed = 2
+
+// Stop ends all daemons and removes their files.
+func (d *Deployment) Stop() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, c := range d.daemons {
+		_ = c.Process.Kill()
+		_ = c.Wait()
+	}
+	d.daemons = nil
+	_ = os.RemoveAll(d.dir)
+}
+
+// Front is the address of the gateway for callers.
+func (d *Deployment) Front() string { return d.address("127.77.2", 0, frontPort) }
+
+func (d *Deployment) address(network string, host, port int) string {
+	return fmt.Sprintf("%s.%d:%d", network, host+1, d.firstPort+port)
+}
+
+// freePorts returns the first of a range of ports that are free on the first address of each network.
+func freePorts() (int, error) {
+	for first := 21000; first < 30000; first += portCount {
+		free := true
+		for port := first; port < first+portCount && free; port++ {
+			for _, network := range []string{"127.77.1.1", "127.77.2.1", "127.77.3.1", "127.77.4.1"} {
+				l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", network, port))
+				if err != nil {
+					free = false
+					break
+				}
+				_ = l.Close()
+			}
+		}
+		if free {
+			return first, nil
+		}
+	}
+	return 0, errors.New("no free ports")
+}
+
+func serve(address string, h http.Handler) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	go func() { _ = (&http.Server{Handler: h, ReadHeaderTimeout: time.Minute}).Serve(l) }()
+	return nil
+}
+
+// startDaemon starts one daemon with the command of the deploy file.
+func (d *Deployment) startDaemon(role string, i int) error {
+	name := fmt.Sprintf("%s-%d", role, i+1)
+	file := filepath.Join(d.dir, name+".toml")
+	if err := os.WriteFile(file, []byte(d.settings(role, name, i)), 0o600); err != nil {
+		return err
+	}
+	log, err := os.Create(filepath.Join(d.dir, name+".log"))
+	if err != nil {
+		return err
+	}
+	c := exec.Command("target/pistachiomount", role, "--metrics-port", "9464")
+	c.Env = []string{"PISTACHIOMOUNT_BOOT=" + file, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
+	c.Stdout, c.Stderr = log, log
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err := c.Start(); err != nil {
+		return err
+	}
+	d.daemons = append(d.daemons, c)
+	return nil
+}
+
+func (d *Deployment) settings(role, name string, i int) string {
+	network, class := "127.77.1", "core"
+	if role == "gateway" {
+		network, class = "127.77.2", "edge"
+	}
+	var seeds []string
+	for s := range zones {
+		seeds = append(seeds, fmt.Sprintf("%q", d.address("127.77.1", s, operatorPort)))
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "nodeName = %q\nmachineClass = %q\nip = \"%s.%d\"\nzone = %q\nregion = \"region-%d\"\n", name, class, network, i+1, zones[i], i)
+	fmt.Fprintf(&b, "internalPorts = [%d,%d]\nseeds = [%s]\nbootstrap = true\n", d.firstPort, d.firstPort+internalPorts-1, strings.Join(seeds, ","))
+	if role == "control" {
+		fmt.Fprintf(&b, "dataDir = %q\n", filepath.Join(d.dir, "data-"+name))
+	}
+	b.WriteString(`bounds = ["contact=4000ms","grace=6s","retryBudgetRatio=0.2","retryWindow=10s","retryBudgetSlack=56"]` + "\n[zones]\n")
+	for z, zone := range zones {
+		fmt.Fprintf(&b, "%s = \"region-%d\"\n", zone, z)
+	}
+	fmt.Fprintf(&b, "[limits]\ncpuShare = 0.32\ncores = 1\nmemoryMb = 284\nmaxFds = 4100\n[cloud]\naddress = %q\nratePerS = 44.0\n[listen]\n", d.address("127.77.3", 0, listPort))
+	if role == "control" {
+		fmt.Fprintf(&b, "control = %q\n", d.address(network, i, operatorPort))
+		return b.String()
+	}
+	fmt.Fprintf(&b, "front = %q\nreadiness = %q\ndirectory = %q\n", d.address(network, i, frontPort),
+		d.address(network, i, readinessPort), d.address(network, i, directoryPort))
+	return b.String()
+}
+
+// list is the platform's list of upstreams.
+func (d *Deployment) list(w http.ResponseWriter, r *http.Request) {
+	rows := [][]any{}
+	for _, u := range d.Upstreams {
+		if zone := r.URL.Query().Get("zone"); zone == "" || zone == u.zone {
+			rows = append(rows, []any{"service", u.address, u.zone, "v1", 9, "ready", "0ms", u.ID})
+		}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(map[string]any{
+		"instances": map[string]any{
+			"columns": []string{"service", "address", "zone", "version", "slots", "state", "coldRemaining", "id"}, "rows": rows,
+		},
+		"nextPageToken": nil,
+	})
+}
+
+// awaitService sends the configuration until it is accepted, and requests until one is served.
+func (d *Deployment) awaitService() error {
+	ctx, cancel := context.WithTimeout(context.Background(), 40*time.Second)
+	defer cancel()
+	accepted := false
+	for i := 0; ctx.Err() == nil; i++ {
+		if !accepted {
+			accepted = d.put(ctx, i%len(zones))
+		} else if d.served(ctx, fmt.Sprintf("first-%d", i)) {
+			return nil
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	return errors.New("the system does not serve")
+}
+
+func (d *Deployment) put(ctx context.Context, control int) bool {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	target := "http://" + d.address("127.77.1", control, operatorPort) + "/pistachiomount/Config.Put"
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, target, strings.NewReader(configuration))
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+func (d *Deployment) served(ctx context.Context, id string) bool {
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.Front()+"/read/first", nil)
+	if err != nil {
+		return false
+	}
+	r.Host = "a.example"
+	r.Header.Set("X-Request-Id", id)
+	r.Header.Set("X-Credential", "key-1")
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+const configuration = `{"version":1,"baseVersion":0,"routes":[{"name":"read","host":"a.example","pathPrefix":"/read/",
+"kind":"safe","timeout":"8000ms","targetLatency":"1000ms","priority":1,"service":"service","maxAttempts":2,"public":false,
+"cacheAffinity":false,"allowedRegions":[]}],"services":[{"name":"service","healthPath":"/health","maxConnections":330,
+"protocol":"h1","tls":false,"warmup":"3s","warmupPerS":9.5}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,
+"headerTimeout":"3000ms","idleTimeout":"15000ms"},"tenants":[{"name":"tenant","apiKeys":["key-1"],"priority":1,
+"ratePerS":500,"burst":500,"allowedRegions":[]}]}`
