--- a/review/harness/deployment.go
+++ b/review/harness/deployment.go
@@ -33,29 +33,34 @@
 // zones are the zones of the deployment, one in each region.
 var zones = []string{"zone-a", "zone-b", "zone-c"}
 
-// Deployment is a small system: three control daemons, one gateway, and three upstreams.
+// upstreamsPerZone is how many upstreams each zone has.
+const upstreamsPerZone = 3
+
+// Deployment is a small system: a control daemon, a gateway and three upstreams in each of three zones.
 type Deployment struct {
-	dir       string
-	firstPort int
-	Upstreams []*Upstream
+	dir           string
+	firstPort     int
+	configuration string
+	Upstreams     []*Upstream
 
 	mu      sync.Mutex
 	daemons []*exec.Cmd
 }
 
-// Start starts everything, and returns once callers are served. run carries out the requests at the upstreams.
-func Start(run http.HandlerFunc) (*Deployment, error) {
+// Start starts everything with a configuration of the operator, and returns once callers are served. run carries out
+// the requests at the upstreams.
+func Start(configuration string, run http.HandlerFunc) (*Deployment, error) {
 	dir, err := os.MkdirTemp("", "review")
 	if err != nil {
 		return nil, err
 	}
-	d := &Deployment{dir: dir}
+	d := &Deployment{dir: dir, configuration: configuration}
 	go d.stopOnSignal()
 	if d.firstPort, err = freePorts(); err != nil {
 		return d, err
 	}
-	for i := range zones {
-		u := &Upstream{ID: fmt.Sprintf("i-%04d", i), address: d.address("127.77.4", i, upstreamPort), zone: zones[i], run: run}
+	for i := range upstreamsPerZone * len(zones) {
+		u := &Upstream{ID: fmt.Sprintf("i-%04d", i), address: d.address("127.77.4", i, upstreamPort), zone: zones[i%len(zones)], run: run}
 		if err := serve(u.address, u); err != nil {
 			return d, err
 		}
@@ -65,13 +70,12 @@
 		return d, err
 	}
 	for i := range zones {
-		if err := d.startDaemon("control", i); err != nil {
-			return d, err
+		for _, role := range []string{"control", "gateway"} {
+			if err := d.startDaemon(role, i); err != nil {
+				return d, err
+			}
 		}
 	}
-	if err := d.startDaemon("gateway", 0); err != nil {
-		return d, err
-	}
 	return d, d.awaitService()
 }
 
@@ -99,8 +103,8 @@
 	_ = os.RemoveAll(d.dir)
 }
 
-// Front is the address of the gateway for callers.
-func (d *Deployment) Front() string { return d.address("127.77.2", 0, frontPort) }
+// Front is the address for callers of one of the gateways.
+func (d *Deployment) Front(n int) string { return d.address("127.77.2", n%len(zones), frontPort) }
 
 func (d *Deployment) address(network string, host, port int) string {
 	return fmt.Sprintf("%s.%d:%d", network, host+1, d.firstPort+port)
@@ -213,7 +217,7 @@
 	for i := 0; ctx.Err() == nil; i++ {
 		if !accepted {
 			accepted = d.put(ctx, i%len(zones))
-		} else if d.served(ctx, fmt.Sprintf("first-%d", i)) {
+		} else if d.served(ctx, i) {
 			return nil
 		}
 		time.Sleep(200 * time.Millisecond)
@@ -225,7 +229,7 @@
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	target := "http://" + d.address("127.77.1", control, operatorPort) + "/pistachiomount/Config.Put"
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, target, strings.NewReader(configuration))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, target, strings.NewReader(d.configuration))
 	if err != nil {
 		return false
 	}
@@ -237,27 +241,26 @@
 	return response.StatusCode == http.StatusOK
 }
 
-func (d *Deployment) served(ctx context.Context, id string) bool {
+// served reports whether each gateway serves a request.
+func (d *Deployment) served(ctx context.Context, attempt int) bool {
 	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.Front()+"/read/first", nil)
-	if err != nil {
-		return false
-	}
-	r.Host = "a.example"
-	r.Header.Set("X-Request-Id", id)
-	r.Header.Set("X-Credential", "key-1")
-	response, err := http.DefaultClient.Do(r)
-	if err != nil {
-		return false
+	for n := range zones {
+		r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.Front(n)+"/read/first", nil)
+		if err != nil {
+			return false
+		}
+		r.Host = "a.example"
+		r.Header.Set("X-Request-Id", fmt.Sprintf("first-%d-%d", attempt, n))
+		r.Header.Set("X-Credential", "key-1")
+		response, err := http.DefaultClient.Do(r)
+		if err != nil {
+			return false
+		}
+		_ = response.Body.Close()
+		if response.StatusCode != http.StatusOK {
+			return false
+		}
 	}
-	_ = response.Body.Close()
-	return response.StatusCode == http.StatusOK
+	return true
 }
-
-const configuration = `{"version":1,"baseVersion":0,"routes":[{"name":"read","host":"a.example","pathPrefix":"/read/",
-"kind":"safe","timeout":"8000ms","targetLatency":"1000ms","priority":1,"service":"service","maxAttempts":2,"public":false,
-"cacheAffinity":false,"allowedRegions":[]}],"services":[{"name":"service","healthPath":"/health","maxConnections":330,
-"protocol":"h1","tls":false,"warmup":"3s","warmupPerS":9.5}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,
-"headerTimeout":"3000ms","idleTimeout":"15000ms"},"tenants":[{"name":"tenant","apiKeys":["key-1"],"priority":1,
-"ratePerS":500,"burst":500,"allowedRegions":[]}]}`
--- a/review/interim/main.go
+++ b/review/interim/main.go
@@ -171,7 +171,7 @@
 func play(file string, trouble bool) int {
 	r := &record{bodies: map[string]string{}}
 	defer func() { _ = os.WriteFile(file, []byte(strings.Join(r.lines, "\n")+"\n"), 0o600) }()
-	d, err := harness.Start(r.run)
+	d, err := harness.Start(harness.Configuration(500, 500), r.run)
 	if d != nil {
 		defer d.Stop()
 	}
@@ -181,7 +181,7 @@
 	}
 	broken := 0
 	for round := range rounds {
-		wrong, err := r.try(d.Front(), round, trouble)
+		wrong, err := r.try(d.Front(0), round, trouble)
 		if err != nil {
 			r.note("cannot run: %v", err)
 			return exitFailed
