Case 3: one unreadable entry ends the following of the platform's list

Cause: the page is split into rows by counting quotes and brackets over all of it, so an entry that was cut short makes the whole list unreadable. No code is changed outside review/.

--- a/review/harness/deployment.go
+++ b/review/harness/deployment.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -11,6 +10,7 @@
 	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -30,6 +30,17 @@
 	portCount
 )
 
+// metricsPort is the port for metrics in the deploy file.
+const metricsPort = 9464
+
+// Third numbers of the addresses of each kind of process.
+const (
+	controlHosts = iota + 1
+	gatewayHosts
+	platformHosts
+	upstreamHosts
+)
+
 // zones are the zones of the deployment, one in each region.
 var zones = []string{"zone-a", "zone-b", "zone-c"}
 
@@ -39,12 +50,14 @@
 // Deployment is a small system: a control daemon, a gateway and three upstreams in each of three zones.
 type Deployment struct {
 	dir           string
+	network       int // second number of all addresses
 	firstPort     int
 	configuration string
 	Upstreams     []*Upstream
 
-	mu      sync.Mutex
-	daemons []*exec.Cmd
+	mu         sync.Mutex // protects what follows, and the states of upstreams
+	daemons    []*exec.Cmd
+	otherEntry string
 }
 
 // Start starts everything with a configuration of the operator, and returns once callers are served. run carries out
@@ -56,17 +69,17 @@
 	}
 	d := &Deployment{dir: dir, configuration: configuration}
 	go d.stopOnSignal()
-	if d.firstPort, err = freePorts(); err != nil {
+	if d.network, d.firstPort, err = freeAddresses(); err != nil {
 		return d, err
 	}
 	for i := range upstreamsPerZone * len(zones) {
-		u := &Upstream{ID: fmt.Sprintf("i-%04d", i), address: d.address("127.77.4", i, upstreamPort), zone: zones[i%len(zones)], run: run}
+		u := &Upstream{ID: fmt.Sprintf("i-%04d", i), address: d.address(upstreamHosts, i, upstreamPort), zone: zones[i%len(zones)], run: run}
 		if err := serve(u.address, u); err != nil {
 			return d, err
 		}
 		d.Upstreams = append(d.Upstreams, u)
 	}
-	if err := serve(d.address("127.77.3", 0, listPort), http.HandlerFunc(d.list)); err != nil {
+	if err := serve(d.address(platformHosts, 0, listPort), http.HandlerFunc(d.list)); err != nil {
 		return d, err
 	}
 	for i := range zones {
@@ -104,31 +117,42 @@
 }
 
 // Front is the address for callers of one of the gateways.
-func (d *Deployment) Front(n int) string { return d.address("127.77.2", n%len(zones), frontPort) }
+func (d *Deployment) Front(n int) string { return d.address(gatewayHosts, n%len(zones), frontPort) }
 
-func (d *Deployment) address(network string, host, port int) string {
-	return fmt.Sprintf("%s.%d:%d", network, host+1, d.firstPort+port)
+func (d *Deployment) address(kind, host, port int) string {
+	return fmt.Sprintf("%s:%d", d.host(kind, host), d.firstPort+port)
 }
 
-// freePorts returns the first of a range of ports that are free on the first address of each network.
-func freePorts() (int, error) {
-	for first := 21000; first < 30000; first += portCount {
-		free := true
-		for port := first; port < first+portCount && free; port++ {
-			for _, network := range []string{"127.77.1.1", "127.77.2.1", "127.77.3.1", "127.77.4.1"} {
-				l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", network, port))
-				if err != nil {
-					free = false
-					break
-				}
-				_ = l.Close()
-			}
+func (d *Deployment) host(kind, host int) string {
+	return fmt.Sprintf("127.%d.%d.%d", d.network, kind, host+1)
+}
+
+// freeAddresses returns a network and the first of a range of ports in it that nobody uses.
+func freeAddresses() (network, firstPort int, err error) {
+	const firstPortOfAll = 21000
+	for network := 77; network < 127; network++ {
+		if areFree(network, firstPortOfAll) {
+			return network, firstPortOfAll, nil
 		}
-		if free {
-			return first, nil
+	}
+	return 0, 0, errors.New("no free addresses")
+}
+
+func areFree(network, firstPort int) bool {
+	ports := []int{metricsPort}
+	for port := range portCount {
+		ports = append(ports, firstPort+port)
+	}
+	for kind := controlHosts; kind <= upstreamHosts; kind++ {
+		for _, port := range ports {
+			l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.1:%d", network, kind, port))
+			if err != nil {
+				return false
+			}
+			_ = l.Close()
 		}
 	}
-	return 0, errors.New("no free ports")
+	return true
 }
 
 func serve(address string, h http.Handler) error {
@@ -151,7 +175,7 @@
 	if err != nil {
 		return err
 	}
-	c := exec.Command("target/pistachiomount", role, "--metrics-port", "9464")
+	c := exec.Command("target/pistachiomount", role, "--metrics-port", strconv.Itoa(metricsPort))
 	c.Env = []string{"PISTACHIOMOUNT_BOOT=" + file, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
 	c.Stdout, c.Stderr = log, log
 	d.mu.Lock()
@@ -164,16 +188,16 @@
 }
 
 func (d *Deployment) settings(role, name string, i int) string {
-	network, class := "127.77.1", "core"
+	hosts, class := controlHosts, "core"
 	if role == "gateway" {
-		network, class = "127.77.2", "edge"
+		hosts, class = gatewayHosts, "edge"
 	}
 	var seeds []string
 	for s := range zones {
-		seeds = append(seeds, fmt.Sprintf("%q", d.address("127.77.1", s, operatorPort)))
+		seeds = append(seeds, fmt.Sprintf("%q", d.address(controlHosts, s, operatorPort)))
 	}
 	var b strings.Builder
-	fmt.Fprintf(&b, "nodeName = %q\nmachineClass = %q\nip = \"%s.%d\"\nzone = %q\nregion = \"region-%d\"\n", name, class, network, i+1, zones[i], i)
+	fmt.Fprintf(&b, "nodeName = %q\nmachineClass = %q\nip = %q\nzone = %q\nregion = \"region-%d\"\n", name, class, d.host(hosts, i), zones[i], i)
 	fmt.Fprintf(&b, "internalPorts = [%d,%d]\nseeds = [%s]\nbootstrap = true\n", d.firstPort, d.firstPort+internalPorts-1, strings.Join(seeds, ","))
 	if role == "control" {
 		fmt.Fprintf(&b, "dataDir = %q\n", filepath.Join(d.dir, "data-"+name))
@@ -182,31 +206,52 @@
 	for z, zone := range zones {
 		fmt.Fprintf(&b, "%s = \"region-%d\"\n", zone, z)
 	}
-	fmt.Fprintf(&b, "[limits]\ncpuShare = 0.32\ncores = 1\nmemoryMb = 284\nmaxFds = 4100\n[cloud]\naddress = %q\nratePerS = 44.0\n[listen]\n", d.address("127.77.3", 0, listPort))
+	fmt.Fprintf(&b, "[limits]\ncpuShare = 0.32\ncores = 1\nmemoryMb = 284\nmaxFds = 4100\n[cloud]\naddress = %q\nratePerS = 44.0\n[listen]\n", d.address(platformHosts, 0, listPort))
 	if role == "control" {
-		fmt.Fprintf(&b, "control = %q\n", d.address(network, i, operatorPort))
+		fmt.Fprintf(&b, "control = %q\n", d.address(hosts, i, operatorPort))
 		return b.String()
 	}
-	fmt.Fprintf(&b, "front = %q\nreadiness = %q\ndirectory = %q\n", d.address(network, i, frontPort),
-		d.address(network, i, readinessPort), d.address(network, i, directoryPort))
+	fmt.Fprintf(&b, "front = %q\nreadiness = %q\ndirectory = %q\n", d.address(hosts, i, frontPort),
+		d.address(hosts, i, readinessPort), d.address(hosts, i, directoryPort))
 	return b.String()
 }
 
+// AddEntry adds an entry of another writer to the platform's list, behind the first endpoint. Its bytes are used as
+// they are.
+func (d *Deployment) AddEntry(raw string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.otherEntry = raw
+}
+
+// SetDraining marks an upstream as draining in the platform's list.
+func (d *Deployment) SetDraining(u *Upstream) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	u.draining = true
+}
+
 // list is the platform's list of upstreams.
 func (d *Deployment) list(w http.ResponseWriter, r *http.Request) {
-	rows := [][]any{}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var rows []string
 	for _, u := range d.Upstreams {
-		if zone := r.URL.Query().Get("zone"); zone == "" || zone == u.zone {
-			rows = append(rows, []any{"service", u.address, u.zone, "v1", 9, "ready", "0ms", u.ID})
+		if zone := r.URL.Query().Get("zone"); zone != "" && zone != u.zone {
+			continue
+		}
+		state := "ready"
+		if u.draining {
+			state = "draining"
+		}
+		rows = append(rows, fmt.Sprintf(`["service",%q,%q,"v1",9,%q,"0ms",%q]`, u.address, u.zone, state, u.ID))
+		if len(rows) == 1 && d.otherEntry != "" {
+			rows = append(rows, d.otherEntry)
 		}
 	}
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(map[string]any{
-		"instances": map[string]any{
-			"columns": []string{"service", "address", "zone", "version", "slots", "state", "coldRemaining", "id"}, "rows": rows,
-		},
-		"nextPageToken": nil,
-	})
+	_, _ = fmt.Fprintf(w, `{"instances":{"columns":["service","address","zone","version","slots","state","coldRemaining","id"],"rows":[%s]},"nextPageToken":null}`,
+		strings.Join(rows, ","))
 }
 
 // awaitService sends the configuration until it is accepted, and requests until one is served.
@@ -228,7 +273,7 @@
 func (d *Deployment) put(ctx context.Context, control int) bool {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	target := "http://" + d.address("127.77.1", control, operatorPort) + "/pistachiomount/Config.Put"
+	target := "http://" + d.address(controlHosts, control, operatorPort) + "/pistachiomount/Config.Put"
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, target, strings.NewReader(d.configuration))
 	if err != nil {
 		return false
--- a/review/harness/upstream.go
+++ b/review/harness/upstream.go
@@ -4,10 +4,11 @@
 
 // Upstream is a sound endpoint of the one service.
 type Upstream struct {
-	ID      string
-	address string
-	zone    string
-	run     http.HandlerFunc
+	ID       string
+	address  string
+	zone     string
+	run      http.HandlerFunc
+	draining bool
 }
 
 // ServeHTTP answers health checks, rejects requests for other endpoints, and runs all others.
