Count tokens of customers' rates that are taken and refunded

Three causes were thought of: tokens refunded for requests that ran, shares of three regions that sum to more than the rate, and tokens of other regions that count twice. Neither logs nor metrics could tell them apart, since refunds were not visible. pm_gateway_rate_tokens counts both events.

--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -24,6 +24,8 @@
 	announcements metric.Int64Counter
 	// limitedAttempts counts attempts at upstreams that had announced a limit.
 	limitedAttempts metric.Int64Counter
+	// rateTokens counts tokens of customers' rates that were taken, and those that were refunded.
+	rateTokens metric.Int64Counter
 }
 
 var durationBounds = metric.WithExplicitBucketBoundaries(0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 12, 30)
@@ -56,6 +58,10 @@
 		metric.WithDescription("Attempts at upstreams that had announced a limit of requests per second, by service.")); err != nil {
 		return nil, errors.Trace(err)
 	}
+	if m.rateTokens, err = meter.Int64Counter("pm_gateway_rate_tokens",
+		metric.WithDescription("Tokens of customers' rates by event: taken, or refunded because the request was sent to no upstream.")); err != nil {
+		return nil, errors.Trace(err)
+	}
 	return m, errors.Trace(registerGauges(meter, g))
 }
 
@@ -161,6 +167,17 @@
 	m.limitedAttempts.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service)))
 }
 
+// Events of tokens of customers' rates.
+const (
+	tokenTaken    = "taken"
+	tokenRefunded = "refunded"
+)
+
+// countRateToken counts an event of a token.
+func (m *requestMetrics) countRateToken(event string) {
+	m.rateTokens.Add(context.Background(), 1, metric.WithAttributes(attribute.String("event", event)))
+}
+
 // countAttempt counts an attempt at an upstream.
 func (m *requestMetrics) countAttempt(service, region, outcome string) {
 	m.attempts.Add(context.Background(), 1, metric.WithAttributes(
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -65,6 +65,7 @@
 	taken, denied := g.rateLimiter.take(ctx, r.customer.Name, time.Until(r.deadline))
 	switch {
 	case taken != nil:
+		g.metrics.countRateToken(tokenTaken)
 	case denied.noShare:
 		return r.fail(ReasonNoShare)
 	default:
@@ -74,6 +75,7 @@
 	}
 	response := r.run(ctx)
 	if r.sends == 0 {
+		g.metrics.countRateToken(tokenRefunded)
 		g.rateLimiter.refund(taken)
 	}
 	return response
