Count a request against its customer's rate although its caller left

Cause: a token is refunded if its request was sent to no upstream, but attempts were counted in evaluate, which run skips once the caller has left. So each such request gave its token back although it ran. Related paths read: forward refunds by what was written to the connection, and never the customer's token.

--- a/gateway/routed_request.go
+++ b/gateway/routed_request.go
@@ -32,7 +32,7 @@
 	// callerDeadline is when the caller gives up, after its retries.
 	callerDeadline time.Time
 
-	// sends counts attempts at which an upstream was reached, failedDials the others.
+	// sends counts attempts at which a part of the request may have been sent, failedDials the others.
 	sends, failedDials int
 	// mayHaveRun is set once an upstream may have run the request.
 	mayHaveRun bool
@@ -79,7 +79,7 @@
 			closeRest(reply)
 			return &ingress.Response{Abort: true}
 		}
-		if response := r.evaluate(chosen, reply); response != nil {
+		if response := r.evaluate(reply); response != nil {
 			return response
 		}
 	}
@@ -139,6 +139,7 @@
 		attribute.String("upstream", chosen.ID), attribute.String("domain", chosen.FailureDomain)))
 	reply := r.gateway.pool.Do(spanCtx, call)
 	span.End()
+	r.countAttempt(chosen, reply)
 	r.recordAnnouncement(chosen, reply)
 	outcome := placement.Outcome{
 		Restricted: len(r.query.Regions) > 0, Unreachable: reply.Unreachable, AddressReassigned: reply.Misdirected,
@@ -169,14 +170,18 @@
 	return reply
 }
 
-// evaluate returns the response to the caller, or nil if another upstream is to be tried.
-func (r *routedRequest) evaluate(chosen inventory.Upstream, reply *egress.Reply) *ingress.Response {
+// countAttempt counts an attempt, also if the caller left meanwhile: the upstream may have run the request.
+func (r *routedRequest) countAttempt(chosen inventory.Upstream, reply *egress.Reply) {
 	if reply.Unreachable {
 		r.failedDials++
 	} else {
 		r.sends++
 	}
 	r.query.Tried = append(r.query.Tried, chosen.ID)
+}
+
+// evaluate returns the response to the caller, or nil if another upstream is to be tried.
+func (r *routedRequest) evaluate(reply *egress.Reply) *ingress.Response {
 	switch reply.Outcome {
 	case egress.Answered:
 		if reply.Announced.Pause > 0 {
