Finish taking a token although the caller leaves

What callers saw: requests within their rate rejected with 503 no_share for a second, on VMs that take tokens from the owner of the rate, after another caller left while its token was taken. Cause: the call to the owner used the context of the caller. When that ended, the owner counted as unreachable and was skipped for a second; the connections to it were closed as after a timeout; the next VM that was asked holds no share; the token was lost. The call now runs without the caller's cancellation, within its 300 ms, and the token is refunded as the request is not sent. TestCallerThatLeavesDoesNotMakeTheOwnerUnreachable failed before (the next request got 503) and passes, 10 runs and with -race.

--- a/gateway/rate_limiter.go
+++ b/gateway/rate_limiter.go
@@ -76,7 +76,7 @@
 		if err == nil && taken != nil {
 			return taken, denial{}
 		}
-		if err != nil && ctx.Err() == nil {
+		if err != nil {
 			r.markUnreachable(lender.Name, err)
 		}
 	}
@@ -154,7 +154,9 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	ctx, cancel := context.WithTimeout(ctx, takeTimeout)
+	// A caller that leaves does not end the call: the owner may have taken the token already, and an
+	// ended call looks like an owner that does not answer.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), takeTimeout)
 	defer cancel()
 	reply, err := apipb.NewDRPCRatesClient(client).Take(ctx, request)
 	return reply, errors.Trace(err)
--- a/gateway/rate_limiter_test.go
+++ b/gateway/rate_limiter_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -81,3 +82,22 @@
 	is.True(taken == nil)
 	is.True(denied.noShare)
 }
+
+// Guards against callers that leave while their token is taken: the VM that owns the rate was skipped for
+// a second, and requests within the rate were rejected.
+func TestCallerThatLeavesDoesNotMakeTheOwnerUnreachable(t *testing.T) {
+	is := is.New(t)
+	f := newFakeUpstreams(t, 1, func(int, http.ResponseWriter, *http.Request) {})
+	r := newTestRequest(t, f, true)
+	owner := &countingOwner{left: 1, delay: 50 * time.Millisecond}
+	limitToOwner(t, r, owner)
+	ctx, leave := context.WithCancel(t.Context())
+	time.AfterFunc(10*time.Millisecond, leave)
+	first := *r
+	r.gateway.runWithinRate(ctx, &first)
+	for owner.tokens() == 0 { // the token is returned in the background
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(f.sent.Load(), int32(0))
+	is.Equal(r.gateway.runWithinRate(t.Context(), r).Status, http.StatusOK)
+}
--- a/gateway/refund_test.go
+++ b/gateway/refund_test.go
@@ -19,11 +19,16 @@
 
 // countingOwner owns a customer's rate, of which a number of tokens is left and none accrue.
 type countingOwner struct {
+	delay time.Duration // before each token is granted
+
 	mu   sync.Mutex
 	left int
 }
 
 func (o *countingOwner) Take(_ context.Context, request *apipb.TakeRequest) (*apipb.TakeReply, error) {
+	if !request.Refund {
+		time.Sleep(o.delay)
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if request.Refund {
