Bound the memory of all buffered responses of a gateway together

Reported by operators of a similar system: a faulty endpoint sent bytes without end, and the machine that had called it ran out of memory. It can happen here. Each response was bounded, a head by 64 KiB and a buffered body by 1 MiB, but not all of them together: the buffer was held until the response ended, and copied once more to be sent. Cause: no shared limit. Now buffers share a budget, an eighth of the VM's memory. A response that gets no more of it is forwarded as it arrives, as long ones always were: it is not retried if it is cut, and a cut one does not look complete. The buffer is released once sent, and bodies above 64 KiB are not copied. A long rejection that says not run no longer counts as a response: its body is not needed.

--- a/cmd/pistachiomount/gateway_role.go
+++ b/cmd/pistachiomount/gateway_role.go
@@ -40,7 +40,7 @@
 		Retries: budget.Limits{
 			Ratio: s.Bounds.RetryRatio * retryBudgetShare, Window: s.Bounds.RetryWindow, Slack: s.Bounds.RetrySlack * retryBudgetShare,
 		},
-		ShutdownTimeout: s.Bounds.GracePeriod, MaxListRate: s.MaxListRate, MaxViewAge: s.Bounds.ContactTimeout / viewAgeDivisor,
+		BufferMemory: int64(s.MemoryMB) << 20 / bufferMemoryDivisor, ShutdownTimeout: s.Bounds.GracePeriod, MaxListRate: s.MaxListRate, MaxViewAge: s.Bounds.ContactTimeout / viewAgeDivisor,
 	})
 	if err != nil {
 		return errors.Trace(err)
@@ -75,3 +75,6 @@
 // retryBudgetShare is the used fraction of the retry budget. The rest is a margin for VMs that
 // do not know of each other yet and divide the budget among too few.
 const retryBudgetShare = 0.7
+
+// bufferMemoryDivisor divides the memory of the VM to get the part that buffered responses may use.
+const bufferMemoryDivisor = 8
--- a/e2e/endless_response_test.go
+++ b/e2e/endless_response_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -38,7 +39,7 @@
 			s.f.putConfig(1, 0)
 			s.awaitServing()
 			_, before := s.timeRequests(t, endlessCalls)
-			s.f.upstreams[0].respondWithoutEnd(start)
+			s.f.upstreams[0].respondWithoutEnd([]byte(start), 0)
 			statuses, during := s.timeRequests(t, endlessCalls)
 			t.Logf("statuses %v, median %v before and %v during", statuses, before, during)
 			is.True(during < before*maxMedianSlowdown)
@@ -51,12 +52,38 @@
 	}
 }
 
+// Guards against responses without end that exhaust the memory of a VM because many of them arrive at once,
+// from upstreams with many slots.
+func TestManyResponsesWithoutEndLeaveMemory(t *testing.T) {
+	const concurrent, slots = 200, 60
+	is := is.New(t)
+	s := newSoak(startFleet(&fleet{t: t, slots: slots, memoryMB: vmMemory >> 20}, 3, 1, 18))
+	s.f.putConfig(1, 0)
+	s.awaitServing()
+	start := slices.Concat([]byte("HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\n\r\n"), make([]byte, 2<<20))
+	for _, u := range s.f.upstreams {
+		u.respondWithoutEnd(start, 100*time.Millisecond)
+	}
+	var callers sync.WaitGroup
+	for i := range concurrent {
+		callers.Go(func() { s.send(t.Context(), 0, http.MethodGet, fmt.Sprintf("/look/%d", i)) })
+	}
+	callers.Wait()
+	peak := peakResidentMemory(t, s.f.gateways[0])
+	t.Logf("peak of resident memory %d MB", peak>>20)
+	is.True(peak < vmMemory)
+	for _, u := range s.f.upstreams {
+		u.respondWithoutEnd(nil, 0)
+	}
+	s.awaitServing()
+}
+
 // respondWithoutEnd makes the upstream respond with start and then with bytes until the connection
-// ends.
-func (u *fleetUpstream) respondWithoutEnd(start string) {
+// ends, with a pause between them; nil ends that.
+func (u *fleetUpstream) respondWithoutEnd(start []byte, pause time.Duration) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.endless = []byte(start)
+	u.endless, u.endlessPause = start, pause
 }
 
 // timeRequests sends idempotent requests one after the other and returns their statuses and the median
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -40,6 +40,8 @@
 	controls  []*process
 	upstreams []*fleetUpstream
 	list      *httptest.Server
+	memoryMB  int // of each VM, 0 for no limit
+	slots     int // of each upstream
 }
 
 // fleetUpstream is an upstream that counts how often each request ran.
@@ -50,14 +52,23 @@
 
 	mu        sync.Mutex
 	runCounts map[string]int // by request id
-	// endless, if set, is the start of a response that has no end.
-	endless   []byte
-	announced announcements
+	// endless, if set, is the start of a response that has no end, and endlessPause the time between
+	// its parts.
+	endless      []byte
+	endlessPause time.Duration
+	announced    announcements
 }
 
 func newFleet(t *testing.T, controls, gateways, upstreams int) *fleet {
 	t.Helper()
-	f := &fleet{t: t, dir: t.TempDir(), net: fmt.Sprintf("127.%d.%d", 1+rand.IntN(250), rand.IntN(250))}
+	return startFleet(&fleet{t: t, slots: 8}, controls, gateways, upstreams)
+}
+
+// startFleet starts the processes of a fleet whose limits are set.
+func startFleet(f *fleet, controls, gateways, upstreams int) *fleet {
+	t := f.t
+	t.Helper()
+	f.dir, f.net = t.TempDir(), fmt.Sprintf("127.%d.%d", 1+rand.IntN(250), rand.IntN(250))
 	for i := range upstreams {
 		f.addUpstream(i)
 	}
@@ -97,10 +108,10 @@
 	_, _ = io.Copy(io.Discard, r.Body) // a request with a truncated body still counts as run
 	u.mu.Lock()
 	u.runCounts[id]++
-	endless := u.endless
+	endless, pause := u.endless, u.endlessPause
 	u.mu.Unlock()
 	if endless != nil {
-		writeWithoutEnd(w, endless)
+		writeWithoutEnd(w, endless, pause)
 		return
 	}
 	time.Sleep(time.Duration(2+rand.IntN(20)) * time.Millisecond)
@@ -111,7 +122,7 @@
 }
 
 // writeWithoutEnd writes start and then bytes until the connection ends.
-func writeWithoutEnd(w http.ResponseWriter, start []byte) {
+func writeWithoutEnd(w http.ResponseWriter, start []byte, pause time.Duration) {
 	conn, _, err := w.(http.Hijacker).Hijack()
 	if err != nil {
 		return
@@ -120,6 +131,7 @@
 	more := bytes.Repeat([]byte("x"), 32<<10)
 	for data := start; err == nil; data = more {
 		_, err = conn.Write(data)
+		time.Sleep(pause)
 	}
 }
 
@@ -127,7 +139,7 @@
 	var rows []string
 	for _, u := range f.upstreams {
 		if domain := r.URL.Query().Get("zone"); domain == "" || domain == u.domain {
-			rows = append(rows, fmt.Sprintf(`["%s","s","%s","%s",8,"ready"]`, u.id, u.forwarder.address(), u.domain))
+			rows = append(rows, fmt.Sprintf(`["%s","s","%s","%s",%d,"ready"]`, u.id, u.forwarder.address(), u.domain, f.slots))
 		}
 	}
 	_, _ = fmt.Fprintf(w, `{"instances":{"columns":["id","service","address","zone","slots","state"],"rows":[%s]},"nextPageToken":null}`,
@@ -196,12 +208,14 @@
 z1 = "r-z1"
 z2 = "r-z2"
 z3 = "r-z3"
+[limits]
+memoryMb = %d
 [listen]
 %s[cloud]
 address = "%s"
 ratePerS = 50.0
 `, role, i, f.ip(role, i), domain, domain, fleetInternalPort, fleetInternalPort+15, strings.Join(seeds, ","), first,
-		f.dataDir(i), listen, f.list.Listener.Addr())
+		f.dataDir(i), f.memoryMB, listen, f.list.Listener.Addr())
 	if err := os.WriteFile(f.settingsPath(role, i), []byte(text), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -44,6 +44,9 @@
 	Headers  HeaderNames
 	Upstream egress.HeaderNames
 	Retries  budget.Limits
+	// BufferMemory is the memory for response bodies that are read before they are forwarded, in bytes;
+	// DefaultBufferMemory if 0.
+	BufferMemory int64
 	// ShutdownTimeout limits the duration of a planned stop.
 	ShutdownTimeout time.Duration
 	// MaxListRate is how many times per second all VMs together may read the list.
@@ -52,3 +55,7 @@
 	// unknown routes and keys as nonexistent.
 	MaxViewAge time.Duration
 }
+
+// DefaultBufferMemory is the memory for buffered response bodies, in bytes, where the memory of the VM is not
+// known.
+const DefaultBufferMemory = 64 << 20
--- a/gateway/egress/announcement_test.go
+++ b/gateway/egress/announcement_test.go
@@ -10,6 +10,7 @@
 
 	"pistachiomount.example/pistachiomount/announce"
 	"pistachiomount.example/pistachiomount/gateway/egress"
+	"pistachiomount.example/pistachiomount/memlimit"
 )
 
 // Guards against an announcement of another process, or of another request's late response, that counts
@@ -44,7 +45,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			pool := egress.NewPool(names)
+			pool := egress.NewPool(names, memlimit.NewBudget(bufferMemory))
 			defer pool.Close()
 			s := serveScripts(t, c.script)
 			is.Equal(pool.Do(context.Background(), newCall(s, "id-1")).Announced, c.announced)
@@ -60,7 +61,7 @@
 		"u-2": {},
 	} {
 		is := is.New(t)
-		pool := egress.NewPool(names)
+		pool := egress.NewPool(names, memlimit.NewBudget(bufferMemory))
 		s := serveScripts(t, func(_ string, c net.Conn) {
 			write(c, "HTTP/1.1 503 No\r\nX-Instance: %s\r\nRetry-After: 7\r\nX-Leaving: 1\r\nContent-Length: 0\r\n\r\n", upstream)
 		})
--- a/gateway/egress/endless_test.go
+++ b/gateway/egress/endless_test.go
@@ -6,20 +6,25 @@
 	"io"
 	"net"
 	"runtime"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"pistachiomount.example/pistachiomount/gateway/egress"
+	"pistachiomount.example/pistachiomount/memlimit"
 )
 
-// bufferedResponse is the buffer of a whole response, and maxExtraMemory what one exchange may use
-// beyond it, in bytes.
 const (
+	// bufferedResponse is the buffer of a whole response, and maxExtraMemory what one exchange may use
+	// beyond it, in bytes.
 	bufferedResponse = 1 << 20
 	maxExtraMemory   = 1 << 20
+	// bufferMemory is the budget for all buffered responses, in bytes.
+	bufferMemory = 4 << 20
 )
 
 // endless returns a script that sends start, and then piece until the connection ends.
@@ -65,7 +70,7 @@
 	for name, form := range endlessForms() {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			pool := egress.NewPool(names)
+			pool := egress.NewPool(names, memlimit.NewBudget(bufferMemory))
 			defer pool.Close()
 			s := serveScripts(t, form, succeed("next"))
 			call := newCall(s, "id-1")
@@ -90,7 +95,7 @@
 	for _, left := range []bool{false, true} {
 		t.Run(fmt.Sprintf("caller left: %v", left), func(t *testing.T) {
 			is := is.New(t)
-			pool := egress.NewPool(names)
+			pool := egress.NewPool(names, memlimit.NewBudget(bufferMemory))
 			defer pool.Close()
 			s := serveScripts(t, body)
 			call := newCall(s, "id-1")
@@ -117,6 +122,57 @@
 	}
 }
 
+// Guards against the buffers of many long responses that together exhaust the memory of a VM, and against
+// bodies that are cut or altered because they are forwarded without being buffered whole.
+func TestBuffersOfManyResponsesStayWithinTheirBudget(t *testing.T) {
+	const responses, length = 100, 600 << 10
+	body := strings.Repeat("0123456789abcdef", length/16)
+	bytesOfBody := []byte(body)
+	for name, head := range map[string]string{
+		"length":    fmt.Sprintf("Content-Length: %d\r\n\r\n", length),
+		"no length": "\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			budget := memlimit.NewBudget(bufferMemory)
+			pool := egress.NewPool(names, budget)
+			defer pool.Close()
+			s := serveScripts(t, slices.Repeat([]script{func(id string, c net.Conn) {
+				write(c, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Signature: s\r\nConnection: close\r\n%s", id, head)
+				_, _ = c.Write(bytesOfBody) // not formatted: a copy here would count as memory of the exchange
+				_ = c.Close()
+			}}, responses)...)
+			replies := make([]*egress.Reply, responses)
+			peak := peakMemory(func() {
+				var exchanges sync.WaitGroup
+				for i := range replies {
+					exchanges.Go(func() { replies[i] = pool.Do(context.Background(), newCall(s, fmt.Sprint("id-", i))) })
+				}
+				exchanges.Wait()
+				time.Sleep(10 * time.Millisecond) // for one more measurement
+			})
+			t.Logf("peak %d kB", peak>>10)
+			is.True(peak < bufferMemory+responses*maxExtraMemory/16)
+			buffered := 0
+			for _, reply := range replies {
+				is.Equal(reply.Outcome, egress.Answered)
+				got := string(reply.Body)
+				if reply.Rest != nil {
+					rest, err := io.ReadAll(reply.Rest)
+					is.NoErr(err)
+					got += string(rest)
+				} else {
+					buffered++
+				}
+				is.True(got == body)
+				reply.Discard()
+			}
+			is.True(buffered > 0)
+			is.Equal(budget.Left(), int64(bufferMemory)) // all was returned
+		})
+	}
+}
+
 // peakMemory returns by how many bytes the live heap grew while f ran.
 func peakMemory(f func()) uint64 {
 	live := func() uint64 {
@@ -151,7 +207,7 @@
 		"HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
 	} {
 		is := is.New(t)
-		pool := egress.NewPool(names)
+		pool := egress.NewPool(names, memlimit.NewBudget(bufferMemory))
 		s := serveScripts(t, succeed("one"), func(id string, c net.Conn) { write(c, "%s%s", copied, answer(id, "two")) })
 		is.Equal(string(pool.Do(context.Background(), newCall(s, "a")).Body), "one")
 		reply := pool.Do(context.Background(), newCall(s, "b"))
--- a/gateway/egress/exchange.go
+++ b/gateway/egress/exchange.go
@@ -165,56 +165,28 @@
 	if response.StatusCode != http.StatusMisdirectedRequest { // sent by another upstream at the same address
 		reply.Announced = p.names.Announced.Parse(response.StatusCode, response.Header)
 	}
-	body, err := readBuffered(response)
+	body, err := p.readBody(response)
+	if err == nil && !call.healthCheck && response.StatusCode < http.StatusMultipleChoices && response.Header.Get(p.names.Signature) == "" {
+		err = errors.Annotate(ErrBroken, "success response without a signature")
+	}
 	if err != nil {
-		err = readError(err)
+		body.memory.Release()
 		return &Reply{
 			Outcome: Unknown, Endless: errors.Is(err, ErrTimeout), Err: err, Load: reply.Load, LoadReported: reply.LoadReported,
 			Announced: reply.Announced,
 		}
 	}
-	if !call.healthCheck && response.StatusCode < http.StatusMultipleChoices && response.Header.Get(p.names.Signature) == "" {
-		return &Reply{Outcome: Unknown, Err: errors.Annotate(ErrBroken, "success response without a signature"), Load: reply.Load, LoadReported: reply.LoadReported, Announced: reply.Announced}
-	}
-	reply.Body = body
-	if len(body) > maxBufferedBody {
+	reply.Body, reply.buffer = body.data, body.memory
+	p.detectNotRun(reply, response)
+	switch {
+	case !body.complete && reply.Outcome == Answered:
 		reply.Length, reply.Rest = response.ContentLength, &restBody{body: response.Body, conn: c}
-		return reply
-	}
-	if !response.Close && !hasConnectionClose(response.Header) {
+	case body.complete && !response.Close && !hasConnectionClose(response.Header):
 		c.keepUntil(time.Now(), response.Header)
 	}
-	p.detectNotRun(reply, response)
 	return reply
 }
 
-// readBuffered reads a body up to one byte more than maxBufferedBody.
-func readBuffered(response *http.Response) ([]byte, error) {
-	if length := response.ContentLength; length > 0 && length <= maxBufferedBody && response.Body != http.NoBody {
-		body := make([]byte, length)
-		_, err := io.ReadFull(response.Body, body)
-		return body, err
-	}
-	body := make([]byte, 0, readBufferSize)
-	for {
-		n, err := response.Body.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		if err == io.EOF {
-			return body, nil
-		}
-		if err != nil || len(body) > maxBufferedBody {
-			return body, err
-		}
-		if len(body) == cap(body) {
-			size := cap(body) * bodyBufferGrowth
-			if size >= maxBufferedBody {
-				size = maxBufferedBody + 1
-			}
-			body = append(make([]byte, 0, size), body...)
-		}
-	}
-}
-
 // detectNotRun marks a reply that declares that the request did not run.
 func (p *Pool) detectNotRun(reply *Reply, response *http.Response) {
 	reply.Misdirected = response.StatusCode == http.StatusMisdirectedRequest
--- a/gateway/egress/exchange_test.go
+++ b/gateway/egress/exchange_test.go
@@ -16,6 +16,7 @@
 
 	"pistachiomount.example/pistachiomount/announce"
 	"pistachiomount.example/pistachiomount/gateway/egress"
+	"pistachiomount.example/pistachiomount/memlimit"
 )
 
 var names = egress.HeaderNames{
@@ -135,7 +136,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			pool := egress.NewPool(names)
+			pool := egress.NewPool(names, memlimit.NewBudget(bufferMemory))
 			defer pool.Close()
 			s := serveScripts(t, c.script)
 			reply := pool.Do(context.Background(), newCall(s, "id-1"))
@@ -149,7 +150,7 @@
 // Guards against reusing a connection after bytes that belong to no request.
 func TestUnexpectedBytesEndTheConnection(t *testing.T) {
 	is := is.New(t)
-	pool := egress.NewPool(names)
+	pool := egress.NewPool(names, memlimit.NewBudget(bufferMemory))
 	defer pool.Close()
 	s := serveScripts(t,
 		func(id string, c net.Conn) { write(c, "%s%s", answer(id, "one"), answer("x", "extra")) },
@@ -184,7 +185,7 @@
 	is.NoErr(err)
 	go func() { _ = server.Serve(listener) }()
 	defer func() { _ = server.Close() }()
-	pool := egress.NewPool(names)
+	pool := egress.NewPool(names, memlimit.NewBudget(bufferMemory))
 	defer pool.Close()
 	c := newCall(&scriptedUpstream{address: listener.Addr().String()}, "id-9")
 	c.Header["Connection"] = []string{"close, X-Hop"}
@@ -213,7 +214,7 @@
 		_, _ = c.Read(make([]byte, 1))
 		close(closed)
 	})
-	pool := egress.NewPool(names)
+	pool := egress.NewPool(names, memlimit.NewBudget(bufferMemory))
 	defer pool.Close()
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() { <-started; cancel() }()
@@ -228,7 +229,7 @@
 	is.NoErr(err)
 	address := listener.Addr().String()
 	_ = listener.Close()
-	reply := egress.NewPool(names).Do(context.Background(), newCall(&scriptedUpstream{address: address}, "id"))
+	reply := egress.NewPool(names, memlimit.NewBudget(bufferMemory)).Do(context.Background(), newCall(&scriptedUpstream{address: address}, "id"))
 	is.Equal(reply.Outcome, egress.NotRun)
 	is.True(reply.Unreachable)
 }
--- a/gateway/egress/faulty_upstream_test.go
+++ b/gateway/egress/faulty_upstream_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"pistachiomount.example/pistachiomount/gateway/egress"
+	"pistachiomount.example/pistachiomount/memlimit"
 )
 
 // Guards against a second copy of an earlier refusal that is taken for the response to the next request
@@ -31,7 +32,7 @@
 		for _, late := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, late %v", name, late), func(t *testing.T) {
 				is := is.New(t)
-				pool := egress.NewPool(names)
+				pool := egress.NewPool(names, memlimit.NewBudget(bufferMemory))
 				defer pool.Close()
 				copied := fmt.Sprintf(refusal, c.copied)
 				if c.copied == "421" {
@@ -72,7 +73,7 @@
 				write(c, "%s", head)
 				_ = c.Close()
 			})
-			pool := egress.NewPool(names)
+			pool := egress.NewPool(names, memlimit.NewBudget(bufferMemory))
 			reply := pool.Do(context.Background(), newCall(s, "id-1"))
 			pool.Close()
 			if reply.Outcome != egress.Unknown || reply.Announced.Heard {
--- a/gateway/egress/health.go
+++ b/gateway/egress/health.go
@@ -28,9 +28,7 @@
 		Upstream: upstream, Address: address, Method: http.MethodGet, Target: path, Host: address,
 		Header: http.Header{}, Deadline: time.Now().Add(healthTimeout), healthCheck: true,
 	})
-	if reply.Rest != nil {
-		_ = reply.Rest.Close()
-	}
+	reply.Discard()
 	if reply.Header.Get(p.names.UpstreamID) != upstream { // another one at its address, or none
 		return Health{}
 	}
--- a/gateway/egress/pool.go
+++ b/gateway/egress/pool.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"pistachiomount.example/pistachiomount/memlimit"
 )
 
 // poolKey identifies an upstream. It holds the ID because an address may be reused by another
@@ -19,6 +21,8 @@
 	names    HeaderNames
 	stripped map[string]bool
 	dialer   net.Dialer
+	// buffers bounds the memory of buffered response bodies.
+	buffers *memlimit.Budget
 
 	mu   sync.Mutex
 	idle map[poolKey][]*upstreamConn
@@ -26,9 +30,9 @@
 	Dials atomic.Uint64
 }
 
-// NewPool returns an empty pool.
-func NewPool(names HeaderNames) *Pool {
-	p := &Pool{names: names, stripped: strippedHeaders(names), idle: map[poolKey][]*upstreamConn{}}
+// NewPool returns an empty pool. The bodies of responses are buffered as far as the budget allows.
+func NewPool(names HeaderNames, buffers *memlimit.Budget) *Pool {
+	p := &Pool{names: names, stripped: strippedHeaders(names), buffers: buffers, idle: map[poolKey][]*upstreamConn{}}
 	p.dialer = net.Dialer{
 		Timeout: dialTimeout, Control: setUserTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
--- a/gateway/egress/reply.go
+++ b/gateway/egress/reply.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"pistachiomount.example/pistachiomount/announce"
+	"pistachiomount.example/pistachiomount/memlimit"
 )
 
 // Reply is the result of an exchange.
@@ -35,4 +36,21 @@
 	Endless bool
 	// Err is the reason why the outcome is not Answered.
 	Err error
+
+	buffer memlimit.Reservation
+}
+
+// Release drops the body and returns its memory to the budget of the pool.
+func (r *Reply) Release() {
+	r.Body = nil
+	r.buffer.Release()
+}
+
+// Discard ends the use of a reply that is not passed on.
+func (r *Reply) Discard() {
+	if r.Rest != nil {
+		_ = r.Rest.Close() // its end is of no interest any more
+		r.Rest = nil
+	}
+	r.Release()
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"pistachiomount.example/pistachiomount/gateway/placement"
 	"pistachiomount.example/pistachiomount/inventory"
 	"pistachiomount.example/pistachiomount/membership"
+	"pistachiomount.example/pistachiomount/memlimit"
 	"pistachiomount.example/pistachiomount/transport"
 )
 
@@ -57,9 +58,12 @@
 	if cfg.Tracer == nil {
 		cfg.Tracer = noop.NewTracerProvider().Tracer("")
 	}
+	if cfg.BufferMemory <= 0 {
+		cfg.BufferMemory = DefaultBufferMemory
+	}
 	g := &Gateway{
 		requests: newRequestLog(cfg.Log), tracer: cfg.Tracer,
-		cfg: cfg, lifecycle: membership.NewLifecycle(cfg.Clock), pool: egress.NewPool(cfg.Upstream),
+		cfg: cfg, lifecycle: membership.NewLifecycle(cfg.Clock), pool: egress.NewPool(cfg.Upstream, memlimit.NewBudget(cfg.BufferMemory)),
 		splitter: newTrafficSplitter(), latencies: newLatencyAverages(), shiftLimiter: placement.NewShiftLimiter(time.Now(), cfg.VM, cfg.Region),
 	}
 	g.services.Store(&map[string]*service{})
--- a/gateway/ingress/response.go
+++ b/gateway/ingress/response.go
@@ -16,8 +16,19 @@
 	Rest io.ReadCloser
 	// Length is the length of the complete body if Rest is set, -1 if unknown.
 	Length int64
+	// Release, if set, is called once the body is no longer needed.
+	Release func()
 	// Close closes the connection after this response.
 	Close bool
 	// Abort closes the connection without a response.
 	Abort bool
 }
+
+// dropBody releases the body once it was sent, or will not be.
+func (r *Response) dropBody() {
+	r.Body = nil
+	if r.Release != nil {
+		r.Release()
+		r.Release = nil
+	}
+}
--- a/gateway/ingress/write.go
+++ b/gateway/ingress/write.go
@@ -12,6 +12,7 @@
 // writeResponse sends one response. After an error, or a response that closes the connection, nothing
 // more is sent.
 func (c *conn) writeResponse(request *http.Request, response *Response) {
+	defer response.dropBody()
 	if response.Rest != nil {
 		defer func() { _ = response.Rest.Close() }()
 	}
@@ -47,7 +48,7 @@
 func (c *conn) send(request *http.Request, response *Response, closing bool) error {
 	head := request != nil && request.Method == http.MethodHead
 	var b bytes.Buffer
-	b.Grow(len(response.Body) + headBufferSize)
+	b.Grow(headBufferSize + min(len(response.Body), maxJoinedBody))
 	b.WriteString("HTTP/1.1 ")
 	b.WriteString(strconv.Itoa(response.Status))
 	b.WriteByte(' ')
@@ -59,18 +60,34 @@
 		b.WriteString("Connection: close\r\n")
 	}
 	b.WriteString("\r\n")
-	if !head && !chunked {
+	if head {
+		response.dropBody()
+	}
+	if !chunked && len(response.Body) <= maxJoinedBody {
 		b.Write(response.Body)
+		response.dropBody()
 	}
 	if _, err := c.nc.Write(b.Bytes()); err != nil {
 		return err
 	}
+	if err := c.sendBody(response, chunked); err != nil {
+		return err
+	}
 	if response.Rest == nil || head {
 		return nil
 	}
 	return c.sendRest(response, chunked)
 }
 
+// sendBody sends the buffered part of a body and releases it.
+func (c *conn) sendBody(response *Response, chunked bool) error {
+	defer response.dropBody()
+	if len(response.Body) == 0 {
+		return nil
+	}
+	return c.sendData(response.Body, chunked)
+}
+
 // writeFraming writes the header that delimits the body.
 func writeFraming(b *bytes.Buffer, response *Response, head bool) (chunked bool) {
 	switch {
@@ -94,17 +111,16 @@
 // headBufferSize is the initial buffer size for the head of a response, in bytes.
 const headBufferSize = 512
 
+// maxJoinedBody is the largest body, in bytes, that is copied behind its head, so that both are sent with
+// one write.
+const maxJoinedBody = 64 << 10
+
 // restBufferSize is the buffer size for copying the remainder of a long response, in bytes.
 const restBufferSize = 32 << 10
 
 // sendRest forwards the remainder of a long body. If reading it fails, the terminating chunk is not
 // sent.
 func (c *conn) sendRest(response *Response, chunked bool) error {
-	if chunked {
-		if err := c.sendChunk(response.Body); err != nil {
-			return err
-		}
-	}
 	buf := make([]byte, restBufferSize)
 	for {
 		n, err := response.Rest.Read(buf)
--- a/gateway/routed_request.go
+++ b/gateway/routed_request.go
@@ -76,10 +76,14 @@
 		}
 		reply := r.attempt(ctx, chosen)
 		if ctx.Err() != nil {
-			closeRest(reply)
+			reply.Discard()
 			return &ingress.Response{Abort: true}
 		}
-		if response := r.evaluate(reply); response != nil {
+		response := r.evaluate(reply)
+		if reply.Outcome != egress.Answered {
+			reply.Discard()
+		}
+		if response != nil {
 			return response
 		}
 	}
@@ -241,11 +245,6 @@
 func responseOf(reply *egress.Reply) *ingress.Response {
 	return &ingress.Response{
 		Status: reply.Status, Header: reply.Header, Body: reply.Body, Rest: reply.Rest, Length: reply.Length,
-	}
-}
-
-func closeRest(reply *egress.Reply) {
-	if reply.Rest != nil {
-		_ = reply.Rest.Close()
+		Release: reply.Release,
 	}
 }
--- a/gateway/routed_request_test.go
+++ b/gateway/routed_request_test.go
@@ -22,6 +22,7 @@
 	"pistachiomount.example/pistachiomount/gateway/ingress"
 	"pistachiomount.example/pistachiomount/gateway/placement"
 	"pistachiomount.example/pistachiomount/inventory"
+	"pistachiomount.example/pistachiomount/memlimit"
 	"pistachiomount.example/pistachiomount/plan"
 )
 
@@ -65,7 +66,7 @@
 	log.SetOutput(io.Discard)
 	g := &Gateway{
 		requests: newRequestLog(log), tracer: noop.NewTracerProvider().Tracer(""),
-		cfg: Config{Log: log, Headers: HeaderNames{RequestID: "X-Id"}}, pool: egress.NewPool(testUpstreamNames), latencies: newLatencyAverages(),
+		cfg: Config{Log: log, Headers: HeaderNames{RequestID: "X-Id"}}, pool: egress.NewPool(testUpstreamNames, memlimit.NewBudget(DefaultBufferMemory)), latencies: newLatencyAverages(),
 	}
 	t.Cleanup(g.pool.Close)
 	s := newService("s", placement.Location{Region: "r", FailureDomain: "d", VM: "v"}, placement.NewShiftLimiter(time.Now(), "a", "r"),
