Bound the memory of all buffered responses of an entry daemon together

Buffers above 64 KiB now share Limits.ResponseMemory, 64 MiB by default; a response that gets no more is streamed. Below 64 KiB nothing changes, since outcomes of claims and jobs of that size are stored. TestResponseMemoryIsBounded: of nine responses of 1 MiB with room for three, at most four complete while eight callers do not read; without the budget all do, and the test fails.

--- a/forward/accept.go
+++ b/forward/accept.go
@@ -134,7 +134,7 @@
 	}
 	c.setReadDeadline(x.deadline)
 	var err error
-	x.body, x.bodyReserved, err = x.h.memory.readBody(c.w, r, x.route.MaxBodyBytes)
+	x.body, x.bodyReserved, err = readBody(x.h.requestMemory, c.w, r, x.route.MaxBodyBytes)
 	if err != nil {
 		return rejectBody(err)
 	}
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -183,9 +183,13 @@
 	if a.resp.ContentLength > maxBufferedResponse && a.resp.Request.Method != http.MethodHead {
 		return nil
 	}
-	a.buf.open()
+	a.buf.open(a.x.h.responseMemory)
 	for len(a.buf.bytes()) < maxBufferedResponse {
-		n, err := a.read(a.buf.freeSpace(maxBufferedResponse))
+		space := a.buf.freeSpace(maxBufferedResponse)
+		if len(space) == 0 {
+			return nil
+		}
+		n, err := a.read(space)
 		a.buf.advance(n)
 		if err == io.EOF {
 			a.complete = true
--- a/forward/body.go
+++ b/forward/body.go
@@ -3,11 +3,11 @@
 import (
 	"io"
 	"net/http"
-	"sync/atomic"
 
 	"github.com/juju/errors"
 
 	"pistachiomount.example/pistachiomount/forward/reject"
+	"pistachiomount.example/pistachiomount/memlimit"
 )
 
 const (
@@ -20,30 +20,17 @@
 
 var errBodyMemory = errors.ConstError("memory for request bodies is used up")
 
-// bodyMemory limits the total memory of request bodies.
-type bodyMemory struct{ available atomic.Int64 }
-
-func (m *bodyMemory) reserve(n int) bool {
-	if m.available.Add(-int64(n)) >= 0 {
-		return true
-	}
-	m.available.Add(int64(n))
-	return false
-}
-
-func (m *bodyMemory) release(n int) { m.available.Add(int64(n)) }
-
 // readBody reads the complete body before anything is sent, so that a slow caller holds no
 // slot and the digest of a claim covers what is sent. It returns the memory reserved, also
 // with an error.
-func (m *bodyMemory) readBody(w http.ResponseWriter, r *http.Request, limit uint64) (body []byte, reserved int, err error) {
+func readBody(memory *memlimit.Budget, w http.ResponseWriter, r *http.Request, limit uint64) (body []byte, reserved int, err error) {
 	src := http.MaxBytesReader(w, r.Body, int64(limit))
 	size := initialBodyBytes
 	if r.ContentLength > 0 {
 		size = int(min(uint64(r.ContentLength), limit, maxInitialBodyBytes))
 	}
 	for {
-		if !m.reserve(size) {
+		if !memory.Reserve(size) {
 			return nil, reserved, errBodyMemory
 		}
 		reserved += size
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -10,6 +10,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"pistachiomount.example/pistachiomount/forward/reject"
+	"pistachiomount.example/pistachiomount/memlimit"
 )
 
 // jobsPrefix is the path prefix for reading the state of deferred jobs.
@@ -19,13 +20,15 @@
 type Handler struct {
 	cfg     Config
 	running registry
-	memory  bodyMemory
+	// requestMemory and responseMemory bound the buffered bodies of all requests and responses.
+	requestMemory, responseMemory *memlimit.Budget
 }
 
 // New returns a Handler.
 func New(cfg Config) *Handler {
 	h := &Handler{cfg: cfg.withDefaults()}
-	h.memory.available.Store(h.cfg.Limits.BodyMemory)
+	h.requestMemory = memlimit.NewBudget(h.cfg.Limits.BodyMemory)
+	h.responseMemory = memlimit.NewBudget(h.cfg.Limits.ResponseMemory)
 	return h
 }
 
@@ -61,7 +64,7 @@
 	if x.awaitRecord != nil {
 		x.awaitRecord()
 	}
-	x.h.memory.release(x.bodyReserved)
+	x.h.requestMemory.Release(x.bodyReserved)
 	x.summary.Elapsed = time.Since(started)
 	x.summary.Customer = x.identity.customer
 	if x.route != nil {
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -100,7 +100,8 @@
 					return false
 				}
 			}
-			return len(w.handler.running.keys) == 0 && w.handler.memory.available.Load() == w.handler.cfg.Limits.BodyMemory
+			return len(w.handler.running.keys) == 0 && w.handler.requestMemory.Left() == w.handler.cfg.Limits.BodyMemory &&
+				w.handler.responseMemory.Left() == w.handler.cfg.Limits.ResponseMemory
 		}, &w.mu)
 	})
 	return w
--- a/forward/limits.go
+++ b/forward/limits.go
@@ -26,6 +26,9 @@
 	HeaderBytes, HeaderCount int
 	// BodyMemory limits the total size of buffered request bodies, in bytes.
 	BodyMemory int64
+	// ResponseMemory limits the total size of buffered responses, in bytes, beyond the first
+	// freeBufferBytes of each.
+	ResponseMemory int64
 	// WriteTimeout is how long a write to a caller may block before its connection is
 	// aborted.
 	WriteTimeout time.Duration
@@ -45,6 +48,7 @@
 	setDefault(&l.HeaderBytes, 32<<10)
 	setDefault(&l.HeaderCount, 100)
 	setDefault(&l.BodyMemory, 128<<20)
+	setDefault(&l.ResponseMemory, 64<<20)
 	setDefault(&l.WriteTimeout, 20*time.Second)
 	setDefault(&l.StaleGrace, 2*time.Second)
 	setDefault(&l.MaxAttempts, 3)
--- a/forward/revoke_test.go
+++ b/forward/revoke_test.go
@@ -132,10 +132,32 @@
 func TestBodyMemoryIsBounded(t *testing.T) {
 	is := is.New(t)
 	w := newHarness(t, newRecorder(t, "a", "near", nil))
-	w.handler.memory.reserve(int(w.handler.cfg.Limits.BodyMemory) - 10)
+	w.handler.requestMemory.Reserve(int(w.handler.cfg.Limits.BodyMemory) - 10)
 	is.Equal(w.doAsAlice("POST", "/book", "12345678901").reason(), "over_capacity/not_run")
 	is.Equal(w.doAsAlice("POST", "/book", "1234567890").status, 200)
-	w.handler.memory.release(int(w.handler.cfg.Limits.BodyMemory) - 10)
+	w.handler.requestMemory.Release(int(w.handler.cfg.Limits.BodyMemory) - 10)
+}
+
+// Guards against buffered responses that together take more memory than allowed, and against responses that
+// are cut because there is no memory to buffer them.
+func TestResponseMemoryIsBounded(t *testing.T) {
+	const buffered = 3
+	is := is.New(t)
+	w := newHarness(t, newRecorder(t, "a", "near", func(rw http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(rw, strings.Repeat("z", maxBufferedResponse-1))
+	}))
+	taken := int(w.handler.cfg.Limits.ResponseMemory) - buffered*maxBufferedResponse
+	is.True(w.handler.responseMemory.Reserve(taken))
+	defer w.handler.responseMemory.Release(taken)
+	for range 8 { // that nobody reads
+		conn := w.sendRaw(t, "GET /look", "", "")
+		is.NoErr(conn.(*net.TCPConn).SetReadBuffer(4096))
+	}
+	eventually(t, "all requests are sent", func() bool { return w.reports[ResultCompleted]+w.inUse["slota"] == 8 }, &w.mu)
+	is.Equal(len(w.doAsAlice("GET", "/look", "").body), maxBufferedResponse-1)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	is.True(w.reports[ResultCompleted] <= buffered+1) // the others hold their slots until their callers read
 }
 
 // Guards against jobs that other customers can read, that lose their request, or that
