Bound the memory of all buffered request bodies of a gateway together

The same cause as for responses, on the callers' side: up to 256 KiB of each request is buffered, 16 requests deep on each connection, without a bound on all of them. Now the buffers share a budget of their own, as large as that of responses. A body that gets no more of it is forwarded as it arrives, as long ones always were: its request is sent once, and the connection closes after it.

--- a/cmd/pistachiomount/gateway_role.go
+++ b/cmd/pistachiomount/gateway_role.go
@@ -76,5 +76,6 @@
 // do not know of each other yet and divide the budget among too few.
 const retryBudgetShare = 0.7
 
-// bufferMemoryDivisor divides the memory of the VM to get the part that buffered responses may use.
+// bufferMemoryDivisor divides the memory of the VM to get the part that buffered requests
+// may use, and that buffered responses may use.
 const bufferMemoryDivisor = 8
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -44,8 +44,8 @@
 	Headers  HeaderNames
 	Upstream egress.HeaderNames
 	Retries  budget.Limits
-	// BufferMemory is the memory for response bodies that are read before they are forwarded, in bytes;
-	// DefaultBufferMemory if 0.
+	// BufferMemory is the memory for request bodies that are read before they are forwarded, and as much
+	// again for response bodies, in bytes; DefaultBufferMemory if 0.
 	BufferMemory int64
 	// ShutdownTimeout limits the duration of a planned stop.
 	ShutdownTimeout time.Duration
@@ -56,6 +56,6 @@
 	MaxViewAge time.Duration
 }
 
-// DefaultBufferMemory is the memory for buffered response bodies, in bytes, where the memory of the VM is not
+// DefaultBufferMemory is the memory for buffered bodies, in bytes, where the memory of the VM is not
 // known.
 const DefaultBufferMemory = 64 << 20
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -68,7 +68,7 @@
 	}
 	g.services.Store(&map[string]*service{})
 	g.listRequested = time.Now() // gives the leader time to send its list first
-	g.server = ingress.NewServer(g, cfg.Log)
+	g.server = ingress.NewServer(g, memlimit.NewBudget(cfg.BufferMemory), cfg.Log)
 	g.follower = entry.NewPlanFollower(entry.FollowerConfig{
 		VM: cfg.VM, Region: cfg.Region, FailureDomain: cfg.FailureDomain, Address: cfg.Address, RPCAddress: cfg.RPCListener.Addr().String(),
 		Controls: cfg.Controls, Security: cfg.Security, Clock: cfg.Clock, Log: cfg.Log,
--- a/gateway/ingress/body.go
+++ b/gateway/ingress/body.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"pistachiomount.example/pistachiomount/memlimit"
 )
 
 // errBodyTooLarge is returned if a body of unknown length exceeds the limit.
@@ -15,8 +17,27 @@
 
 // bufferedBody is a body whose beginning, or all of it, has been read.
 type bufferedBody struct {
-	prefix []byte
-	rest   *restReader
+	prefix   []byte
+	complete bool
+	rest     *restReader
+	memory   memlimit.Reservation
+}
+
+// grow enlarges the buffer. It reports whether there is space for more.
+func (b *bufferedBody) grow() bool {
+	size := min(cap(b.prefix)*bodyBufferGrowth, maxBufferedBody+1)
+	if !b.memory.Grow(size) {
+		return false
+	}
+	b.prefix = append(make([]byte, 0, size), b.prefix...)
+	return true
+}
+
+// releaseBody returns the memory of a request's body to the budget, once it will not be sent any more.
+func releaseBody(r *http.Request) {
+	if buffered, ok := r.Body.(*bufferedBody); ok {
+		buffered.memory.Release()
+	}
 }
 
 func (b *bufferedBody) Read([]byte) (int, error) { return 0, io.EOF }
--- a/gateway/ingress/conn.go
+++ b/gateway/ingress/conn.go
@@ -15,6 +15,7 @@
 	"github.com/juju/errors"
 
 	"pistachiomount.example/pistachiomount/headlimit"
+	"pistachiomount.example/pistachiomount/memlimit"
 )
 
 // conn is one connection of a caller. It reads requests ahead while earlier ones are answered, which
@@ -59,6 +60,7 @@
 			return
 		}
 		if !c.startRequest() {
+			releaseBody(request)
 			c.finish(previousDone, errIdle) // the last response announced the end of the connection
 			return
 		}
@@ -87,6 +89,8 @@
 func (c *conn) handle(request *Request, bodyDone chan struct{}, raw *http.Request) *Response {
 	defer close(bodyDone)
 	response := c.server.handler.Serve(c.ctx, request)
+	request.Body = nil
+	releaseBody(raw)
 	if request.Rest != nil {
 		// The unread rest of the body would be parsed as the next request.
 		response.Close = true
@@ -207,21 +211,41 @@
 			return err
 		}
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxBufferedBody+1))
+	buffered, err := c.bufferBody(r.Body)
 	if err != nil {
 		return err
 	}
-	if int64(len(body)) > limits.MaxBodyBytes {
+	if int64(len(buffered.prefix)) > limits.MaxBodyBytes {
+		buffered.memory.Release()
 		return &rejectedError{http.StatusRequestEntityTooLarge, errBodyTooLarge.Error()}
 	}
-	buffered := &bufferedBody{prefix: body}
-	if len(body) > maxBufferedBody {
-		buffered.rest = &restReader{nc: c.nc, r: r.Body, left: limits.MaxBodyBytes - int64(len(body))}
+	if !buffered.complete {
+		buffered.rest = &restReader{nc: c.nc, r: r.Body, left: limits.MaxBodyBytes - int64(len(buffered.prefix))}
 	}
 	r.Body = buffered
 	return nil
 }
 
+// bufferBody reads a body up to one byte more than maxBufferedBody, or less if the budget of the server is
+// used up. The buffer of the first initialBodyBytes is not part of the budget.
+func (c *conn) bufferBody(body io.Reader) (*bufferedBody, error) {
+	b := &bufferedBody{prefix: make([]byte, 0, initialBodyBytes), memory: memlimit.NewReservation(c.server.buffers)}
+	for {
+		n, err := body.Read(b.prefix[len(b.prefix):cap(b.prefix)])
+		b.prefix = b.prefix[:len(b.prefix)+n]
+		switch {
+		case err == io.EOF:
+			b.complete = true
+			return b, nil
+		case err != nil:
+			b.memory.Release()
+			return nil, err
+		case len(b.prefix) > maxBufferedBody, len(b.prefix) == cap(b.prefix) && !b.grow():
+			return b, nil
+		}
+	}
+}
+
 // finish waits for the outstanding responses, unless the caller has gone, and closes the connection.
 func (c *conn) finish(previousDone <-chan struct{}, err error) {
 	var rejected *rejectedError
--- a/gateway/ingress/limits.go
+++ b/gateway/ingress/limits.go
@@ -19,6 +19,10 @@
 	// maxBufferedBody is the largest body, in bytes, that is read before the request is handled.
 	// Longer ones are forwarded as they arrive and can be sent only once.
 	maxBufferedBody = 256 << 10
+	// initialBodyBytes is the initial buffer of a body, in bytes, and bodyBufferGrowth the factor by which
+	// it grows.
+	initialBodyBytes = 4 << 10
+	bodyBufferGrowth = 4
 	// maxPipelined limits the pending requests of one connection.
 	maxPipelined = 16
 	// bodyTimeout limits each read of a body.
--- a/gateway/ingress/server.go
+++ b/gateway/ingress/server.go
@@ -10,6 +10,8 @@
 
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
+
+	"pistachiomount.example/pistachiomount/memlimit"
 )
 
 // Server accepts callers' connections and serves their requests.
@@ -17,6 +19,8 @@
 	handler Handler
 	log     logrus.FieldLogger
 	limits  atomic.Pointer[Limits]
+	// buffers bounds the memory of buffered request bodies.
+	buffers *memlimit.Budget
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -30,9 +34,10 @@
 	wg       sync.WaitGroup
 }
 
-// NewServer returns a server that passes requests to the handler.
-func NewServer(handler Handler, log logrus.FieldLogger) *Server {
-	s := &Server{handler: handler, log: log, conns: map[*conn]struct{}{}, accepting: make(chan struct{})}
+// NewServer returns a server that passes requests to the handler. Their bodies are buffered as far as the
+// budget allows.
+func NewServer(handler Handler, buffers *memlimit.Budget, log logrus.FieldLogger) *Server {
+	s := &Server{handler: handler, log: log, buffers: buffers, conns: map[*conn]struct{}{}, accepting: make(chan struct{})}
 	limits := DefaultLimits
 	s.limits.Store(&limits)
 	return s
--- a/gateway/ingress/server_test.go
+++ b/gateway/ingress/server_test.go
@@ -17,8 +17,12 @@
 	"github.com/sirupsen/logrus"
 
 	"pistachiomount.example/pistachiomount/gateway/ingress"
+	"pistachiomount.example/pistachiomount/memlimit"
 )
 
+// bufferMemory is the budget for buffered request bodies, in bytes.
+const bufferMemory = 1 << 20
+
 type handlerFunc func(ctx context.Context, r *ingress.Request) *ingress.Response
 
 func (f handlerFunc) Serve(ctx context.Context, r *ingress.Request) *ingress.Response {
@@ -26,10 +30,15 @@
 }
 
 func serve(t *testing.T, f handlerFunc) (*ingress.Server, string) {
+	t.Helper()
+	return serveWithin(t, memlimit.NewBudget(bufferMemory), f)
+}
+
+func serveWithin(t *testing.T, buffers *memlimit.Budget, f handlerFunc) (*ingress.Server, string) {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	server := ingress.NewServer(f, log)
+	server := ingress.NewServer(f, buffers, log)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -286,7 +295,7 @@
 		time.Sleep(20 * time.Millisecond) // an upstream is at work
 		answers.Add(1)
 		return ok("answered")
-	}), log)
+	}), memlimit.NewBudget(bufferMemory), log)
 	tcp, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	listener := &heldListener{TCPListener: tcp.(*net.TCPListener), serving: make(chan struct{}), stopping: make(chan struct{})}
