Send an interim response only after all earlier responses

Cause: the goroutine that reads requests ahead wrote the interim response without waiting for the responses that are due before it. Evidence: TestInterimResponseFollowsEarlierResponses shows the bytes in the body of the earlier response before, with a streamed and a whole one. Now it waits for its turn while the body is already awaited, so that a caller that does not wait for it, or leaves, is served or noticed as before.

--- a/gateway/ingress/conn.go
+++ b/gateway/ingress/conn.go
@@ -54,7 +54,7 @@
 	previousDone := make(chan struct{})
 	close(previousDone)
 	for {
-		request, length, err := c.readRequest()
+		request, length, err := c.readRequest(previousDone)
 		if err != nil {
 			c.finish(previousDone, err)
 			return
@@ -135,8 +135,9 @@
 	return c.ended
 }
 
-// readRequest reads one request. The remainder of a long body is left on the connection.
-func (c *conn) readRequest() (*http.Request, int64, error) {
+// readRequest reads one request. The remainder of a long body is left on the connection. earlierSent is
+// closed once all responses to earlier requests are sent.
+func (c *conn) readRequest(earlierSent <-chan struct{}) (*http.Request, int64, error) {
 	if err := c.awaitFirstByte(); err != nil {
 		return nil, 0, err
 	}
@@ -154,7 +155,7 @@
 		return nil, 0, err
 	}
 	_ = c.nc.SetReadDeadline(time.Now().Add(bodyTimeout))
-	return request, request.ContentLength, c.readBody(request, limits)
+	return request, request.ContentLength, c.readBody(request, limits, earlierSent)
 }
 
 // awaitFirstByte waits for the next request until the idle timeout, counted from the last response.
@@ -202,16 +203,15 @@
 }
 
 // readBody reads the body into memory, or only its beginning if it is long.
-func (c *conn) readBody(r *http.Request, limits *Limits) error {
+func (c *conn) readBody(r *http.Request, limits *Limits, earlierSent <-chan struct{}) error {
 	if r.ContentLength == 0 {
 		return nil
 	}
-	if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
-		if _, err := io.WriteString(c.nc, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-			return err
-		}
+	body := io.Reader(r.Body)
+	if expectsContinue(r) {
+		body = &stoppingReader{Reader: body, interim: c.startInterim(earlierSent)}
 	}
-	buffered, err := c.bufferBody(r.Body)
+	buffered, err := c.bufferBody(body)
 	if err != nil {
 		return err
 	}
