Keep an upstream in the list although an entry of an unknown service has its id

What callers would see: an upstream gets no more requests, or keeps them while it drains, because another writer left an entry with its id and a service that the plan does not name. Cause: the leader's list is keyed by id, and the last entry won. Of entries with the same id, the leader now keeps the first whose service the plan names. Where both are named, the first is kept: nothing tells which one is right, and an upstream at the wrong address answers 421. A gateway's own reads need no mend: its tables hold one service each.

--- a/control/caps.go
+++ b/control/caps.go
@@ -1,8 +1,6 @@
 package control
 
 import (
-	"github.com/juju/errors"
-
 	"pistachiomount.example/pistachiomount/apipb"
 	"pistachiomount.example/pistachiomount/document"
 	"pistachiomount.example/pistachiomount/grant"
@@ -55,11 +53,7 @@
 // capsOfPlan returns the caps of a routing state: the rates of its customers. The
 // slots of upstreams are not capped there, since a full upstream rejects requests
 // itself.
-func capsOfPlan(raw []byte) ([]grant.Cap, error) {
-	p, _, err := plan.DecodeState(raw)
-	if err != nil {
-		return nil, errors.Trace(err)
-	}
+func capsOfPlan(p *plan.Plan) []grant.Cap {
 	var caps []grant.Cap
 	for _, c := range p.Customers {
 		if c.Rate > 0 {
@@ -69,7 +63,7 @@
 			})
 		}
 	}
-	return caps, nil
+	return caps
 }
 
 func regionCaps(s *document.Service) []grant.Cap {
--- a/control/ownership.go
+++ b/control/ownership.go
@@ -15,6 +15,7 @@
 	"pistachiomount.example/pistachiomount/grant"
 	"pistachiomount.example/pistachiomount/inventory"
 	"pistachiomount.example/pistachiomount/membership"
+	"pistachiomount.example/pistachiomount/plan"
 	"pistachiomount.example/pistachiomount/store"
 )
 
@@ -46,6 +47,8 @@
 	capsChecked   bool
 	decoder       document.Decoder
 
+	// services are the names of the plan's services. The map is replaced, never changed.
+	services map[string]bool
 	// list is the list of upstreams. It is empty unless this daemon reads it.
 	list *inventory.VersionedList
 	// compactList is the encoded list for VMs that need it whole.
@@ -226,7 +229,15 @@
 
 func (t *termState) caps(env apipb.Environment, version *store.Version, upstreams []inventory.Upstream) ([]grant.Cap, error) {
 	if env == apipb.Environment_ENVIRONMENT_PLAN {
-		return capsOfPlan(version.Raw)
+		p, _, err := plan.DecodeState(version.Raw)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		t.services = map[string]bool{}
+		for _, s := range p.Services {
+			t.services[s.Name] = true
+		}
+		return capsOfPlan(p), nil
 	}
 	doc, _, err := t.decoder.Decode(version.Raw)
 	if err != nil {
--- a/control/upstream_list.go
+++ b/control/upstream_list.go
@@ -45,7 +45,7 @@
 		list, err := o.cfg.Lister.Upstreams(callCtx)
 		cancel()
 		if err == nil {
-			t.list.Update(list, requestedAt)
+			o.updateList(t, list, requestedAt)
 		} else if !failing && ctx.Err() == nil {
 			o.cfg.Log.WithError(err).Warn("failed to read the list of upstreams")
 		}
@@ -56,6 +56,14 @@
 	}
 }
 
+// updateList puts a list that was read in force for the term.
+func (o *ownership) updateList(t *termState, list []inventory.Upstream, requestedAt clock.Instant) {
+	o.mu.Lock()
+	services := t.services
+	o.mu.Unlock()
+	t.list.Update(inventory.Unique(list, func(service string) bool { return services[service] }), requestedAt)
+}
+
 // listInterval returns how often the list is read if one read takes the given number of
 // calls.
 func listInterval(calls int) time.Duration {
