Bring new members up with a log of any size

Cause: a leader sent a new member everything in one message of up to 9 MiB, in a call of 2 s, which a connection between regions does not pass; the call was cut off and the same message sent again for ever.

--- a/consensus/lease.go
+++ b/consensus/lease.go
@@ -57,7 +57,7 @@
 		pr.ackedRound, pr.ackedTick = round, tick
 		n.answerConfirmedReads()
 	}
-	pr.detectLoss(round)
+	pr.detectLoss(round, n.now, &n.cfg)
 }
 
 // quorumAckTick returns the latest tick such that a quorum acknowledged a round
--- a/consensus/log.go
+++ b/consensus/log.go
@@ -58,6 +58,14 @@
 
 func entrySize(e *apipb.LogEntry) int { return len(e.GetData()) + entryOverheadBytes }
 
+func entriesSize(entries []*apipb.LogEntry) int {
+	size := 0
+	for _, e := range entries {
+		size += entrySize(e)
+	}
+	return size
+}
+
 func (l *entryLog) append(entries ...*apipb.LogEntry) {
 	l.entries = append(l.entries, entries...)
 }
@@ -113,6 +121,22 @@
 	}
 }
 
+// compactionIndex returns up to which index the log may be compacted behind a snapshot, so that at most the
+// given number of entries and bytes below the snapshot are kept.
+func (l *entryLog) compactionIndex(snapshot uint64, keepEntries, keepBytes int) uint64 {
+	size := 0
+	for kept := range uint64(keepEntries) {
+		index := snapshot - kept
+		if index <= l.baseIndex() {
+			return l.baseIndex()
+		}
+		if size += entrySize(l.entries[index-l.baseIndex()]); size > keepBytes {
+			return index
+		}
+	}
+	return snapshot - min(snapshot, uint64(keepEntries))
+}
+
 // compact drops entries up to index, which must be applied and in memory.
 func (l *entryLog) compact(index uint64) {
 	if index <= l.baseIndex() {
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -109,6 +109,14 @@
 	return nil
 }
 
+// ReportFailure informs a leader that a message to a member was not delivered. What it held is sent again
+// once the member acknowledges a heartbeat.
+func (n *Node) ReportFailure(id uint64) {
+	if pr := n.progress[id]; pr != nil && n.role() == RoleLeader {
+		pr.sendFailed = true
+	}
+}
+
 // Tick advances the node's time by one tick interval.
 func (n *Node) Tick() {
 	n.now++
--- a/consensus/progress.go
+++ b/consensus/progress.go
@@ -12,8 +12,10 @@
 
 // inflightAppend is an append that is not acknowledged yet.
 type inflightAppend struct {
-	last  uint64 // index of its last entry
-	round uint64 // latest heartbeat round when it was sent
+	last   uint64 // index of its last entry
+	round  uint64 // latest heartbeat round when it was sent
+	sentAt uint64 // tick
+	bytes  int
 }
 
 // progress is the leader's replication state of another member.
@@ -24,6 +26,10 @@
 	// inflight holds the unacknowledged appends, oldest first; at most one in
 	// progressProbe.
 	inflight []inflightAppend
+	// advancedAt is the tick of the latest acknowledgement of an append.
+	advancedAt uint64
+	// sendFailed is set once the driver reports that a message was not delivered.
+	sendFailed bool
 
 	// ackedRound is the latest heartbeat round that the member acknowledged, and
 	// ackedTick the tick at which that round was sent.
@@ -54,7 +60,8 @@
 }
 
 // recordAck records that the member durably holds the log up to index.
-func (p *progress) recordAck(index uint64) {
+func (p *progress) recordAck(index, now uint64) {
+	p.advancedAt = now
 	p.match = max(p.match, index)
 	p.next = max(p.next, p.match+1)
 	i := 0
@@ -78,11 +85,17 @@
 	p.next = max(next, p.match+1)
 }
 
-// detectLoss schedules a resend if an append sent before an acknowledged heartbeat
-// round is itself unacknowledged. Links keep the order of messages, so the append or
-// its reply was lost; otherwise the append is merely sent twice.
-func (p *progress) detectLoss(answeredRound uint64) {
-	if len(p.inflight) == 0 || answeredRound <= p.inflight[0].round {
+// detectLoss schedules a resend if an append or a snapshot chunk was lost: the driver reported it, or an
+// append sent before an acknowledged heartbeat round is itself unacknowledged for longer than a message of
+// its size takes. At worst the append is sent twice.
+func (p *progress) detectLoss(answeredRound, now uint64, cfg *Config) {
+	failed := p.sendFailed
+	p.sendFailed = false
+	if failed && p.state == progressSnapshot {
+		p.snapshotSentAt = 0
+		return
+	}
+	if len(p.inflight) == 0 || !failed && !p.overdue(answeredRound, now, cfg) {
 		return
 	}
 	switch p.state {
@@ -92,3 +105,10 @@
 		p.becomeProbe()
 	}
 }
+
+// overdue reports whether the oldest unacknowledged append counts as lost. The time of an append begins
+// when the one before it was acknowledged.
+func (p *progress) overdue(answeredRound, now uint64, cfg *Config) bool {
+	oldest := p.inflight[0]
+	return answeredRound > oldest.round && now-max(oldest.sentAt, p.advancedAt) >= cfg.lossTicks(oldest.bytes)
+}
--- a/consensus/replication.go
+++ b/consensus/replication.go
@@ -102,13 +102,15 @@
 func (n *Node) sendAppend(id uint64, pr *progress) uint64 {
 	prev := pr.next - 1
 	prevTerm, _ := n.log.term(prev)
-	entries := n.log.entriesAfter(prev, n.cfg.MaxMessageBytes-messageOverheadBytes)
+	entries := n.log.entriesAfter(prev, n.cfg.MaxAppendBytes-messageOverheadBytes)
 	n.send(&apipb.ConsensusMessage{
 		Type: apipb.MessageType_MESSAGE_TYPE_APPEND, To: id,
 		Index: prev, LogTerm: prevTerm, Entries: entries, Commit: n.log.committed,
 	})
 	count := uint64(len(entries))
-	pr.inflight = append(pr.inflight, inflightAppend{last: prev + count, round: n.rounds.lastRound()})
+	pr.inflight = append(pr.inflight, inflightAppend{
+		last: prev + count, round: n.rounds.lastRound(), sentAt: n.now, bytes: entriesSize(entries),
+	})
 	return count
 }
 
@@ -124,7 +126,7 @@
 	if m.GetIndex() < pr.match {
 		return nil
 	}
-	pr.recordAck(m.GetIndex())
+	pr.recordAck(m.GetIndex(), n.now)
 	n.maybeCommit()
 	n.maybeSendTimeoutNow()
 	return nil
--- a/consensus/snapshot.go
+++ b/consensus/snapshot.go
@@ -28,29 +28,27 @@
 }
 
 // Compact drops the entries that a persisted snapshot covers, except for the
-// newest KeepEntries of them.
+// newest of them, up to KeepEntries and KeepBytes.
 func (n *Node) Compact(s *apipb.Snapshot) {
 	index := s.GetMeta().GetIndex()
 	if index <= n.latestSnapshot.GetMeta().GetIndex() || index > n.log.applied {
 		return
 	}
 	n.latestSnapshot = s
-	if keep := uint64(n.cfg.KeepEntries); index > keep {
-		n.log.compact(index - keep)
-	}
+	n.log.compact(n.log.compactionIndex(index, n.cfg.KeepEntries, n.cfg.KeepBytes))
 	n.members.compact(n.log.baseIndex())
 }
 
 // sendSnapshotChunk sends the next chunk. It sends a chunk again if no reply
-// arrived for an election timeout.
+// arrived for the time that one may take.
 func (n *Node) sendSnapshotChunk(id uint64, pr *progress) {
-	if pr.snapshotSentAt != 0 && n.now-pr.snapshotSentAt < uint64(n.cfg.ElectionTicks) {
+	if pr.snapshotSentAt != 0 && n.now-pr.snapshotSentAt < uint64(n.cfg.ElectionTicks)+n.cfg.lossTicks(n.cfg.MaxAppendBytes) {
 		return
 	}
 	pr.snapshotSentAt = n.now
 	data := pr.snapshot.GetData()
 	from := min(pr.snapshotOffset, uint64(len(data)))
-	to := min(from+uint64(n.cfg.MaxMessageBytes-messageOverheadBytes), uint64(len(data)))
+	to := min(from+uint64(n.cfg.MaxAppendBytes-messageOverheadBytes), uint64(len(data)))
 	n.send(&apipb.ConsensusMessage{
 		Type: apipb.MessageType_MESSAGE_TYPE_SNAPSHOT, To: id,
 		Snapshot:       &apipb.Snapshot{Meta: pr.snapshot.GetMeta(), Data: data[from:to:to]},
--- a/control/daemon.go
+++ b/control/daemon.go
@@ -208,7 +208,11 @@
 }
 
 func (d *Daemon) startEngine(clusterID uint64) (*Engine, *PeerSender, error) {
-	sender := NewPeerSender(clusterID, d.self, d.peers, d.cfg.Log)
+	var engine *Engine
+	sender := NewPeerSender(PeerSenderConfig{
+		ClusterID: clusterID, Self: d.self, Deliver: deliverTo(d.peers), Log: d.cfg.Log,
+		Failed: func(ctx context.Context, m *apipb.ConsensusMessage) { engine.reportFailure(ctx, m) },
+	})
 	engine, err := NewEngine(EngineConfig{
 		ClusterID: clusterID, Self: d.self, Persisted: d.persisted(), Storage: &instrumentedStorage{d.log, d.metrics, d.cfg.Clock},
 		Sender: sender, Clock: d.cfg.Clock, Log: d.cfg.Log, Seed: rand.Uint64(),
--- a/control/engine.go
+++ b/control/engine.go
@@ -35,10 +35,14 @@
 	inbox chan func()
 	done  chan struct{}
 
-	lastTick      clock.Instant
-	appliedIndex  uint64
-	appliedTerm   uint64
+	lastTick     clock.Instant
+	appliedIndex uint64
+	appliedTerm  uint64
+	// snapshotIndex and snapshotBytes are of the latest snapshot, and appliedBytes the size of the
+	// entries applied since.
 	snapshotIndex uint64
+	snapshotBytes int
+	appliedBytes  int
 	pending       map[uint64]chan store.Result
 	confirmation  confirmation
 	lastHeard     map[uint64]clock.Instant // last message by member
@@ -63,7 +67,8 @@
 // NewEngine returns an engine that continues from the persisted state.
 func NewEngine(cfg EngineConfig) (*Engine, error) {
 	node, err := consensus.New(consensus.Config{
-		ID: cfg.Self.Id, Seed: cfg.Seed, MaxMessageBytes: maxMessageBytes, ElectionTicks: electionTicks,
+		ID: cfg.Self.Id, Seed: cfg.Seed, MaxMessageBytes: maxMessageBytes, MaxAppendBytes: maxAppendBytes,
+		ElectionTicks: electionTicks, MinBytesPerTick: minSendRate * int(TickInterval/time.Millisecond) / 1000,
 	}, cfg.Persisted)
 	if err != nil {
 		return nil, errors.Annotate(err, "consensus state")
@@ -193,6 +198,12 @@
 	})
 }
 
+// reportFailure passes on that a message was not delivered.
+func (e *Engine) reportFailure(ctx context.Context, m *apipb.ConsensusMessage) {
+	// An error means that the engine stops; then nothing is sent again.
+	_ = e.do(ctx, func() { e.node.ReportFailure(m.To) })
+}
+
 // notifyChange wakes all goroutines that wait for a change of state.
 func (e *Engine) notifyChange() {
 	close(e.changed)
--- a/control/engine_ready.go
+++ b/control/engine_ready.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
 
 	"pistachiomount.example/pistachiomount/apipb"
 	"pistachiomount.example/pistachiomount/consensus"
@@ -87,6 +88,7 @@
 			return errors.Trace(err)
 		}
 		e.appliedIndex, e.appliedTerm = entry.Index, entry.Term
+		e.appliedBytes += len(entry.Data)
 		if waiter := e.pending[result.RequestID]; waiter != nil {
 			waiter <- result
 			delete(e.pending, result.RequestID)
@@ -111,16 +113,28 @@
 		}
 	}
 	e.appliedIndex, e.appliedTerm = snapshot.Meta.Index, snapshot.Meta.Term
-	e.snapshotIndex = snapshot.Meta.Index
+	e.recordSnapshot(snapshot)
 	return nil
 }
 
-// maybeSnapshot takes a snapshot and compacts the log after snapshotEntries entries,
-// which bounds the size of the log and the time of a restart.
+// recordSnapshot records the latest snapshot, from which the next one is due.
+func (e *Engine) recordSnapshot(snapshot *apipb.Snapshot) {
+	e.snapshotIndex, e.snapshotBytes, e.appliedBytes = snapshot.Meta.Index, len(snapshot.Data), 0
+}
+
+// snapshotDue reports whether the log since the latest snapshot is long in entries or bytes.
+func (e *Engine) snapshotDue() bool {
+	return e.appliedIndex >= e.snapshotIndex+snapshotEntries ||
+		e.appliedBytes >= max(minSnapshotLogBytes, snapshotLogRatio*e.snapshotBytes)
+}
+
+// maybeSnapshot takes a snapshot and compacts the log if one is due, which bounds the size of the log, the
+// time of a restart, and what a new member is sent.
 func (e *Engine) maybeSnapshot() error {
-	if e.appliedIndex < e.snapshotIndex+snapshotEntries {
+	if !e.snapshotDue() {
 		return nil
 	}
+	began := e.cfg.Clock.Now()
 	data, err := e.store.Snapshot()
 	if err != nil {
 		return errors.Annotate(err, "encode snapshot")
@@ -133,6 +147,10 @@
 		return errors.Annotate(ErrStorage, err.Error())
 	}
 	e.node.Compact(snapshot)
-	e.snapshotIndex = e.appliedIndex
+	e.cfg.Log.WithFields(logrus.Fields{
+		"index": e.appliedIndex, "bytes": len(data), "log_bytes": e.appliedBytes,
+		"took_ms": e.cfg.Clock.Now().ElapsedSince(began).Milliseconds(),
+	}).Info("snapshot taken")
+	e.recordSnapshot(snapshot)
 	return nil
 }
--- a/control/sim_cluster_test.go
+++ b/control/sim_cluster_test.go
@@ -51,9 +51,15 @@
 
 // simulateWith is simulate with a seed. It must be called in a synctest bubble.
 func simulateWith(t testing.TB, seed uint64, voters int, f func(b *simCluster)) {
+	simulateLinks(t, seed, voters, 0, f)
+}
+
+// simulateLinks is simulateWith on links that pass bandwidth bytes per second, or any number if it is 0.
+func simulateLinks(t testing.TB, seed uint64, voters, bandwidth int, f func(b *simCluster)) {
 	ctx, cancel := context.WithCancel(context.Background())
 	b := &simCluster{t: t, ctx: ctx, seed: seed, log: discardLog()}
 	b.net = newSimNetwork(ctx, b, seed)
+	b.net.bandwidth = bandwidth
 	defer b.stop(cancel)
 	for range voters {
 		b.add()
@@ -119,6 +125,7 @@
 		if n.engine() != nil {
 			<-n.engine().done
 		}
+		n.closeSender()
 	}
 }
 
--- a/control/sim_network_test.go
+++ b/control/sim_network_test.go
@@ -29,6 +29,8 @@
 	// delivered a second time after a random delay.
 	drop, duplicate float64
 	batches, bytes  map[string]int // by sender
+	// bandwidth is what each connection passes, in bytes per second; 0 if it is not simulated.
+	bandwidth int
 }
 
 type delayedBatch struct {
@@ -145,6 +147,29 @@
 	}
 }
 
+// transfer delivers a batch in a call over a connection with a bandwidth.
+func (n *simNetwork) transfer(ctx context.Context, from, to string, batch *apipb.MessageBatch) error {
+	data, err := proto.Marshal(batch)
+	if err != nil {
+		panic(err)
+	}
+	if !sleepFor(ctx, time.Duration(len(data))*time.Second/time.Duration(n.bandwidth)) {
+		return ctx.Err()
+	}
+	return n.call(ctx, from, to, func(ctx context.Context) error {
+		copied := &apipb.MessageBatch{}
+		if err := proto.Unmarshal(data, copied); err != nil {
+			panic(err)
+		}
+		d, err := n.cluster.daemon(to)
+		if err != nil {
+			return err
+		}
+		_, err = (&consensusService{daemon: d}).Deliver(ctx, copied)
+		return err
+	})
+}
+
 // call makes one call between two daemons. On a cut link it blocks until the context ends.
 func (n *simNetwork) call(ctx context.Context, from, to string, serve func(context.Context) error) error {
 	for _, leg := range [][2]string{{from, to}, {to, from}} {
--- a/control/sim_node_test.go
+++ b/control/sim_node_test.go
@@ -33,8 +33,10 @@
 	member  *apipb.Member
 	storage *memStorage
 	daemon  atomic.Pointer[Daemon] // nil before the first start
-	cancel  context.CancelFunc
-	ended   chan error
+	// sender sends over links with a bandwidth; nil if bandwidth is not simulated.
+	sender *PeerSender
+	cancel context.CancelFunc
+	ended  chan error
 }
 
 func discardLog() *logrus.Logger {
@@ -45,6 +47,10 @@
 
 // Send implements Sender.
 func (n *simNode) Send(to *apipb.Member, messages []*apipb.ConsensusMessage) {
+	if n.sender != nil {
+		n.sender.Send(to, messages)
+		return
+	}
 	n.cluster.net.send(n.member, to.RpcAddress, messages)
 }
 
@@ -80,6 +86,14 @@
 	if d.metrics, err = newDaemonMetrics(nil); err != nil {
 		n.cluster.t.Fatal(err)
 	}
+	if n.cluster.net.bandwidth > 0 {
+		n.sender = NewPeerSender(PeerSenderConfig{
+			ClusterID: simClusterID, Self: n.member, Log: n.cluster.log, Failed: engine.reportFailure,
+			Deliver: func(ctx context.Context, address string, batch *apipb.MessageBatch) error {
+				return n.cluster.net.transfer(ctx, n.name, address, batch)
+			},
+		})
+	}
 	n.ended = make(chan error, 1)
 	n.daemon.Store(d)
 	ctx, cancel := context.WithCancel(n.cluster.ctx)
@@ -92,6 +106,14 @@
 func (n *simNode) crash() {
 	n.cancel()
 	<-n.engine().done
+	n.closeSender()
+}
+
+// closeSender ends the goroutines that send over links with a bandwidth.
+func (n *simNode) closeSender() {
+	if n.sender != nil {
+		n.sender.Close()
+	}
 }
 
 func (n *simNode) restart() {
--- a/control/timing.go
+++ b/control/timing.go
@@ -40,10 +40,17 @@
 	// snapshotEntries is the number of applied entries after which a snapshot is
 	// taken.
 	snapshotEntries = 20_000
+	// minSnapshotLogBytes is the size of applied entries after which one is taken, if the last
+	// snapshot has not more than 1/snapshotLogRatio of it.
+	minSnapshotLogBytes = 1 << 20
+	snapshotLogRatio    = 2
 	// chunkBytes is the size of one chunk of a document snapshot.
 	chunkBytes = 256 << 10
 	// maxMessageBytes bounds one consensus message. It must hold a whole document.
 	maxMessageBytes = 9 << 20
+	// maxAppendBytes bounds the entries of one message, but for a single larger one, and one part of
+	// a snapshot: it passes between regions in a fraction of peerTimeout.
+	maxAppendBytes = 256 << 10
 	// MaxVoters is the largest number of voters. Further members stay learners.
 	MaxVoters = 5
 )
