Send what an entry VM missed in compressed chunks

Cause: a poll was answered with the whole delta, half a megabyte, which a link of 2 Mbit/s beside traffic does not pass within the 1.5 s of a poll; the poll was sent again for ever. Now updates above 64 KiB are compressed and fetched in chunks of 64 KiB that have their own time, and an interrupted update is continued by the next poll. Updates are cached: hundreds of VMs need the same one, and each poll made it anew. Daemons and VMs of the version before are served as before.

--- a/control/engine.go
+++ b/control/engine.go
@@ -58,6 +58,7 @@
 	leadingSince  clock.Instant
 	changed       chan struct{} // closed and replaced at each change of state
 	leadershipLog leadershipLog
+	updates       *updateCache
 }
 
 // inboxSize is the number of events that may wait for the loop. Further senders
@@ -84,6 +85,7 @@
 		lastHeard:    map[uint64]clock.Instant{},
 		knownSenders: map[uint64]*apipb.Member{},
 		changed:      make(chan struct{}),
+		updates:      newUpdateCache(),
 	}
 	e.confirmation.init()
 	if err := e.restore(cfg.Persisted.Snapshot); err != nil {
--- a/control/watch.go
+++ b/control/watch.go
@@ -39,7 +39,7 @@
 			return nil, errors.Trace(err)
 		}
 		if state.hasNewer(request) {
-			return state.reply(request, arrived), nil
+			return e.replyTo(request, &state, arrived)
 		}
 		select {
 		case <-state.changed:
@@ -60,7 +60,7 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	return state.reply(request, arrived), nil
+	return e.replyTo(request, &state, arrived)
 }
 
 func (e *Engine) watchState(ctx context.Context, request *apipb.WatchRequest) (watchState, error) {
@@ -86,8 +86,8 @@
 	return s.version != nil && s.version.Revision > request.HaveRevision
 }
 
-// reply answers a poll that arrived at the given instant.
-func (s *watchState) reply(request *apipb.WatchRequest, arrived clock.Instant) *apipb.WatchReply {
+// replyTo answers a poll that arrived at the given instant.
+func (e *Engine) replyTo(request *apipb.WatchRequest, s *watchState, arrived clock.Instant) (*apipb.WatchReply, error) {
 	reply := &apipb.WatchReply{
 		Kind:             apipb.WatchKind_WATCH_KIND_UNCHANGED,
 		Confirmed:        s.confirmed,
@@ -98,11 +98,43 @@
 		ControlAddresses: s.controlAddresses,
 	}
 	if s.version == nil {
-		return reply
+		return reply, nil
 	}
 	reply.Revision, reply.Number, reply.Digest = s.version.Revision, s.version.Number, s.version.Digest
 	switch {
 	case !s.hasNewer(request):
+		return reply, nil
+	case request.AcceptsUpdates:
+		return reply, errors.Trace(e.addUpdate(reply, request, s))
+	}
+	s.addState(reply, request)
+	return reply, nil
+}
+
+// addUpdate adds the steps from the caller's state, or tells how many chunks of them to fetch.
+func (e *Engine) addUpdate(reply *apipb.WatchReply, request *apipb.WatchRequest, s *watchState) error {
+	base := s.base
+	if base != nil && base.Digest != request.HaveDigest {
+		base = nil
+	}
+	update, err := e.updates.get(request.Environment, base, s.version)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if update.chunks() == 0 {
+		reply.Kind, reply.Sections = apipb.WatchKind_WATCH_KIND_DELTA, update.sections
+		return nil
+	}
+	reply.Kind, reply.UpdateChunks = apipb.WatchKind_WATCH_KIND_UPDATE, update.chunks()
+	if base != nil {
+		reply.UpdateBase = base.Revision
+	}
+	return nil
+}
+
+// addState adds the same for a caller of an earlier version, which fetches whole states only.
+func (s *watchState) addState(reply *apipb.WatchReply, request *apipb.WatchRequest) {
+	switch {
 	case s.base != nil && s.base.Digest == request.HaveDigest:
 		reply.Kind = apipb.WatchKind_WATCH_KIND_DELTA
 		reply.Sections = document.Delta(s.base.Raw, s.version.Raw)
@@ -114,7 +146,6 @@
 		reply.Kind = apipb.WatchKind_WATCH_KIND_SNAPSHOT
 		reply.SnapshotChunks = chunkCount(s.version.Raw)
 	}
-	return reply
 }
 
 // ageMS rounds up: a view must not count as complete up to an instant that no majority
@@ -127,9 +158,37 @@
 	return uint32((len(raw) + chunkBytes - 1) / chunkBytes)
 }
 
-// FetchChunk returns one chunk of a document. Chunks of one revision never change, so
-// a caller may fetch them from different control daemons.
+// fetchUpdateChunk returns one chunk of an update.
+func (e *Engine) fetchUpdateChunk(ctx context.Context, request *apipb.ChunkRequest) (*apipb.ChunkReply, error) {
+	update := e.updates.lookup(updateKey{request.Environment, request.UpdateBase, request.Revision})
+	if update == nil {
+		var base, version *store.Version
+		err := e.do(ctx, func() {
+			base = e.store.ByRevision(request.Environment, request.UpdateBase)
+			version = e.store.ByRevision(request.Environment, request.Revision)
+		})
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		if version == nil || base == nil && request.UpdateBase != 0 {
+			return &apipb.ChunkReply{Gone: true}, nil
+		}
+		if update, err = e.updates.get(request.Environment, base, version); err != nil {
+			return nil, errors.Trace(err)
+		}
+	}
+	if request.Chunk >= update.chunks() {
+		return &apipb.ChunkReply{Gone: true}, nil
+	}
+	return &apipb.ChunkReply{Data: update.chunk(request.Chunk), Chunks: update.chunks()}, nil
+}
+
+// FetchChunk returns one chunk of a document or of an update. Chunks of one revision never
+// change, so a caller may fetch them from different control daemons.
 func (e *Engine) FetchChunk(ctx context.Context, request *apipb.ChunkRequest) (*apipb.ChunkReply, error) {
+	if request.Update {
+		return e.fetchUpdateChunk(ctx, request)
+	}
 	var version *store.Version
 	if err := e.do(ctx, func() { version = e.store.ByRevision(request.Environment, request.Revision) }); err != nil {
 		return nil, errors.Trace(err)
--- a/control/watch_test.go
+++ b/control/watch_test.go
@@ -42,7 +42,10 @@
 // instant that no majority has confirmed.
 func TestConfirmedAgeIsNotRoundedDown(t *testing.T) {
 	for _, age := range []time.Duration{0, 1, time.Millisecond - 1, time.Millisecond, 1500 * time.Microsecond} {
-		reply := (&watchState{age: age, confirmed: true}).reply(&apipb.WatchRequest{}, clock.Instant{})
+		reply, err := (&Engine{}).replyTo(&apipb.WatchRequest{}, &watchState{age: age, confirmed: true}, clock.Instant{})
+		if err != nil {
+			t.Fatal(err)
+		}
 		if told := time.Duration(reply.ConfirmedAgeMs) * time.Millisecond; told < age || told >= age+time.Millisecond {
 			t.Errorf("age %v is reported as %v", age, told)
 		}
--- a/entry/plan_syncer.go
+++ b/entry/plan_syncer.go
@@ -24,6 +24,7 @@
 	current atomic.Pointer[PlanView]
 	// needSnapshot requests the whole state because the last reply could not be applied.
 	needSnapshot bool
+	update       updateFetch
 }
 
 // load returns the current view; before the first plan it is empty.
@@ -61,7 +62,7 @@
 	defer cancel()
 	request := &apipb.WatchRequest{
 		Environment: apipb.Environment_ENVIRONMENT_PLAN, HaveRevision: have.Revision, HaveDigest: have.digest,
-		WaitMs: uint32(maxPollWait.Milliseconds()), Vm: s.vm, Incarnation: s.incarnation,
+		WaitMs: uint32(maxPollWait.Milliseconds()), Vm: s.vm, Incarnation: s.incarnation, AcceptsUpdates: true,
 	}
 	if s.needSnapshot {
 		request.HaveRevision, request.HaveDigest = 0, ""
@@ -82,7 +83,7 @@
 	if reply.Revision != have.Revision {
 		raw, err := s.fetch(ctx, client, have, reply)
 		if err != nil {
-			s.needSnapshot = true // another delta would fail as well
+			s.needSnapshot = needsWhole(err)
 			return errors.Trace(err)
 		}
 		if err := next.decode(raw, reply); err != nil {
@@ -103,12 +104,15 @@
 	return nil
 }
 
-func (s *planSyncer) fetch(ctx context.Context, client apipb.DRPCControlClient, have *PlanView, reply *apipb.WatchReply) ([]byte, error) {
-	if reply.Kind == apipb.WatchKind_WATCH_KIND_DELTA {
-		raw, err := document.ApplyDelta(have.raw, reply.Sections, reply.Digest)
-		return raw, errors.Trace(err)
+func (s *planSyncer) fetch(ctx context.Context, client apipb.DRPCControlClient, have *PlanView, reply *apipb.WatchReply) (raw []byte, err error) {
+	switch reply.Kind {
+	case apipb.WatchKind_WATCH_KIND_DELTA:
+		raw, err = document.ApplyDelta(have.raw, reply.Sections, reply.Digest)
+	case apipb.WatchKind_WATCH_KIND_UPDATE:
+		raw, err = s.update.fetch(ctx, client, apipb.Environment_ENVIRONMENT_PLAN, have.raw, reply)
+	default:
+		raw, err = fetchSnapshot(ctx, client, apipb.Environment_ENVIRONMENT_PLAN, reply)
 	}
-	raw, err := fetchSnapshot(ctx, client, apipb.Environment_ENVIRONMENT_PLAN, reply)
 	return raw, errors.Trace(err)
 }
 
--- a/entry/view_syncer.go
+++ b/entry/view_syncer.go
@@ -32,6 +32,7 @@
 	// needSnapshot requests the whole document because the last reply did not match the
 	// document in force. Another delta would fail in the same way.
 	needSnapshot bool
+	update       updateFetch
 }
 
 // load returns the current view; before the first document it is empty.
@@ -71,7 +72,7 @@
 	defer cancel()
 	request := &apipb.WatchRequest{
 		Environment: s.environment, HaveRevision: have.revision, HaveDigest: have.digest,
-		WaitMs: uint32(maxPollWait.Milliseconds()), Vm: s.vm, Incarnation: s.incarnation,
+		WaitMs: uint32(maxPollWait.Milliseconds()), Vm: s.vm, Incarnation: s.incarnation, AcceptsUpdates: true,
 	}
 	if s.needSnapshot {
 		request.HaveRevision, request.HaveDigest = 0, ""
@@ -80,6 +81,12 @@
 	return reply, errors.Trace(err)
 }
 
+// needsWhole reports whether the next poll must ask for the whole state, since another update would fail as
+// well.
+func needsWhole(err error) bool {
+	return errors.Is(err, document.ErrDeltaMismatch) || errors.Is(err, ErrDocumentMismatch)
+}
+
 // isConfirmed reports whether a reply comes from a daemon that recently reached the
 // majority.
 func isConfirmed(reply *apipb.WatchReply) bool {
@@ -105,7 +112,7 @@
 		return errors.Annotatef(ErrLowerRevision, "%d after %d", reply.Revision, have.revision)
 	}
 	next, err := s.nextView(ctx, client, have, reply)
-	s.needSnapshot = errors.Is(err, document.ErrDeltaMismatch) || errors.Is(err, ErrDocumentMismatch)
+	s.needSnapshot = needsWhole(err)
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -150,6 +157,12 @@
 			return nil, errors.Trace(err)
 		}
 		return s.buildView(raw, have, reply)
+	case apipb.WatchKind_WATCH_KIND_UPDATE:
+		raw, err := s.update.fetch(ctx, client, s.environment, have.raw, reply)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		return s.buildView(raw, have, reply)
 	case apipb.WatchKind_WATCH_KIND_SNAPSHOT:
 		raw, err := fetchSnapshot(ctx, client, s.environment, reply)
 		if err != nil {
