Form the group although its first writes failed

Cause: after any failure of its storage that daemon gave up its permission to form the group, which nobody else has. A write that failed in the middle of forming left the log failed while the daemon went on. Now it gives it up only once it has belonged to a group, and a write that fails while forming or joining ends the daemon with ErrStorage, so that it starts again from what the disk holds. It cannot form a second group: peers accept members only from a running engine, which exists after the identity is durable.

--- a/cmd/pistachiomount/control_role.go
+++ b/cmd/pistachiomount/control_role.go
@@ -35,36 +35,38 @@
 	watcher := newSettingsWatcher(tel.Logger)
 	form := s.Bootstrap && lowestAddress(s.Seeds) == s.Address
 	for {
-		err := r.serve(ctx, s, tel, watcher, form)
+		belonged, err := r.serve(ctx, s, tel, watcher, form)
 		if ctx.Err() != nil || !errors.Is(err, control.ErrStorage) {
 			return errors.Trace(err)
 		}
 		// The log in memory may differ from the disk, so a new daemon is built from the disk. The
 		// process keeps running because the platform counts process exits.
 		tel.Logger.WithError(err).Error("storage failed, restarting the control daemon")
-		form = false
+		form = form && !belonged // the cluster may go on without this disk
 		sleep(ctx, storageRetryDelay)
 	}
 }
 
-// serve runs one control daemon until the context ends or its storage fails.
-func (r *controlRole) serve(ctx context.Context, s *platform.Settings, tel *telemetry.Telemetry, watcher *settingsWatcher, form bool) error {
+// serve runs one control daemon until the context ends or its storage fails. It reports whether the daemon has
+// belonged to a cluster.
+func (r *controlRole) serve(ctx context.Context, s *platform.Settings, tel *telemetry.Telemetry, watcher *settingsWatcher, form bool) (belonged bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	log := tel.Logger
 	daemon, err := r.newDaemon(ctx, s, tel, form)
 	if err != nil {
-		return errors.Trace(err)
+		return false, errors.Trace(err)
 	}
 	operators, err := listen(ctx, s.OperatorAddress, "operators", log)
 	if err != nil {
-		return errors.Trace(err)
+		return false, errors.Trace(err)
 	}
 	api := &platform.OperatorAPI{ControlPlane: daemon, FailureDomains: s.Regions, Log: log}
 	operatorServer := serveHTTP(operators, api.Handler(), log)
 	defer func() { _ = operatorServer.Close() }()
 	go watcher.run(ctx, func(s *platform.Settings) { daemon.SetPeers(peerAddresses(s)) })
-	return errors.Trace(daemon.Run(ctx))
+	err = daemon.Run(ctx)
+	return daemon.BelongsToCluster(), errors.Trace(err)
 }
 
 // newDaemon makes a control newDaemon that listens.
--- a/control/daemon.go
+++ b/control/daemon.go
@@ -48,6 +48,8 @@
 	engine   *Engine
 	formedID chan uint64 // id of the cluster that this process formed
 	formed   bool
+	// storageFailed receives an error if the state of a new cluster could not be written.
+	storageFailed chan error
 	// formingID is the id of the cluster that an init is about to form, or 0. Peers
 	// see it, so that two daemons initialised at the same time do not form two
 	// clusters.
@@ -66,11 +68,12 @@
 		return nil, errors.Annotatef(err, "data directory %s", cfg.DataDir)
 	}
 	d := &Daemon{
-		cfg:      cfg,
-		log:      log,
-		memberID: log.Identity().MemberID,
-		peers:    transport.NewPeers(cfg.Security),
-		formedID: make(chan uint64, 1),
+		cfg:           cfg,
+		log:           log,
+		memberID:      log.Identity().MemberID,
+		peers:         transport.NewPeers(cfg.Security),
+		formedID:      make(chan uint64, 1),
+		storageFailed: make(chan error, 1),
 	}
 	d.SetPeers(cfg.Peers)
 	if d.loadedState, err = log.Load(); err != nil {
@@ -202,6 +205,8 @@
 		return 0, errors.Trace(ctx.Err())
 	case id := <-d.formedID:
 		return id, nil
+	case err := <-d.storageFailed:
+		return 0, errors.Trace(err)
 	case id := <-found:
 		return d.adoptCluster(id)
 	}
--- a/control/formation.go
+++ b/control/formation.go
@@ -33,7 +33,7 @@
 
 // formAutomatically forms the cluster unless a reachable peer belongs to one. An
 // unreachable peer does not prevent it, because Config.FormCluster is set only at
-// the very first start and on one daemon.
+// the very first start and on one daemon. It ends if the log cannot be written.
 func (d *Daemon) formAutomatically(ctx context.Context) {
 	for ctx.Err() == nil {
 		err := d.tryForming(ctx)
@@ -41,7 +41,7 @@
 			return
 		}
 		d.cfg.Log.WithError(err).Warn("cluster not formed")
-		if errors.Is(err, ErrAlreadyInitialised) {
+		if errors.Is(err, ErrAlreadyInitialised) || errors.Is(err, ErrStorage) {
 			return
 		}
 		sleep(ctx, joinInterval)
@@ -83,19 +83,18 @@
 	return nil
 }
 
-// formCluster makes the state of a new cluster durable. The caller holds d.mu.
+// formCluster makes the state of a new cluster durable. The caller holds d.mu. If the log cannot be written,
+// the daemon ends, since no later write to it would succeed.
 func (d *Daemon) formCluster(id uint64) error {
 	persisted, err := consensus.Bootstrap([]*apipb.Member{d.self})
 	if err != nil {
 		return errors.Trace(err)
 	}
-	if err := d.log.SaveSnapshot(persisted.Snapshot); err != nil {
-		return errors.Trace(err)
-	}
-	if err := d.log.Save(persisted.HardState, nil); err != nil {
-		return errors.Trace(err)
-	}
-	if err := d.log.SetClusterID(id); err != nil {
+	if err := d.saveNewCluster(id, &persisted); err != nil {
+		select {
+		case d.storageFailed <- err:
+		default: // reported already
+		}
 		return errors.Trace(err)
 	}
 	d.formed = true
@@ -105,6 +104,26 @@
 	return nil
 }
 
+func (d *Daemon) saveNewCluster(id uint64, state *consensus.PersistentState) error {
+	if err := d.log.SaveSnapshot(state.Snapshot); err != nil {
+		return errors.Annotate(ErrStorage, err.Error())
+	}
+	if err := d.log.Save(state.HardState, nil); err != nil {
+		return errors.Annotate(ErrStorage, err.Error())
+	}
+	if err := d.log.SetClusterID(id); err != nil {
+		return errors.Annotate(ErrStorage, err.Error())
+	}
+	return nil
+}
+
+// BelongsToCluster reports whether this daemon has formed or joined a cluster.
+func (d *Daemon) BelongsToCluster() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.formed || d.engine != nil || d.log.Identity().ClusterID != 0
+}
+
 // clusterID returns the id of the cluster that this daemon belongs to or is forming,
 // or 0.
 func (d *Daemon) clusterID() uint64 {
@@ -128,7 +147,10 @@
 	if d.loadedState.Snapshot != nil || d.loadedState.HardState != nil || len(d.loadedState.Entries) > 0 {
 		return 0, errors.Annotatef(ErrUnfinishedInit, "data folder %s", d.cfg.DataDir)
 	}
-	return id, errors.Trace(d.log.SetClusterID(id))
+	if err := d.log.SetClusterID(id); err != nil {
+		return 0, errors.Annotate(ErrStorage, err.Error())
+	}
+	return id, nil
 }
 
 // persisted returns the state from which the engine continues: that of a cluster
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -42,6 +42,8 @@
 	list      *httptest.Server
 	memoryMB  int // of each VM, 0 for no limit
 	slots     int // of each upstream
+	// prepare, if set, is called before the first VM starts.
+	prepare func(f *fleet)
 }
 
 // fleetUpstream is an upstream that counts how often each request ran.
@@ -74,6 +76,9 @@
 	}
 	f.list = httptest.NewServer(http.HandlerFunc(f.serveList))
 	t.Cleanup(f.list.Close)
+	if f.prepare != nil {
+		f.prepare(f)
+	}
 	for i := range controls {
 		f.controls = append(f.controls, f.startVM("control", i))
 	}
