Serve customers that have a rate and no burst

Cause: the burst is the depth of the buckets that are granted; with none of it no token ever fits. By reading, less than one request of burst has the same end.

--- a/control/caps.go
+++ b/control/caps.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"time"
+
 	"pistachiomount.example/pistachiomount/apipb"
 	"pistachiomount.example/pistachiomount/document"
 	"pistachiomount.example/pistachiomount/grant"
@@ -14,6 +16,11 @@
 	// burst together then stay within the cap.
 	linkBurstShare   = 0.05
 	regionBurstShare = 0.1
+	// minCustomerBurstTime is the time whose requests a customer may always send at once, and
+	// minCustomerBurstRequests the least number of them: one for a VM in each of three regions. Depth that
+	// rotates among the VMs loses its tokens.
+	minCustomerBurstTime     = 100 * time.Millisecond
+	minCustomerBurstRequests = 3
 	// linkMinDepth is one read buffer, the largest amount taken at once.
 	linkMinDepth = 64 << 10
 )
@@ -32,7 +39,7 @@
 	for _, c := range doc.Customers {
 		caps = append(caps, grant.Cap{
 			Resource: grant.CustomerID(c.Name), Kind: apipb.ResourceKind_RESOURCE_KIND_RATE,
-			Rate: c.Rate, Burst: c.Burst,
+			Rate: c.Rate, Burst: max(c.Burst, minCustomerBurst(c.Rate)),
 		})
 	}
 	services := map[string]*document.Service{}
@@ -59,13 +66,19 @@
 		if c.Rate > 0 {
 			caps = append(caps, grant.Cap{
 				Resource: grant.CustomerID(c.Name), Kind: apipb.ResourceKind_RESOURCE_KIND_RATE,
-				Rate: c.Rate, Burst: c.Burst,
+				Rate: c.Rate, Burst: max(c.Burst, minCustomerBurst(c.Rate)),
 			})
 		}
 	}
 	return caps
 }
 
+// minCustomerBurst returns the burst of a rate that is granted where the plan has less: buckets without depth
+// admit nothing.
+func minCustomerBurst(rate float64) float64 {
+	return max(minCustomerBurstRequests, rate*minCustomerBurstTime.Seconds())
+}
+
 func regionCaps(s *document.Service) []grant.Cap {
 	caps := make([]grant.Cap, 0, len(s.RegionCapacity))
 	for region, limit := range s.RegionCapacity {
--- a/plan/customer.go
+++ b/plan/customer.go
@@ -9,7 +9,8 @@
 	Priority *int `json:"priority,omitempty"`
 	// Rate is in requests per second; 0 means no limit.
 	Rate float64 `json:"rate"`
-	// Burst is the number of requests that may be sent at once above the rate.
+	// Burst is the number of requests that may be sent at once above the rate. At least those of 0.1 s, and
+	// three, are allowed.
 	Burst float64 `json:"burst"`
 	// Regions restricts the regions to which requests may be sent; empty means any.
 	Regions []string `json:"regions,omitempty"`
