--- a/control/daemon.go
+++ b/control/daemon.go
@@ -43,6 +43,7 @@
 	// may change at run time.
 	peerAddresses atomic.Pointer[[]string]
 	metrics       *daemonMetrics
+	source        planSource
 
 	mu       sync.Mutex
 	engine   *Engine
--- a/control/ownership.go
+++ b/control/ownership.go
@@ -229,7 +229,7 @@
 
 func (t *termState) caps(env apipb.Environment, version *store.Version, upstreams []inventory.Upstream) ([]grant.Cap, error) {
 	if env == apipb.Environment_ENVIRONMENT_PLAN {
-		p, _, err := plan.DecodeState(version.Raw)
+		p, err := plan.DecodeWithoutRoutes(version.Raw)
 		if err != nil {
 			return nil, errors.Trace(err)
 		}
--- a/control/plans.go
+++ b/control/plans.go
@@ -91,6 +91,6 @@
 	if err := engine.do(ctx, func() { compressed = engine.store.PlanSource() }); err != nil || compressed == nil {
 		return nil, errors.Trace(err)
 	}
-	source, err := plan.Decompress(compressed)
+	source, err := d.source.decompress(compressed)
 	return source, errors.Trace(err)
 }
--- a/plan/codec.go
+++ b/plan/codec.go
@@ -80,12 +80,25 @@
 
 // DecodeState decodes the output of EncodeState. It returns the plan and the
 // evacuated failure domains, and ignores lines of unknown kind.
-func DecodeState(raw []byte) (*Plan, []string, error) {
+func DecodeState(raw []byte) (*Plan, []string, error) { return decodeState(raw, "") }
+
+// DecodeWithoutRoutes decodes the output of EncodeState but for the routes, which are nearly all of a large
+// plan.
+func DecodeWithoutRoutes(raw []byte) (*Plan, error) {
+	p, _, err := decodeState(raw, lineRoute)
+	return p, errors.Trace(err)
+}
+
+// decodeState decodes the lines of all kinds but the given one.
+func decodeState(raw []byte, skipped string) (*Plan, []string, error) {
 	p := &Plan{}
 	var evacuated []string
 	for line := range bytes.Lines(raw) {
 		kind, rest, _ := bytes.Cut(bytes.TrimSuffix(line, []byte("\n")), []byte(" "))
-		if string(kind) == lineEvacuated {
+		switch string(kind) {
+		case skipped:
+			continue
+		case lineEvacuated:
 			evacuated = strings.Fields(string(rest))
 			continue
 		}
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -63,6 +63,18 @@
 	is.True(bytes.Equal(raw, newState))
 }
 
+// Guards against parts of a plan that are lost with its routes.
+func TestPlanIsDecodedWithoutItsRoutes(t *testing.T) {
+	is := is.New(t)
+	want := newPlan(300)
+	encoded, err := plan.Encode(want)
+	is.NoErr(err)
+	got, err := plan.DecodeWithoutRoutes(plan.EncodeState(encoded, []string{"z1"}))
+	is.NoErr(err)
+	want.Routes = nil
+	is.Equal(got, want)
+}
+
 // Guards against corrupt bytes that are accepted as a plan.
 func TestCorruptStatesAreRejected(t *testing.T) {
 	is := is.New(t)
