Send a long configuration while it is confirmed

Cause: reads were confirmed with the majority first, 480 to 620 ms there, and then sent, some 650 ms. Now all but the last byte is sent meanwhile. A read that cannot be confirmed, or that met a newer plan, is cut. A daemon without a leader still answers 503 at once; short configurations are confirmed first.

--- a/control/barrier.go
+++ b/control/barrier.go
@@ -42,3 +42,33 @@
 		}
 	}
 }
+
+// readIndex returns the index up to which everything that was committed before the call is contained, once this
+// daemon has applied it. The leader's majority confirms the index.
+func (e *Engine) readIndex(ctx context.Context) (uint64, error) {
+	applied := make(chan uint64, 1)
+	var id uint64
+	var readErr error
+	err := e.do(ctx, func() {
+		id = e.confirmation.startRead(e.cfg.Clock.Now())
+		if readErr = e.node.ReadIndex(id); readErr == nil {
+			e.confirmation.waiters[id] = applied
+		}
+	})
+	if err != nil {
+		return 0, errors.Trace(err)
+	}
+	if readErr != nil {
+		return 0, errors.Annotate(ErrNoLeader, readErr.Error())
+	}
+	select {
+	case index := <-applied:
+		return index, nil
+	case <-ctx.Done():
+		// The engine may have stopped; then nobody waits for the read either.
+		_ = e.do(context.WithoutCancel(ctx), func() { delete(e.confirmation.waiters, id) })
+		return 0, errors.Annotate(ErrNoLeader, ctx.Err().Error())
+	case <-e.done:
+		return 0, errors.Trace(ErrStopped)
+	}
+}
--- a/control/confirmation.go
+++ b/control/confirmation.go
@@ -13,6 +13,7 @@
 	nextID         uint64
 	sentReads      map[uint64]clock.Instant // reads without an answer, by id
 	unappliedReads []unappliedRead          // answered reads whose index is not yet applied
+	waiters        map[uint64]chan uint64   // receive the index of a read once it is applied, by id
 	confirmed      bool
 	confirmedAt    clock.Instant
 	lastRead       clock.Instant
@@ -21,12 +22,13 @@
 }
 
 type unappliedRead struct {
-	index uint64
-	sent  clock.Instant
+	id, index uint64
+	sent      clock.Instant
 }
 
 func (c *confirmation) init() {
 	c.sentReads = map[uint64]clock.Instant{}
+	c.waiters = map[uint64]chan uint64{}
 }
 
 // startRead registers a read that starts now and returns its id. It drops reads that
@@ -56,7 +58,7 @@
 func (c *confirmation) completeReads(reads []consensus.ReadState, applied uint64) {
 	for _, read := range reads {
 		if sent, ok := c.sentReads[read.RequestID]; ok {
-			c.unappliedReads = append(c.unappliedReads, unappliedRead{read.Index, sent})
+			c.unappliedReads = append(c.unappliedReads, unappliedRead{read.RequestID, read.Index, sent})
 			delete(c.sentReads, read.RequestID)
 		}
 	}
@@ -67,6 +69,10 @@
 			continue
 		}
 		c.confirmUpTo(read.sent)
+		if waiter := c.waiters[read.id]; waiter != nil {
+			waiter <- read.index
+			delete(c.waiters, read.id)
+		}
 	}
 	c.unappliedReads = remaining
 }
--- a/control/errors.go
+++ b/control/errors.go
@@ -31,6 +31,8 @@
 	ErrJoinPending = errors.ConstError("the member change is not committed yet")
 	// ErrTooFewVoters means that the group has fewer voters than Config.MinVoters.
 	ErrTooFewVoters = errors.ConstError("the group has too few voters")
+	// ErrStalePlan means that a newer plan than the one that is being read is in force.
+	ErrStalePlan = errors.ConstError("a newer plan is in force")
 	// ErrStorage means that the log cannot be opened or written. The daemon must stop.
 	ErrStorage = errors.ConstError("the log cannot be written")
 )
--- a/control/formation_test.go
+++ b/control/formation_test.go
@@ -161,9 +161,9 @@
 		is.True(time.Now().Before(end))
 	}
 	awaitVoters(t, wiped, 3)
-	source, err := wiped.PlanSource(t.Context())
+	read, err := wiped.ReadPlan(t.Context())
 	is.NoErr(err)
-	is.Equal(string(source), "a")
+	is.Equal(string(read.Source), "a")
 }
 
 // Guards against a VM that was removed for good and counts against the majority forever,
--- a/control/plans.go
+++ b/control/plans.go
@@ -74,23 +74,3 @@
 	}
 	return nil
 }
-
-// PlanSource returns the newest routing plan as its operator sent it, or nil if
-// there is none. It fails if this daemon cannot confirm that its state is current.
-func (d *Daemon) PlanSource(ctx context.Context) ([]byte, error) {
-	engine, err := d.currentEngine()
-	if err != nil {
-		return nil, errors.Trace(err)
-	}
-	ctx, cancel := context.WithTimeout(ctx, operatorCommandTimeout)
-	defer cancel()
-	if err := engine.barrier(ctx); err != nil {
-		return nil, errors.Trace(err)
-	}
-	var compressed []byte
-	if err := engine.do(ctx, func() { compressed = engine.store.PlanSource() }); err != nil || compressed == nil {
-		return nil, errors.Trace(err)
-	}
-	source, err := d.source.decompress(compressed)
-	return source, errors.Trace(err)
-}
--- a/store/plans.go
+++ b/store/plans.go
@@ -140,3 +140,15 @@
 // PlanSource returns the compressed source of the newest plan as the operator
 // sent it, or nil before the first plan.
 func (s *Store) PlanSource() []byte { return s.plans.compressedSource }
+
+// PlanRevisionAt returns the index of the entry with the newest plan up to an index, 0 if there was none or it
+// is no longer known.
+func (s *Store) PlanRevisionAt(index uint64) uint64 {
+	history := s.plans.history.history
+	for i := len(history) - 1; i >= 0; i-- {
+		if history[i].Revision <= index {
+			return history[i].Revision
+		}
+	}
+	return 0
+}
