Find a socket in the table by both of its addresses

Closed connections stay in the table for a minute without an inode, and their local port is used again for another remote one.

--- a/e2e/socket_diag_test.go
+++ b/e2e/socket_diag_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/binary"
+	stderrors "errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"strconv"
@@ -32,21 +34,21 @@
 	inode, err := inodeFromDiag(local, remote)
 	var failed *os.SyscallError
 	if errors.As(err, &failed) {
-		return inodeFromTable(local)
+		return inodeFromTable(local, remote)
 	}
 	return inode, err
 }
 
-// inodeFromTable looks a socket up in the table of all sockets.
-func inodeFromTable(local net.Addr) (uint32, error) {
+// inodeFromTable looks a socket up in the table of all sockets. Closed connections stay in it for a minute,
+// without an inode, and their local port may be in use again.
+func inodeFromTable(local, remote net.Addr) (uint32, error) {
 	table, err := os.ReadFile("/proc/net/tcp")
 	if err != nil {
 		return 0, errors.Trace(err)
 	}
-	tcp := local.(*net.TCPAddr)
-	address := fmt.Sprintf("%08X:%04X", binary.LittleEndian.Uint32(tcp.IP.To4()), tcp.Port)
+	from, to := tableAddress(local), tableAddress(remote)
 	for _, line := range strings.Split(string(table), "\n") {
-		if fields := strings.Fields(line); len(fields) > 9 && fields[1] == address {
+		if fields := strings.Fields(line); len(fields) > 9 && fields[1] == from && fields[2] == to {
 			inode, err := strconv.ParseUint(fields[9], 10, 32)
 			return uint32(inode), errors.Trace(err)
 		}
@@ -54,6 +56,12 @@
 	return 0, errors.NotFoundf("socket at %v", local)
 }
 
+// tableAddress returns an address as the table writes it.
+func tableAddress(address net.Addr) string {
+	tcp := address.(*net.TCPAddr)
+	return fmt.Sprintf("%08X:%04X", binary.LittleEndian.Uint32(tcp.IP.To4()), tcp.Port)
+}
+
 // inodeFromDiag asks the kernel for the one socket.
 func inodeFromDiag(local, remote net.Addr) (uint32, error) {
 	fd, err := syscall.Socket(syscall.AF_NETLINK, syscall.SOCK_DGRAM|syscall.SOCK_CLOEXEC, netlinkSockDiag)
@@ -97,11 +105,56 @@
 // find a socket give the one that the process has open.
 func TestSocketIsFoundByItsAddresses(t *testing.T) {
 	is := is.New(t)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	conn, err := net.Dial("tcp", listenForSockets(t).String())
 	is.NoErr(err)
-	defer func() { _ = listener.Close() }()
-	conn, err := net.Dial("tcp", listener.Addr().String())
+	checkSocketIsFound(t, conn)
+}
+
+// Guards against a socket that is taken for a closed one of the same local port.
+func TestSocketIsFoundBesideAClosedOneOfItsPort(t *testing.T) {
+	is := is.New(t)
+	first, second := listenForSockets(t), listenForSockets(t)
+	var reuse net.Dialer
+	reuse.Control = func(_, _ string, raw syscall.RawConn) error {
+		var err error
+		controlErr := raw.Control(func(fd uintptr) { err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1) })
+		return errors.Trace(stderrors.Join(controlErr, err))
+	}
+	closed, err := reuse.Dial("tcp", first.String())
 	is.NoErr(err)
+	reuse.LocalAddr = closed.LocalAddr()
+	is.NoErr(closed.Close()) // the side that closes first keeps the entry
+	conn, err := reuse.Dial("tcp", second.String())
+	is.NoErr(err)
+	checkSocketIsFound(t, conn)
+}
+
+// listenForSockets returns the address of a listener that closes a connection once its other side has.
+func listenForSockets(t *testing.T) net.Addr {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				_, _ = io.Copy(io.Discard, conn)
+				_ = conn.Close()
+			}()
+		}
+	}()
+	return listener.Addr()
+}
+
+func checkSocketIsFound(t *testing.T, conn net.Conn) {
+	t.Helper()
+	is := is.New(t)
 	defer func() { _ = conn.Close() }()
 	file, err := conn.(*net.TCPConn).File()
 	is.NoErr(err)
@@ -110,7 +163,7 @@
 	is.NoErr(err)
 	byDiag, err := inodeOfSocket(conn.LocalAddr(), conn.RemoteAddr())
 	is.NoErr(err)
-	byTable, err := inodeFromTable(conn.LocalAddr())
+	byTable, err := inodeFromTable(conn.LocalAddr(), conn.RemoteAddr())
 	is.NoErr(err)
 	is.Equal(fmt.Sprintf("socket:[%d]", byDiag), want)
 	is.Equal(byTable, byDiag)
