Let bound requests use idle upstreams of their region that do not keep their object

Cause: a request for an object uses upstreams that do not keep it below a fifth of their slots, or a tenth elsewhere, which of six slots is none. That is meant for requests with an alternative. TestRestrictedRequestsUseIdleUpstreamsOfTheirRegion failed before.

--- a/gateway/placement/ranking.go
+++ b/gateway/placement/ranking.go
@@ -27,9 +27,10 @@
 	tierHolder: 1, tierDomainHolder: 1, tierRemoteHolder: 1, tierLocal: 0.2, tierRemote: 0.1,
 }
 
-// restrictedMaxUtilization is the utilization up to which an upstream accepts requests from other
-// regions that are restricted to its region. They have no alternative, but without a bound the
-// callers of a restricted customer would evict the objects of a region with few slots.
+// restrictedMaxUtilization is the utilization up to which an upstream accepts requests that are restricted
+// to its region, if they come from other regions or it has not cached their object. They have no
+// alternative, but without a bound the callers of a restricted customer would evict the objects of a region
+// with few slots.
 const restrictedMaxUtilization = 0.5
 
 // cacheHoldersOf returns the upstreams that cache the object of a request. found is false for a request
--- a/gateway/placement/regions_test.go
+++ b/gateway/placement/regions_test.go
@@ -41,6 +41,23 @@
 	}
 }
 
+// Guards against rejected requests of a customer that is restricted to a region, while upstreams there are idle
+// that have not cached its object; and against such requests filling all slots.
+func TestRestrictedRequestsUseIdleUpstreamsOfTheirRegion(t *testing.T) {
+	const upstreams, slots = 20, 6
+	for _, self := range []string{"bound", "other"} {
+		is := is.New(t)
+		table := NewTable(Location{Region: self, FailureDomain: self + "-a", VM: "a"}, NewShiftLimiter(start, "a", self))
+		table.SetUpstreams(start, append(upstreamsOf("bound", "bound-a", upstreams, slots), upstreamsOf("other", "other-a", upstreams, slots)...), true)
+		placed, verdict := 0, Placed
+		for ; verdict == Placed; placed++ {
+			_, verdict = table.Pick(start, &Query{Object: ObjectHash("popular"), Urgency: 2, Regions: []string{"bound"}})
+		}
+		is.True(placed > upstreams*slots*restrictedMaxUtilization-slots)
+		is.True(placed <= upstreams*slots*restrictedMaxUtilization+maxCopies*(slots+2)) // the upstreams that keep it may be full
+	}
+}
+
 // Guards against requests that a full region sends to one with fewer slots than its own callers
 // need, where they evict its objects.
 func TestRegionsWithFewSlotsReceiveNoOverflow(t *testing.T) {
--- a/gateway/placement/table.go
+++ b/gateway/placement/table.go
@@ -242,7 +242,7 @@
 		return false
 	}
 	slots := float64(max(u.Slots, 1))
-	if tier == tierRemoteHolder && len(q.Regions) > 0 {
+	if q.Object != 0 && tier != tierHolder && len(q.Regions) > 0 {
 		return u.load(now)+1 <= max(slots*restrictedMaxUtilization, 1)
 	}
 	if q.Object != 0 && tier != tierHolder {
