Tell operators when a control daemon votes

A control VM with an empty disk serves the configuration while it is a learner, up to 0.5 s before it votes, and nothing that operators see said so. pm_control_voter is 1 while the daemon votes and no voter is being replaced. TestMetricsAndAudit fails without the gauge.

--- a/control/gauges.go
+++ b/control/gauges.go
@@ -20,8 +20,8 @@
 type gauges struct {
 	daemon                        *Daemon
 	leader, term, commit, applied metric.Int64ObservableGauge
+	voter, holders, queued        metric.Int64ObservableGauge
 	confirmationAge               metric.Float64ObservableGauge
-	holders, queued               metric.Int64ObservableGauge
 }
 
 // gaugeValues holds the values that are read from the loop.
@@ -30,6 +30,7 @@
 	applied   uint64
 	age       time.Duration
 	confirmed bool
+	votes     bool
 	queued    map[apipb.Environment]int
 }
 
@@ -45,6 +46,7 @@
 		name, description string
 	}{
 		{&g.leader, "pm_control_leader", "1 if this daemon leads, otherwise 0."},
+		{&g.voter, "pm_control_voter", "1 if this daemon votes and no voter is being replaced, otherwise 0."},
 		{&g.term, "pm_control_term", "Consensus term."},
 		{&g.commit, "pm_control_commit_index", "Last committed log entry known to this daemon."},
 		{&g.applied, "pm_control_applied_index", "Last log entry applied to the store."},
@@ -83,6 +85,7 @@
 	}
 	leads := values.status.Role == consensus.RoleLeader
 	out.ObserveInt64(g.leader, map[bool]int64{true: 1}[leads])
+	out.ObserveInt64(g.voter, map[bool]int64{true: 1}[values.votes])
 	out.ObserveInt64(g.term, int64(values.status.Term))
 	out.ObserveInt64(g.commit, int64(values.status.Commit))
 	out.ObserveInt64(g.applied, int64(values.applied))
@@ -107,6 +110,7 @@
 	v := gaugeValues{queued: map[apipb.Environment]int{}}
 	err := e.do(ctx, func() {
 		v.status, v.applied = e.node.Status(), e.appliedIndex
+		v.votes = e.member(e.cfg.Self.Id).GetVoter() && len(v.status.Members.GetOutgoingVoters()) == 0
 		v.age, v.confirmed = e.confirmation.age(e.cfg.Clock.Now())
 		for env := range environmentNames {
 			v.queued[env] = e.store.QueuedJobs(env)
--- a/control/metrics_test.go
+++ b/control/metrics_test.go
@@ -81,7 +81,7 @@
 		b.eventually("a confirmed view", func() bool { return w.poll() == nil && w.confirmed })
 		got := collectMetrics(b.t, reader)
 		for name, want := range map[string]float64{
-			"pm_control_leader": 1, "pm_control_term": float64(leader.status().Term),
+			"pm_control_leader": 1, "pm_control_voter": 1, "pm_control_term": float64(leader.status().Term),
 			"pm_control_commit_index":  float64(leader.status().Commit),
 			"pm_control_applied_index": float64(leader.status().Applied),
 			"pm_control_holders trial": 1, "pm_control_holders production": 0, "pm_control_jobs_queued trial": 0,
