Say 429 only if a share of a rate is as large as it gets

Cause, traced with a line for each denial: shares of 5 and 14 requests a second of a rate of 2,000, which wait until other VMs have given up theirs; and elections, after which such shares are only confirmed for 3 s. A new share also begins empty. The VM took each for an exceeded rate. Now the reply of the leader names the rates of which the VM gets more once others have renewed, and says whether it only confirms; a new share counts as filling for a renewal interval. Denials in that time are 503 no_share, as those without a share were. Ruled out: an expired lease (that said no_share already), and tokens lost by callers that leave. The number of refusals does not change by this, what they say does. TestNewShareIsNotSettled, TestShareThatWaitsForOthersIsNotSettled and TestShareIsNotSettledDuringTheGracePeriod fail each without its part.

--- a/gateway/rate_limiter.go
+++ b/gateway/rate_limiter.go
@@ -54,7 +54,8 @@
 
 // denial describes why there is no token.
 type denial struct {
-	// noShare: the VM that was asked holds no share of the rate, so the customer may be within it.
+	// noShare: the VM that was asked holds no share of the rate, or one that is too new to tell, so the
+	// customer may be within it.
 	noShare bool
 	// wait is the time until a token is likely to be available.
 	wait time.Duration
@@ -103,7 +104,7 @@
 	bucket := r.follower.Holder().Bucket(grant.CustomerID(customer))
 	reservation, ok := bucket.Reserve(1)
 	if !ok {
-		return nil, denial{noShare: bucket.Depth() == 0, wait: bucket.DelayFor(1)}
+		return nil, denial{noShare: !bucket.Settled(), wait: bucket.DelayFor(1)}
 	}
 	return &token{bucket: bucket, reservation: reservation}, denial{}
 }
@@ -210,7 +211,7 @@
 	}
 	reservation, ok := bucket.Reserve(1)
 	if !ok {
-		return &apipb.TakeReply{DelayMs: uint32(bucket.DelayFor(1).Milliseconds()), NoShare: bucket.Depth() == 0}, nil
+		return &apipb.TakeReply{DelayMs: uint32(bucket.DelayFor(1).Milliseconds()), NoShare: !bucket.Settled()}, nil
 	}
 	return &apipb.TakeReply{Granted: true, Epoch: reservation.Epoch()}, nil
 }
--- a/grant/bucket.go
+++ b/grant/bucket.go
@@ -25,7 +25,9 @@
 	refilledAt     clock.Instant // time up to which tokens have accrued
 	leaseEnd       clock.Instant
 	leased         bool
-	epoch          uint64 // incremented when the bucket is emptied by expiry or stop
+	filledAt       clock.Instant // when a new share has had time to fill
+	partial        bool          // the share is smaller than it will be for reasons other than demand
+	epoch          uint64        // incremented when the bucket is emptied by expiry or stop
 	demand         meter
 	early          earlyRenewal
 	stopped        bool
@@ -125,6 +127,16 @@
 	return b.depth
 }
 
+// Settled reports whether a share without tokens means that the holder's demand exceeds it. A new share begins
+// empty, and it may be small until others give up theirs with their next renewals, or a new owner knows what they
+// hold.
+func (b *Bucket) Settled() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.clock.Now()
+	return b.valid(now) && b.rate > 0 && b.depth > 0 && !b.partial && !now.Before(b.filledAt)
+}
+
 func (b *Bucket) valid(now clock.Instant) bool {
 	return b.leased && now.Before(b.leaseEnd)
 }
@@ -176,6 +188,9 @@
 		return
 	}
 	b.refill(now)
+	if !b.leased || b.rate == 0 || b.depth == 0 {
+		b.filledAt = now.Add(RenewInterval)
+	}
 	b.early.onReply(share.rate, b.rate)
 	b.rate, b.depth = share.rate, share.depth
 	b.tokens = min(b.tokens, b.depth)
@@ -192,6 +207,14 @@
 	}
 }
 
+// setPartial records whether the share that was just put in force is smaller than it will be for reasons other than
+// demand.
+func (b *Bucket) setPartial(partial bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.partial = partial
+}
+
 // stop drops the share permanently; later calls of apply have no effect.
 func (b *Bucket) stop() {
 	b.mu.Lock()
--- a/grant/holder.go
+++ b/grant/holder.go
@@ -252,7 +252,12 @@
 		e := &h.entries[i]
 		e.granted = shares[i]
 		e.apply(now, e.granted, leaseEnd, newOwner)
-		if b, ok := e.leasedResource.(*Bucket); ok && idle > 0 && e.held.rate == 0 {
+		b, ok := e.leasedResource.(*Bucket)
+		if !ok {
+			continue
+		}
+		b.setPartial(reply.GetConfirmsOnly() || slices.Contains(reply.GetPartialRates(), uint32(i)))
+		if idle > 0 && e.held.rate == 0 {
 			b.addIdleTokens(idle)
 		}
 	}
--- a/grant/owner.go
+++ b/grant/owner.go
@@ -251,6 +251,7 @@
 // issueShares decides the share of each position, records it as issued and writes it to the reply.
 func (o *Owner) issueShares(m *member, reply *apipb.RenewReply, now clock.Instant) {
 	gracePeriod := o.inGracePeriod(now)
+	reply.ConfirmsOnly = gracePeriod
 	var idle time.Duration
 	if !gracePeriod && len(o.pendingVMs) == 0 {
 		idle = o.idle.length(now)
@@ -265,6 +266,9 @@
 			next = o.nextPortion(h, now, gracePeriod)
 			next.rate, next.depth = roundDown(next.rate), roundDown(next.depth)
 			h.update(func() { h.issued = next })
+			if !gracePeriod && h.pool.isRate() && next.rate < h.target.rate*(1-rateDeadband) {
+				reply.PartialRates = append(reply.PartialRates, uint32(i))
+			}
 		}
 		at.granted = next
 		writeShare(reply, at.kind, o.reports[i].held, next)
--- a/grant/owner_holder_test.go
+++ b/grant/owner_holder_test.go
@@ -46,6 +46,75 @@
 	is.True(b.TryTake(1))
 }
 
+// Guards against a customer that is said to exceed its rate because a share is new, as after an outage, or after
+// it had expired.
+func TestNewShareIsNotSettled(t *testing.T) {
+	is := is.New(t)
+	var c clock.Manual
+	o := newTestOwner(&c, 1)
+	h, b, _ := newTestHolder(&c, "a")
+	is.True(!b.Settled())
+	for range 2 {
+		is.NoErr(exchange(h, o))
+		is.True(!b.Settled())
+		c.Advance(RenewInterval - 1)
+		is.NoErr(exchange(h, o))
+		is.True(!b.Settled())
+		c.Advance(1)
+		is.True(b.Settled())
+		c.Advance(2 * DefaultLease)
+		is.True(!b.Settled()) // expired
+	}
+}
+
+// Guards against a customer that is said to exceed its rate because a share is small until another holder has given
+// up part of its own.
+func TestShareThatWaitsForOthersIsNotSettled(t *testing.T) {
+	is := is.New(t)
+	var c clock.Manual
+	o := newTestOwner(&c, 1)
+	former, _, _ := newTestHolder(&c, "a")
+	is.NoErr(exchange(former, o))
+	c.Advance(RenewInterval)
+	is.NoErr(exchange(former, o))
+	h, b, _ := newTestHolder(&c, "b")
+	is.NoErr(exchange(h, o))
+	c.Advance(RenewInterval)
+	is.NoErr(exchange(h, o))
+	is.True(!b.Settled())
+	for range 2 { // the second request acknowledges the reduction
+		is.NoErr(exchange(former, o))
+		c.Advance(MinRenewInterval)
+	}
+	is.NoErr(exchange(h, o))
+	c.Advance(RenewInterval)
+	is.NoErr(exchange(h, o))
+	is.True(b.Settled())
+}
+
+// Guards against a customer that is said to exceed its rate because a new owner only confirms what holders have.
+func TestShareIsNotSettledDuringTheGracePeriod(t *testing.T) {
+	is := is.New(t)
+	var c clock.Manual
+	o := newTestOwner(&c, 1)
+	h, b, _ := newTestHolder(&c, "a")
+	for range 3 {
+		is.NoErr(exchange(h, o))
+		c.Advance(RenewInterval)
+	}
+	is.True(b.Settled())
+	next := newTestOwner(&c, 2)
+	is.Equal(exchange(h, next), ErrFullRequestNeeded)
+	for range 3 {
+		is.NoErr(exchange(h, next))
+		c.Advance(RenewInterval)
+		is.True(!b.Settled())
+	}
+	c.Advance(DefaultLease / 10)
+	is.NoErr(exchange(h, next))
+	is.True(b.Settled())
+}
+
 // Guards against a refund that is lost, or that fills a bucket above its depth.
 func TestRefundFillsUpToTheDepth(t *testing.T) {
 	is := is.New(t)
