Let the test of a partial share hold a share of some size

TestShareThatWaitsForOthersIsNotSettled of passed without the mechanism that it names: its holder had no share at all until the others had given up theirs, which was recognised before. With two holders before it the new one has a sixth of the rate, and the test fails without partial_rates.

--- a/grant/owner_holder_test.go
+++ b/grant/owner_holder_test.go
@@ -73,21 +73,26 @@
 	is := is.New(t)
 	var c clock.Manual
 	o := newTestOwner(&c, 1)
-	former, _, _ := newTestHolder(&c, "a")
-	is.NoErr(exchange(former, o))
-	c.Advance(RenewInterval)
-	is.NoErr(exchange(former, o))
-	h, b, _ := newTestHolder(&c, "b")
-	is.NoErr(exchange(h, o))
-	c.Advance(RenewInterval)
+	first, _, _ := newTestHolder(&c, "a")
+	second, _, _ := newTestHolder(&c, "b")
+	for range 4 {
+		is.NoErr(exchange(first, o))
+		is.NoErr(exchange(second, o))
+		c.Advance(RenewInterval)
+	}
+	h, b, _ := newTestHolder(&c, "c")
 	is.NoErr(exchange(h, o))
-	is.True(!b.Settled())
 	for range 2 { // the second request acknowledges the reduction
-		is.NoErr(exchange(former, o))
+		is.NoErr(exchange(first, o))
 		c.Advance(MinRenewInterval)
 	}
 	is.NoErr(exchange(h, o))
 	c.Advance(RenewInterval)
+	is.True(b.Depth() > 0 && !b.Settled())
+	for range 2 {
+		is.NoErr(exchange(second, o))
+		c.Advance(MinRenewInterval)
+	}
 	is.NoErr(exchange(h, o))
 	is.True(b.Settled())
 }
