Guard the running process of the harness against concurrent faults

Cause: since the lanes of the soak overlap. One looks for control daemons that run (process.ended) while another launches one, which replaces the command and its channel without a lock. The same was open between a stop and the signals sent beside it: these could reach the process after its restart, where SIGHUP ends one that has no handler yet, and they drew from a generator of the lane. Ruled out: the daemons, which are built without the detector; tests without the soak (43 s of three of the failed ones, no race).

--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -46,13 +46,14 @@
 	name string
 	args []string
 	env  []string // added to the environment of the test
-	cmd  *exec.Cmd
 
+	// mu guards the fields below, which launch replaces while other goroutines send signals or look for
+	// running processes.
 	mu        sync.Mutex
-	osPID     int // process id, guarded by mu
+	cmd       *exec.Cmd
+	exited    chan struct{}
 	listeners map[string]string
 	logLines  []string
-	exited    chan struct{}
 }
 
 // start runs a program until the end of the test.
@@ -79,29 +80,35 @@
 
 func (p *process) launch() {
 	p.t.Helper()
-	p.cmd = exec.Command(filepath.Join(binDir, p.args[0]), p.args[1:]...)
-	p.cmd.Env = append(append(os.Environ(), "PM_INSECURE=true", "PM_LOG_LEVEL=info"), p.env...)
-	stderr, err := p.cmd.StderrPipe()
+	cmd := exec.Command(filepath.Join(binDir, p.args[0]), p.args[1:]...)
+	cmd.Env = append(append(os.Environ(), "PM_INSECURE=true", "PM_LOG_LEVEL=info"), p.env...)
+	stderr, err := cmd.StderrPipe()
 	if err != nil {
 		p.t.Fatal(err)
 	}
-	p.cmd.Stdout = p.cmd.Stderr // the platform's daemons log to standard output
-	if err := p.cmd.Start(); err != nil {
+	cmd.Stdout = cmd.Stderr // the platform's daemons log to standard output
+	if err := cmd.Start(); err != nil {
 		p.t.Fatal(err)
 	}
+	exited := make(chan struct{})
 	p.mu.Lock()
-	p.osPID = p.cmd.Process.Pid
+	p.cmd, p.exited = cmd, exited
 	p.listeners = map[string]string{}
 	p.mu.Unlock()
-	exited := make(chan struct{})
-	p.exited = exited
 	go func() {
 		defer close(exited)
 		p.readLog(stderr)
-		_ = p.cmd.Wait()
+		_ = cmd.Wait()
 	}()
 }
 
+// running returns the process as it was last launched, and a channel that is closed when it has exited.
+func (p *process) running() (cmd *exec.Cmd, exited <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd, p.exited
+}
+
 func (p *process) readLog(stderr io.Reader) {
 	scanner := bufio.NewScanner(stderr)
 	for scanner.Scan() {
@@ -130,33 +137,35 @@
 }
 
 func (p *process) pid() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.osPID
+	cmd, _ := p.running()
+	return cmd.Process.Pid
 }
 
 func (p *process) signal(s syscall.Signal) {
-	_ = p.cmd.Process.Signal(s)
+	cmd, _ := p.running()
+	_ = cmd.Process.Signal(s)
 }
 
 // kill ends the process with SIGKILL.
 func (p *process) kill() {
-	p.signal(syscall.SIGKILL)
-	<-p.exited
+	cmd, exited := p.running()
+	_ = cmd.Process.Signal(syscall.SIGKILL)
+	<-exited
 }
 
 // stop requests a graceful shutdown and waits for the exit.
 func (p *process) stop() {
 	p.t.Helper()
-	p.signal(syscall.SIGTERM)
+	cmd, exited := p.running()
+	_ = cmd.Process.Signal(syscall.SIGTERM)
 	select {
-	case <-p.exited:
+	case <-exited:
 	case <-time.After(conditionTimeout):
-		p.signal(syscall.SIGQUIT) // prints the stacks of all goroutines
-		<-p.exited
+		_ = cmd.Process.Signal(syscall.SIGQUIT) // prints the stacks of all goroutines
+		<-exited
 		p.t.Fatalf("%s did not stop", p.name)
 	}
-	if code := p.cmd.ProcessState.ExitCode(); code != 0 {
+	if code := cmd.ProcessState.ExitCode(); code != 0 {
 		p.t.Fatalf("%s exited with code %d", p.name, code)
 	}
 }
@@ -183,8 +192,9 @@
 
 // ended reports whether the process has exited.
 func (p *process) ended() bool {
+	_, exited := p.running()
 	select {
-	case <-p.exited:
+	case <-exited:
 		return true
 	default:
 		return false
--- a/e2e/soak_faults_test.go
+++ b/e2e/soak_faults_test.go
@@ -79,12 +79,15 @@
 			f.restartVM("gateway", gateway)
 		}),
 		disturb(true, func(rng *rand.Rand, gateway int) { // a stop amid a series of other signals
-			go func() {
-				for range rng.IntN(maxSignals) {
+			var reloads sync.WaitGroup
+			count := rng.IntN(maxSignals)
+			reloads.Go(func() {
+				for range count {
 					f.gateways[gateway].signal(syscall.SIGHUP)
 				}
-			}()
+			})
 			f.gateways[gateway].stop()
+			reloads.Wait() // SIGHUP would end a process that has just started
 			f.restartVM("gateway", gateway)
 		}),
 		disturb(false, func(rng *rand.Rand, gateway int) {
