Do not say 429 while no owner replies

Now a share counts as unsettled once a request has had no reply for 300 ms, the time after which the holder sends the next one. Denials are 503 no_share then. Ruled out: shares that wait for others and grace periods (partial in the trace), new shares, expired ones. TestShareIsNotSettledWithoutReplies fails without it.

--- a/grant/bucket.go
+++ b/grant/bucket.go
@@ -32,6 +32,8 @@
 	early          earlyRenewal
 	stopped        bool
 	reportedAsHeld bool // the last request reported a share as in force
+	asked          bool // a request since the last reply
+	askedAt        clock.Instant
 }
 
 // Reservation is a number of tokens taken from a Bucket, of which a part can be refunded.
@@ -129,11 +131,14 @@
 
 // Settled reports whether a share without tokens means that the holder's demand exceeds it. A new share begins
 // empty, and it may be small until others give up theirs with their next renewals, or a new owner knows what they
-// hold.
+// hold. While no owner replies, none can enlarge it.
 func (b *Bucket) Settled() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
+	if b.asked && now.ElapsedSince(b.askedAt) >= replyTimeout {
+		return false
+	}
 	return b.valid(now) && b.rate > 0 && b.depth > 0 && !b.partial && !now.Before(b.filledAt)
 }
 
@@ -171,6 +176,9 @@
 	defer b.mu.Unlock()
 	b.expire(now)
 	b.early.onRequest(now, b.rate)
+	if !b.asked {
+		b.asked, b.askedAt = true, now
+	}
 	b.reportedAsHeld = b.leased
 	return report{held: portion{rate: b.rate, depth: b.depth}, demand: b.demand.closeInterval(now)}
 }
@@ -184,6 +192,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.expire(now)
+	b.asked = false
 	if b.stopped || newOwner && b.reportedAsHeld && !b.leased {
 		return
 	}
--- a/grant/owner_holder_test.go
+++ b/grant/owner_holder_test.go
@@ -120,6 +120,28 @@
 	is.True(b.Settled())
 }
 
+// Guards against a customer that is said to exceed its rate because no owner replies, so that a small share stays
+// small although its holder needs more.
+func TestShareIsNotSettledWithoutReplies(t *testing.T) {
+	is := is.New(t)
+	var c clock.Manual
+	o := newTestOwner(&c, 1)
+	h, b, _ := newTestHolder(&c, "a")
+	for range 2 {
+		is.NoErr(exchange(h, o))
+		c.Advance(RenewInterval)
+	}
+	h.BuildRequest()
+	c.Advance(replyTimeout - 1)
+	is.True(b.Settled())
+	c.Advance(1)
+	is.True(b.Depth() > 0 && !b.Settled())
+	h.BuildRequest() // another request changes nothing
+	is.True(!b.Settled())
+	is.NoErr(exchange(h, o))
+	is.True(b.Settled())
+}
+
 // Guards against a refund that is lost, or that fills a bucket above its depth.
 func TestRefundFillsUpToTheDepth(t *testing.T) {
 	is := is.New(t)
