--- /dev/null
+++ b/review/second/client.go
@@ -0,0 +1,76 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+func newID() string {
+	b := make([]byte, 8)
+	_, _ = rand.Read(b)
+	return hex.EncodeToString(b)
+}
+
+// ask sends one request to an entry machine and returns its id and the status, 0 without an answer.
+func ask(log *record, front, method, path string, deadline time.Duration) (string, int) {
+	id := newID()
+	ctx, cancel := context.WithTimeout(context.Background(), deadline)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+front+path, nil)
+	if err != nil {
+		return id, 0
+	}
+	request.Host = host
+	request.Header.Set("X-Request-Id", id)
+	request.Header.Set("X-Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
+	request.Header.Set("X-Credential", key)
+	log.add("sent %s %s %s to %s", id, method, path, front)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		log.add("answer %s: none (%v)", id, err)
+		return id, 0
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, _ = io.Copy(io.Discard, response.Body)
+	log.add("answer %s: %d", id, response.StatusCode)
+	return id, response.StatusCode
+}
+
+// resolve asks the directory of an entry machine and returns the addresses that it names.
+func resolve(directory, region, zone string) []string {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+directory+"/pistachiomount/resolve?name="+host+"&region="+region+"&zone="+zone, nil)
+	if err != nil {
+		return nil
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil
+	}
+	defer func() { _ = response.Body.Close() }()
+	var answer struct {
+		Addresses []string `json:"addresses"`
+	}
+	if response.StatusCode != http.StatusOK || json.NewDecoder(response.Body).Decode(&answer) != nil {
+		return nil
+	}
+	return answer.Addresses
+}
+
+// isReady reports whether an entry machine answers the platform's check with 200.
+func isReady(m *machine) bool {
+	client := &http.Client{Timeout: 500 * time.Millisecond}
+	response, err := client.Get("http://" + m.address(readinessPort) + "/pistachiomount/ready")
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
