--- a/review/second/client.go
+++ b/review/second/client.go
@@ -18,7 +18,7 @@
 }
 
 // ask sends one request to an entry machine and returns its id and the status, 0 without an answer.
-func ask(log *record, front, method, path string, deadline time.Duration) (string, int) {
+func ask(log *record, front, method, path, credential string, deadline time.Duration) (string, int) {
 	id := newID()
 	ctx, cancel := context.WithTimeout(context.Background(), deadline)
 	defer cancel()
@@ -29,8 +29,8 @@
 	request.Host = host
 	request.Header.Set("X-Request-Id", id)
 	request.Header.Set("X-Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
-	request.Header.Set("X-Credential", key)
-	log.add("sent %s %s %s to %s", id, method, path, front)
+	request.Header.Set("X-Credential", credential)
+	log.add("sent %s %s %s with key %s to %s", id, method, path, credential, front)
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		log.add("answer %s: none (%v)", id, err)
--- a/review/second/endpoints.go
+++ b/review/second/endpoints.go
@@ -36,6 +36,7 @@
 	mu        sync.Mutex
 	endpoints []*endpoint
 	runs      []run
+	foreign   [][]any              // rows of the list from another writer
 	ended     map[string]time.Time // when the work on a request ended, by request and endpoint
 	listAddr  string
 }
@@ -67,6 +68,7 @@
 			rows = append(rows, []any{e.service, e.address, e.zone, "v1", e.slots, state, "0ms", e.id})
 		}
 	}
+	rows = append(rows, w.foreign...)
 	w.mu.Unlock()
 	out.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(out).Encode(map[string]any{
@@ -90,6 +92,13 @@
 	return e, nil
 }
 
+// addRow adds a row of another writer to the list.
+func (w *world) addRow(row []any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.foreign = append(w.foreign, row)
+}
+
 // ServeHTTP answers health checks and runs requests.
 func (e *endpoint) ServeHTTP(out http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/health" {
--- a/review/second/first_start.go
+++ b/review/second/first_start.go
@@ -62,7 +62,7 @@
 	}
 	end := time.Now().Add(10 * time.Second)
 	for time.Now().Before(end) {
-		if _, status := ask(log, entry.address(frontPort), http.MethodGet, safePath+"x", 2*time.Second); status == http.StatusOK {
+		if _, status := ask(log, entry.address(frontPort), http.MethodGet, safePath+"x", key, 2*time.Second); status == http.StatusOK {
 			return held, nil
 		}
 		time.Sleep(200 * time.Millisecond)
--- a/review/second/main.go
+++ b/review/second/main.go
@@ -15,8 +15,10 @@
 
 // cases are the cases by name. Each gets whether the disruption takes place.
 var cases = map[string]func(log *record, trouble bool) (int, error){
-	"disks": twoDisks,
-	"first": firstStart,
+	"disks":     twoDisks,
+	"first":     firstStart,
+	"withdrawn": withdrawnKeys,
+	"foreign":   foreignEntry,
 }
 
 func main() {
--- a/review/second/operator.go
+++ b/review/second/operator.go
@@ -65,6 +65,13 @@
 
 // configuration returns a complete configuration with a safe and an unsafe route and one that is public.
 func configuration(version, base int, timeout time.Duration) []byte {
+	return configurationOf(version, base, timeout, []any{map[string]any{
+		"name": tenant, "apiKeys": []string{key}, "priority": 1, "ratePerS": 400, "burst": 400, "allowedRegions": []string{},
+	}})
+}
+
+// configurationOf returns the same with other tenants.
+func configurationOf(version, base int, timeout time.Duration, tenants []any) []byte {
 	route := func(name, prefix, kind string, public bool) map[string]any {
 		return map[string]any{
 			"name": name, "host": host, "pathPrefix": prefix, "kind": kind, "timeout": fmt.Sprintf("%dms", timeout.Milliseconds()),
@@ -77,9 +84,7 @@
 		"routes":   []any{route("r-1", safePath, "safe", false), route("r-2", unsafePath, "unsafe", false), route("r-3", openPath, "safe", true)},
 		"services": []any{map[string]any{"name": service, "healthPath": "/health", "maxConnections": 390, "protocol": "h1", "tls": false, "warmup": "3s", "warmupPerS": 9.5}},
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 67108864, "headerTimeout": "3000ms", "idleTimeout": "15000ms"},
-		"tenants": []any{map[string]any{
-			"name": tenant, "apiKeys": []string{key}, "priority": 1, "ratePerS": 400, "burst": 400, "allowedRegions": []string{},
-		}},
+		"tenants":  tenants,
 	})
 	return raw
 }
