--- a/review/second/deployment.go
+++ b/review/second/deployment.go
@@ -199,16 +199,5 @@
 	}
 }
 
-// of returns the machines of a role.
-func (d *deployment) of(role string) []*machine {
-	var list []*machine
-	for _, m := range d.machines {
-		if m.role == role {
-			list = append(list, m)
-		}
-	}
-	return list
-}
-
 // sleepUntil sleeps until a time.
 func sleepUntil(t time.Time) { time.Sleep(time.Until(t)) }
