--- a/review/second/client.go
+++ b/review/second/client.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
-	"encoding/json"
 	"io"
 	"net/http"
 	"strconv"
@@ -42,28 +41,6 @@
 	return id, response.StatusCode
 }
 
-// resolve asks the directory of an entry machine and returns the addresses that it names.
-func resolve(directory, region, zone string) []string {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+directory+"/pistachiomount/resolve?name="+host+"&region="+region+"&zone="+zone, nil)
-	if err != nil {
-		return nil
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return nil
-	}
-	defer func() { _ = response.Body.Close() }()
-	var answer struct {
-		Addresses []string `json:"addresses"`
-	}
-	if response.StatusCode != http.StatusOK || json.NewDecoder(response.Body).Decode(&answer) != nil {
-		return nil
-	}
-	return answer.Addresses
-}
-
 // isReady reports whether an entry machine answers the platform's check with 200.
 func isReady(m *machine) bool {
 	client := &http.Client{Timeout: 500 * time.Millisecond}
