--- a/review/second/first_start.go
+++ b/review/second/first_start.go
@@ -55,9 +55,16 @@
 		log.add("%s started in its place, with an empty disk", spare.name)
 		addresses = append(addresses[1:], spare.address(controlPort))
 	}
-	accepted := orderUntilAccepted(log, http.MethodPost, addresses, "/pistachiomount/Config.Put", configuration(1, 0, 2*time.Second), 45*time.Second)
+	accepted := orderUntilAccepted(log, http.MethodPost, addresses, "/pistachiomount/Config.Put", configuration(1, 0, 2*time.Second), 30*time.Second)
 	if !accepted {
 		log.add("the first configuration was not accepted by any of five running core machines")
+		for range 20 {
+			if _, status := ask(log, entry.address(frontPort), http.MethodGet, safePath+"x", key, 2*time.Second); status == http.StatusOK {
+				return failed, errors.New("a request is served without a configuration")
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		log.add("Fault: no request is served")
 		return broken, nil
 	}
 	end := time.Now().Add(10 * time.Second)
