--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -3,7 +3,7 @@
 set -uo pipefail
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.."
-timeout --kill-after=5 115 target/second foreign "$here/record.txt"
+timeout --kill-after=5 115 target/second withdrawn "$here/record.txt"
 status=$?
 [ "$status" -le 2 ] || status=2
 exit "$status"
--- a/review/second/deployment.go
+++ b/review/second/deployment.go
@@ -35,6 +35,7 @@
 	regionOf  map[string]string
 	tolerance int
 	seeds     []string
+	linkMbps  float64 // of entry machines
 }
 
 // Ports of the machines. Each machine has a loopback address of its own.
@@ -67,7 +68,7 @@
 		return nil, err
 	}
 	d := &deployment{
-		program: program, dir: dir, log: log, tolerance: 1,
+		program: program, dir: dir, log: log, tolerance: 1, linkMbps: 1000,
 		zones:    []string{"bog-a", "med-a", "cal-a", "bog-b", "med-b", "cal-b"},
 		regionOf: map[string]string{"bog-a": "bogota", "med-a": "medellin", "cal-a": "cali", "bog-b": "bogota", "med-b": "medellin", "cal-b": "cali"},
 	}
@@ -113,7 +114,7 @@
 // settings returns the settings file of a machine.
 func (d *deployment) settings(m *machine) string {
 	var b strings.Builder
-	class, listen, limits := "edge", fmt.Sprintf("front = %q\nreadiness = %q\ndirectory = %q\n", m.address(frontPort), m.address(readinessPort), m.address(directoryPort)), "cpuShare = 0.32\ncores = 1\nmemoryMb = 284\nmaxFds = 4100\nlinkMbps = 1000.0\ndiskMb = 0\n"
+	class, listen, limits := "edge", fmt.Sprintf("front = %q\nreadiness = %q\ndirectory = %q\n", m.address(frontPort), m.address(readinessPort), m.address(directoryPort)), fmt.Sprintf("cpuShare = 0.32\ncores = 1\nmemoryMb = 284\nmaxFds = 4100\nlinkMbps = %.1f\ndiskMb = 0\n", d.linkMbps)
 	if m.role == "control" {
 		class, listen, limits = "core", fmt.Sprintf("control = %q\n", m.address(controlPort)), "cpuShare = 0.24\ncores = 1\nmemoryMb = 280\nmaxFds = 4096\nlinkMbps = 1000.0\ndiskMb = 256\n"
 	}
--- a/review/second/endpoints.go
+++ b/review/second/endpoints.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -38,12 +39,15 @@
 	runs      []run
 	foreign   [][]any              // rows of the list from another writer
 	ended     map[string]time.Time // when the work on a request ended, by request and endpoint
+	answered  map[string]bool      // whether an answer was written in full, by request and endpoint
 	listAddr  string
+	// answerBytes is the length of answers; 0 for a short line.
+	answerBytes atomic.Int64
 }
 
 // newWorld starts the platform's list at an address.
 func newWorld(log *record, address string) (*world, error) {
-	w := &world{log: log, listAddr: address, ended: map[string]time.Time{}}
+	w := &world{log: log, listAddr: address, ended: map[string]time.Time{}, answered: map[string]bool{}}
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
@@ -145,8 +149,27 @@
 	}
 	out.Header().Set("X-Response-Signature", "sig."+id)
 	answer := fmt.Sprintf("%s %s %d %s\n", e.id, r.Method, len(body), id)
+	if n := int(e.world.answerBytes.Load()); n > len(answer) {
+		answer += strings.Repeat("x", n-len(answer))
+	}
 	out.Header().Set("Content-Length", strconv.Itoa(len(answer)))
-	_, _ = io.WriteString(out, answer)
+	if _, err := io.WriteString(out, answer); err == nil {
+		e.world.recordAnswer(id, e.id)
+	}
+}
+
+func (w *world) recordAnswer(id, endpoint string) {
+	w.log.add("answered %s by %s", id, endpoint)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.answered[id+" "+endpoint] = true
+}
+
+// hasAnswered reports whether an endpoint has written its whole answer.
+func (w *world) hasAnswered(id, endpoint string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.answered[id+" "+endpoint]
 }
 
 func (w *world) begin(r run) {
--- a/review/second/main.go
+++ b/review/second/main.go
@@ -17,7 +17,7 @@
 var cases = map[string]func(log *record, trouble bool) (int, error){
 	"disks":     twoDisks,
 	"first":     firstStart,
-	"hosts":     sameHost,
+	"stopped":   plannedStop,
 	"withdrawn": withdrawnKeys,
 	"foreign":   foreignEntry,
 }
--- a/review/second/small.go
+++ b/review/second/small.go
@@ -17,11 +17,17 @@
 
 // startSmall starts a small deployment and waits until it serves the first configuration.
 func startSmall(log *record, first []byte) (*small, error) {
+	return startSmallWith(log, first, func(*small) {})
+}
+
+// startSmallWith does the same after a change of the deployment.
+func startSmallWith(log *record, first []byte, change func(*small)) (*small, error) {
 	d, err := newDeployment(log)
 	if err != nil {
 		return nil, err
 	}
 	s := &small{deployment: d}
+	change(s)
 	for _, z := range d.zones[:3] {
 		s.core = append(s.core, d.add("control", z).address(controlPort))
 	}
