Count and log responses that are cut on their way to the caller

Nothing told who had ended a connection in the middle of a response: the caller, the upstream or this VM. pm_gateway_cut_responses counts such responses by reason and by whether the VM was in a planned stop, and the line "response not sent to its end" names the request and the error. awaitLastResponse returns the error that it took for a departed caller, in place of a flag.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -71,6 +71,7 @@
 	g.services.Store(&map[string]*service{})
 	g.listRequested = time.Now() // gives the leader time to send its list first
 	g.server = ingress.NewServer(g, memlimit.NewBudget(cfg.BufferMemory), link.NewScheduler(cfg.LinkRate), cfg.Log)
+	g.server.ReportCuts(g.recordCut)
 	g.follower = entry.NewPlanFollower(entry.FollowerConfig{
 		VM: cfg.VM, Region: cfg.Region, FailureDomain: cfg.FailureDomain, Address: cfg.Address, RPCAddress: cfg.RPCListener.Addr().String(),
 		Controls: cfg.Controls, Security: cfg.Security, Clock: cfg.Clock, Log: cfg.Log,
@@ -166,6 +167,12 @@
 	}
 }
 
+// recordCut records a response that was not sent to its end.
+func (g *Gateway) recordCut(cut ingress.Cut) {
+	g.metrics.countCut(cut)
+	g.requests.logUnsentResponse(cut.Request.Get(g.cfg.Headers.RequestID), cut)
+}
+
 // SetControls replaces the configured addresses of the control daemons.
 func (g *Gateway) SetControls(addresses []string) { g.follower.SetControls(addresses) }
 
--- a/gateway/ingress/conn.go
+++ b/gateway/ingress/conn.go
@@ -26,7 +26,7 @@
 	headLimit *headlimit.Reader
 	br        *bufio.Reader
 	ctx       context.Context
-	cancel    context.CancelFunc
+	cancel    context.CancelCauseFunc
 
 	// reading is set while a request is being read.
 	reading atomic.Bool
@@ -44,7 +44,7 @@
 func newConn(s *Server, nc net.Conn) *conn {
 	c := &conn{server: s, nc: nc, opened: time.Now(), headLimit: headlimit.NewReader(nc)}
 	c.br = bufio.NewReaderSize(c.headLimit, 4<<10)
-	c.ctx, c.cancel = context.WithCancel(context.Background())
+	c.ctx, c.cancel = context.WithCancelCause(context.Background())
 	return c
 }
 
@@ -248,23 +248,26 @@
 
 // finish waits for the outstanding responses, unless the caller has gone, and closes the connection.
 func (c *conn) finish(previousDone <-chan struct{}, err error) {
+	if errors.Is(err, io.EOF) {
+		err = c.awaitLastResponse(previousDone)
+	}
 	var rejected *rejectedError
 	switch {
+	case err == nil, errors.Is(err, errIdle):
 	case errors.As(err, &rejected):
 		<-previousDone
 		c.writeResponse(nil, rejection(rejected.status))
 	case errors.Is(err, headlimit.ErrTooLarge):
 		<-previousDone
 		c.writeResponse(nil, rejection(http.StatusRequestHeaderFieldsTooLarge))
-	case errors.Is(err, io.EOF) && c.awaitLastResponse(previousDone), errors.Is(err, errIdle):
 	case isProtocolError(err):
 		<-previousDone
 		c.writeResponse(nil, rejection(http.StatusBadRequest))
 	default:
-		c.cancel() // the caller has gone
+		c.cancel(err) // the caller has gone
 	}
 	<-previousDone
-	c.cancel()
+	c.cancel(nil)
 	if errors.Is(err, errIdle) && c.br.Buffered() == 0 && !c.answeredRecently() {
 		_ = c.nc.Close()
 		return
@@ -277,24 +280,24 @@
 	return time.Since(c.opened)-time.Duration(c.answeredAt.Load()) < lingerTimeout
 }
 
-// awaitLastResponse waits for the last response on a connection that a request asked to close. It returns
-// false if the caller goes away before.
-func (c *conn) awaitLastResponse(lastDone <-chan struct{}) bool {
+// awaitLastResponse waits for the last response on a connection on which no further request is read. It returns
+// the error of the connection if the caller goes away before.
+func (c *conn) awaitLastResponse(lastDone <-chan struct{}) error {
 	if pending, _ := c.state(); pending == 0 {
-		return true
+		return nil
 	}
-	gone := make(chan struct{})
+	gone := make(chan error, 1)
 	go func() {
 		_ = c.nc.SetReadDeadline(time.Time{})
 		if _, err := c.br.Peek(1); err != nil {
-			close(gone)
+			gone <- err
 		}
 	}()
 	select {
 	case <-lastDone:
-		return true
-	case <-gone:
-		return false
+		return nil
+	case err := <-gone:
+		return err
 	}
 }
 
--- a/gateway/ingress/turns.go
+++ b/gateway/ingress/turns.go
@@ -4,6 +4,8 @@
 	"io"
 	"time"
 
+	"github.com/juju/errors"
+
 	"pistachiomount.example/pistachiomount/gateway/link"
 )
 
@@ -72,7 +74,7 @@
 			return w.conn.endChunks(w.chunked)
 		}
 		if err != nil {
-			return err
+			return errors.Annotate(errRest, err.Error())
 		}
 	}
 }
--- a/gateway/ingress/write.go
+++ b/gateway/ingress/write.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/juju/errors"
 )
 
 // writeResponse sends one response. After an error, or a response that closes the connection, nothing
@@ -29,7 +31,8 @@
 	}
 	_ = c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if err := c.send(request, response, closing); err != nil {
-		c.cancel()
+		c.reportCut(request, response, err)
+		c.cancel(err)
 		c.abort()
 		return
 	}
@@ -138,7 +141,7 @@
 			return c.endChunks(chunked)
 		}
 		if err != nil {
-			return err
+			return errors.Annotate(errRest, err.Error())
 		}
 	}
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -11,6 +11,7 @@
 
 	"pistachiomount.example/pistachiomount/announce"
 	"pistachiomount.example/pistachiomount/gateway/egress"
+	"pistachiomount.example/pistachiomount/gateway/ingress"
 	"pistachiomount.example/pistachiomount/gateway/placement"
 )
 
@@ -35,6 +36,8 @@
 	overCapacityRetries metric.Int64Counter
 	// rejections counts attempts that upstreams rejected without running them.
 	rejections metric.Int64Counter
+	// cuts counts responses that were not sent to their end.
+	cuts metric.Int64Counter
 }
 
 var durationBounds = metric.WithExplicitBucketBoundaries(0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 12, 30)
@@ -87,6 +90,10 @@
 		metric.WithDescription("Attempts that upstreams rejected without running them, by service and reason: full, or free_slots if the upstream reported that it had free slots.")); err != nil {
 		return nil, errors.Trace(err)
 	}
+	if m.cuts, err = meter.Int64Counter("pm_gateway_cut_responses",
+		metric.WithDescription("Responses that were not sent to their end, by reason and event: serving, or stopping in a planned stop.")); err != nil {
+		return nil, errors.Trace(err)
+	}
 	return m, errors.Trace(registerGauges(meter, g))
 }
 
@@ -256,6 +263,22 @@
 		attribute.String("service", service), attribute.String("event", event)))
 }
 
+// States of the VM in which a response was cut.
+const (
+	cutServing  = "serving"
+	cutStopping = "stopping"
+)
+
+// countCut counts a response that was not sent to its end.
+func (m *requestMetrics) countCut(cut ingress.Cut) {
+	event := cutServing
+	if cut.Stopping {
+		event = cutStopping
+	}
+	m.cuts.Add(context.Background(), 1, metric.WithAttributes(
+		attribute.String("reason", string(cut.Cause)), attribute.String("event", event)))
+}
+
 // countAttempt counts an attempt at an upstream.
 func (m *requestMetrics) countAttempt(service, region, outcome string) {
 	m.attempts.Add(context.Background(), 1, metric.WithAttributes(
--- a/gateway/metrics_test.go
+++ b/gateway/metrics_test.go
@@ -18,6 +18,7 @@
 
 	"pistachiomount.example/pistachiomount/clock"
 	"pistachiomount.example/pistachiomount/gateway/egress"
+	"pistachiomount.example/pistachiomount/gateway/ingress"
 	"pistachiomount.example/pistachiomount/telemetry"
 	"pistachiomount.example/pistachiomount/transport"
 )
@@ -45,6 +46,7 @@
 	g.metrics.countRetryAfter("s", true)
 	g.metrics.countStreamed("s", egress.StreamEnd{Complete: true, Early: 1})
 	g.metrics.countRejection("s", true)
+	g.recordCut(ingress.Cut{Status: http.StatusOK, Cause: ingress.CutTimeout, Stopping: true})
 
 	page := httptest.NewRecorder()
 	observed.MetricsHandler().ServeHTTP(page, httptest.NewRequest(http.MethodGet, "/metrics", nil))
@@ -54,7 +56,7 @@
 	for _, name := range []string{
 		"pm_gateway_requests_total", "pm_gateway_offers_total", "pm_gateway_request_duration_seconds", "pm_gateway_wait_seconds",
 		"pm_gateway_region_reference_share", "pm_gateway_view_age_seconds", "pm_gateway_fleet", "pm_gateway_connections_opened_total",
-		"pm_gateway_rate_tokens_total", "pm_gateway_rejections_total", "pm_gateway_over_capacity_retries_total", "pm_gateway_streamed_responses_total", "pm_gateway_streamed_early_bytes_total",
+		"pm_gateway_cut_responses_total", "pm_gateway_rate_tokens_total", "pm_gateway_rejections_total", "pm_gateway_over_capacity_retries_total", "pm_gateway_streamed_responses_total", "pm_gateway_streamed_early_bytes_total",
 		"pm_gateway_long_responses", "pm_gateway_link_chunks_total", "pm_gateway_link_wait_seconds_total",
 	} {
 		if families[name] == nil {
--- a/gateway/request_log.go
+++ b/gateway/request_log.go
@@ -94,6 +94,16 @@
 	}).Info("response cut by its upstream while it was streamed")
 }
 
+// logUnsentResponse logs a response that was not sent to its end, unless its caller left while this VM served on.
+func (l *requestLog) logUnsentResponse(id string, cut ingress.Cut) {
+	if cut.Cause == ingress.CutCallerGone && !cut.Stopping || !l.allow(false) {
+		return
+	}
+	l.log.WithError(cut.Err).WithFields(logrus.Fields{
+		"request": id, "status": cut.Status, "reason": cut.Cause, "stopping": cut.Stopping,
+	}).Info("response not sent to its end")
+}
+
 // logRejection logs a request that was rejected before its route and customer were known.
 func (l *requestLog) logRejection(id string, request *ingress.Request, status int, reason Reason, viewAge float64) {
 	if !l.allow(false) {
