Send the last response of a connection to its end in a planned stop

What callers saw: a part of a response that its upstream had given in full, from a VM in a planned stop, where the request had "Connection: close" or came over HTTP/1.0 and the response was still being sent 2.6 s after SIGTERM.

Cause: endIfPending reported that a connection has ended also while its last response is sent, so closeIfIdle took it for an idle one and set its read deadline to now. awaitLastResponse took that deadline for a departed caller, and the context of the connection was cancelled, which ended the wait for turns and closed the connection to the upstream.

Change: a connection is idle only if no request is pending, and a read deadline says nothing about the caller. Connections that finish keep their deadlines. This works because pending counts a request until its response is sent, and only this server sets read deadlines.

Same cause: a second request whose time ran out cut the response before it, and a lingering connection was closed at once.

--- a/gateway/ingress/conn.go
+++ b/gateway/ingress/conn.go
@@ -30,7 +30,9 @@
 
 	// reading is set while a request is being read.
 	reading atomic.Bool
-	opened  time.Time
+	// finishing is set once no further request is read.
+	finishing atomic.Bool
+	opened    time.Time
 	// answeredAt is when the last response was written, as a duration since opened.
 	answeredAt atomic.Int64
 
@@ -124,17 +126,34 @@
 	return c.pending, c.ended
 }
 
-// endIfPending ends the connection if at most the given number of requests is pending. It reports
-// whether the connection has ended.
-func (c *conn) endIfPending(pending int) bool {
+// endIfLast ends the connection if at most one request is pending, whose response is about to be sent. It reports
+// whether the connection has ended, which it also has while its last response is sent.
+func (c *conn) endIfLast() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.pending <= pending {
+	if c.pending <= 1 {
 		c.ended = true
 	}
 	return c.ended
 }
 
+// endIfIdle ends the connection if no request is pending. It reports whether none is.
+func (c *conn) endIfIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pending == 0 {
+		c.ended = true
+	}
+	return c.pending == 0
+}
+
+// end lets the connection accept no further request.
+func (c *conn) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ended = true
+}
+
 // readRequest reads one request. The remainder of a long body is left on the connection. earlierSent is
 // closed once all responses to earlier requests are sent.
 func (c *conn) readRequest(earlierSent <-chan struct{}) (*http.Request, int64, error) {
@@ -248,7 +267,8 @@
 
 // finish waits for the outstanding responses, unless the caller has gone, and closes the connection.
 func (c *conn) finish(previousDone <-chan struct{}, err error) {
-	if errors.Is(err, io.EOF) {
+	c.finishing.Store(true)
+	if errors.Is(err, io.EOF) || errors.Is(err, os.ErrDeadlineExceeded) {
 		err = c.awaitLastResponse(previousDone)
 	}
 	var rejected *rejectedError
@@ -281,7 +301,8 @@
 }
 
 // awaitLastResponse waits for the last response on a connection on which no further request is read. It returns
-// the error of the connection if the caller goes away before.
+// the error of the connection if the caller goes away before. A read deadline, which only this server sets, says nothing
+// about the caller.
 func (c *conn) awaitLastResponse(lastDone <-chan struct{}) error {
 	if pending, _ := c.state(); pending == 0 {
 		return nil
@@ -289,7 +310,7 @@
 	gone := make(chan error, 1)
 	go func() {
 		_ = c.nc.SetReadDeadline(time.Time{})
-		if _, err := c.br.Peek(1); err != nil {
+		if _, err := c.br.Peek(1); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 			gone <- err
 		}
 	}()
@@ -318,9 +339,10 @@
 	return !ended && c.answeredAt.Load() == 0 && time.Since(c.opened) < firstRequestTime
 }
 
-// closeIfIdle ends the connection if no request is being read or pending.
+// closeIfIdle ends the connection if no request is being read or pending. One that is finishing ends by itself, and may
+// need its read deadline until then.
 func (c *conn) closeIfIdle() {
-	if !c.reading.Load() && !c.isNew() && c.endIfPending(0) {
+	if !c.finishing.Load() && !c.reading.Load() && !c.isNew() && c.endIfIdle() {
 		_ = c.nc.SetReadDeadline(time.Now())
 	}
 }
--- a/gateway/ingress/late_end_test.go
+++ b/gateway/ingress/late_end_test.go
@@ -11,11 +11,9 @@
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/sirupsen/logrus"
 
 	"pistachiomount.example/pistachiomount/gateway/ingress"
 	"pistachiomount.example/pistachiomount/gateway/link"
-	"pistachiomount.example/pistachiomount/memlimit"
 )
 
 // pipeListener accepts one connection in memory, whose deadlines follow the clock of the test.
@@ -43,22 +41,11 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				log := logrus.New()
-				log.SetOutput(io.Discard)
 				rest, upstream := io.Pipe()
-				server := ingress.NewServer(handlerFunc(func(context.Context, *ingress.Request) *ingress.Response {
+				_, caller := servePipe(t, scheduler, func(context.Context, *ingress.Request) *ingress.Response {
 					response := ok("")
 					response.Rest, response.Length = rest, -1
 					return response
-				}), memlimit.NewBudget(bufferMemory), scheduler, log)
-				listener := pipeListener{conns: make(chan net.Conn, 1)}
-				caller, accepted := net.Pipe()
-				listener.conns <- accepted
-				go func() { _ = server.Serve(listener) }()
-				t.Cleanup(func() { // all goroutines must end with the test
-					_ = caller.Close()
-					server.StopAccepting()
-					server.Wait(context.Background())
 				})
 				go func() {
 					_, _ = io.WriteString(upstream, "data")
--- a/gateway/ingress/write.go
+++ b/gateway/ingress/write.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"io"
-	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -26,7 +25,7 @@
 		return
 	}
 	closing := response.Close || request == nil || request.Close
-	if c.server.closing.Load() && c.endIfPending(1) {
+	if c.server.closing.Load() && c.endIfLast() {
 		closing = true // only once no later request is pending
 	}
 	_ = c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
@@ -37,14 +36,14 @@
 		return
 	}
 	if closing {
-		c.endIfPending(math.MaxInt)
+		c.end()
 		_ = c.nc.SetReadDeadline(time.Now()) // unblocks the reader
 	}
 }
 
 // abort closes the connection at once.
 func (c *conn) abort() {
-	c.endIfPending(math.MaxInt)
+	c.end()
 	_ = c.nc.Close()
 }
 
