Require keys while a configuration has an empty list of tenants

What callers saw: after the last customer was removed with "tenants":[], every request ran, with the removed key and with keys that no version ever held.

Cause: the decoded plan held a list of customers only, so an empty list and a missing one were the same, and the requirement of keys followed from its length.

Evidence: the line "plan in force" has customers and keys_required now.

Change: a plan states whether it requires keys. A configuration without tenants, or with null, is open as before, with the same encoding as before. This works because the difference is kept from the only place that knows it, the operator's text, to the one check that needs it.

Same cause: none in the documents of pm-control, whose routes state whether they are public; forward.TestRemovalOfTheLastCustomerLeavesRoutesClosed shows it.

--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -248,16 +248,23 @@
 	}
 }
 
-// putConfig sends a configuration to the control VMs until one acknowledges it.
+// putConfig sends a configuration with both customers to the control VMs until one acknowledges it.
 func (f *fleet) putConfig(version, base int) {
+	f.t.Helper()
+	f.putConfigWith(version, base, fmt.Sprintf(
+		`,"tenants":[{"name":"t","apiKeys":[%q],"ratePerS":2000,"burst":2000},{"name":%q,"apiKeys":[%q],"ratePerS":%d,"burst":%d}]`,
+		soakKey, ratedCustomer, ratedKey, ratedPerSecond, ratedBurst))
+}
+
+// putConfigWith sends a configuration that ends with the given fields.
+func (f *fleet) putConfigWith(version, base int, fields string) {
 	f.t.Helper()
 	config := fmt.Sprintf(`{"version":%d,"baseVersion":%d,"routes":[
 {"name":"look","host":"a.example","pathPrefix":"/look/","kind":"safe","timeout":"2s","targetLatency":"400ms","priority":1,"service":"s","maxAttempts":3,"cacheAffinity":true},
-{"name":"book","host":"a.example","pathPrefix":"/book/","kind":"unsafe","timeout":"2s","targetLatency":"400ms","priority":0,"service":"s","maxAttempts":3}],
+{"name":"book","host":"a.example","pathPrefix":"/book/","kind":"unsafe","timeout":"2s","targetLatency":"400ms","priority":0,"service":"s","maxAttempts":3},
+{"name":"open","host":"a.example","pathPrefix":"/open/","kind":"safe","timeout":"2s","targetLatency":"400ms","priority":1,"service":"s","maxAttempts":3,"public":true}],
 "services":[{"name":"s","healthPath":"/health","maxConnections":100,"warmup":"1s","warmupPerS":50}],
-"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1048576,"headerTimeout":"3s","idleTimeout":"15s"},
-"tenants":[{"name":"t","apiKeys":[%q],"ratePerS":2000,"burst":2000},{"name":%q,"apiKeys":[%q],"ratePerS":%d,"burst":%d}]}`,
-		version, base, soakKey, ratedCustomer, ratedKey, ratedPerSecond, ratedBurst)
+"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1048576,"headerTimeout":"3s","idleTimeout":"15s"}%s}`, version, base, fields)
 	eventually(f.t, fmt.Sprintf("version %d acknowledged", version), func() bool {
 		return slices.ContainsFunc(f.operatorAddresses(), func(address string) bool {
 			response, err := http.Post("http://"+address+"/pistachiomount/Config.Put", "application/json", bytes.NewReader([]byte(config)))
--- a/entry/plan_syncer.go
+++ b/entry/plan_syncer.go
@@ -95,7 +95,10 @@
 	}
 	if next.Revision != have.Revision {
 		s.onChange(&next) // before the store, so that requests under the new plan find its services
-		s.loop.log.WithFields(logrus.Fields{"number": next.Index.Plan.Number, "revision": next.Revision}).Info("plan in force")
+		s.loop.log.WithFields(logrus.Fields{
+			"number": next.Index.Plan.Number, "revision": next.Revision, "customers": len(next.Index.Plan.Customers),
+			"keys_required": next.Index.KeysRequired(),
+		}).Info("plan in force")
 	}
 	s.current.Store(&next)
 	if !isConfirmed(reply) {
--- a/forward/revoke_test.go
+++ b/forward/revoke_test.go
@@ -201,3 +201,19 @@
 	_, err = w.handler.RunJob(context.Background(), job)
 	is.True(strings.HasPrefix(err.Error(), "not_allowed (not_run)"))
 }
+
+// Guards against routes that are open to all callers once the last customer was removed.
+func TestRemovalOfTheLastCustomerLeavesRoutesClosed(t *testing.T) {
+	is := is.New(t)
+	up := newRecorder(t, "a", "near", nil)
+	w := newHarness(t, up)
+	is.Equal(w.doAsAlice("GET", "/look", "").status, http.StatusOK)
+	w.setView(func(v *View) {
+		without := testDocument(aliceKey)
+		without.Customers = nil
+		v.Index = document.NewIndex(without)
+		v.Revision++
+	})
+	is.Equal(w.doAsAlice("GET", "/look", "").status, http.StatusUnauthorized)
+	is.Equal(up.count(), 1)
+}
--- a/gateway/permission.go
+++ b/gateway/permission.go
@@ -44,7 +44,7 @@
 	}
 	customer := index.Customer(r.request.Header.Get(r.gateway.cfg.Headers.Key))
 	if customer == nil {
-		return r.customer == nil && !index.HasCustomers()
+		return r.customer == nil && !index.KeysRequired()
 	}
 	return customer.Name == r.customerName()
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -32,7 +32,7 @@
 	customer := view.Index.Customer(request.Header.Get(g.cfg.Headers.Key))
 	if route.Public {
 		customer = nil
-	} else if customer == nil && view.Index.HasCustomers() {
+	} else if customer == nil && view.Index.KeysRequired() {
 		return g.rejectUnknown(view, request, http.StatusUnauthorized, ReasonUnknownKey)
 	}
 	r := &routedRequest{
--- a/plan/codec.go
+++ b/plan/codec.go
@@ -23,9 +23,10 @@
 
 // planHeader holds the scalar fields of a plan; each list item has a line of its own.
 type planHeader struct {
-	Number uint64 `json:"number"`
-	Base   uint64 `json:"base"`
-	Limits Limits `json:"limits"`
+	Number       uint64 `json:"number"`
+	Base         uint64 `json:"base"`
+	KeysRequired bool   `json:"keysRequired,omitempty"`
+	Limits       Limits `json:"limits"`
 }
 
 // Encode returns the plan as lines. The encoding is deterministic: equal plans
@@ -40,7 +41,7 @@
 		writeLine(&b, kind, raw)
 		return nil
 	}
-	if err := write(linePlan, planHeader{p.Number, p.Base, p.Limits}); err != nil {
+	if err := write(linePlan, planHeader{p.Number, p.Base, p.KeysRequired, p.Limits}); err != nil {
 		return nil, errors.Trace(err)
 	}
 	for i := range p.Routes {
@@ -117,7 +118,7 @@
 	case linePlan:
 		var h planHeader
 		err := json.Unmarshal(rest, &h)
-		p.Number, p.Base, p.Limits = h.Number, h.Base, h.Limits
+		p.Number, p.Base, p.KeysRequired, p.Limits = h.Number, h.Base, h.KeysRequired, h.Limits
 		return err
 	case lineRoute:
 		return decodeItem(rest, &p.Routes)
--- a/plan/index.go
+++ b/plan/index.go
@@ -91,6 +91,6 @@
 // Customer returns the customer that owns the plaintext key, or nil.
 func (x *Index) Customer(key string) *Customer { return x.customers[DigestKey(key)] }
 
-// HasCustomers reports whether the plan has customers. If it has none, routes that
-// are not public need no key.
-func (x *Index) HasCustomers() bool { return len(x.Plan.Customers) > 0 }
+// KeysRequired reports whether routes that are not public need a customer's key. A plan with
+// customers always requires keys.
+func (x *Index) KeysRequired() bool { return x.Plan.KeysRequired || len(x.Plan.Customers) > 0 }
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -9,5 +9,8 @@
 	Routes    []Route    `json:"routes"`
 	Services  []Service  `json:"services"`
 	Customers []Customer `json:"customers"`
-	Limits    Limits     `json:"limits"`
+	// KeysRequired is set if routes that are not public need a customer's key, also while there is no customer. It is
+	// not set in versions that were encoded before the field existed, see Index.KeysRequired.
+	KeysRequired bool   `json:"keysRequired"`
+	Limits       Limits `json:"limits"`
 }
--- a/store/plans_test.go
+++ b/store/plans_test.go
@@ -14,7 +14,12 @@
 
 func (h *harness) submitPlan(base, number uint64, source string) *apipb.SubmitResult {
 	h.t.Helper()
-	encoded, err := plan.Encode(&plan.Plan{Number: number, Base: base})
+	return h.submitWhole(&plan.Plan{Number: number, Base: base}, source)
+}
+
+func (h *harness) submitWhole(p *plan.Plan, source string) *apipb.SubmitResult {
+	h.t.Helper()
+	encoded, err := plan.Encode(p)
 	if err != nil {
 		h.t.Fatal(err)
 	}
@@ -23,7 +28,7 @@
 		h.t.Fatal(err)
 	}
 	return h.apply(&apipb.Command{Body: &apipb.Command_SubmitPlan{SubmitPlan: &apipb.SubmitPlan{
-		Base: base, Number: number, Source: []byte(source), Plan: compressed, Digest: "digest of " + source,
+		Base: p.Base, Number: p.Number, Source: []byte(source), Plan: compressed, Digest: "digest of " + source,
 	}}}).Submit
 }
 
@@ -87,6 +92,23 @@
 	is.Equal(h.evacuated(), []string{"z2"})
 }
 
+// Guards against a plan without customers whose keys are no longer required after a restart, and against one that
+// requires keys only then.
+func TestRequirementOfKeysSurvivesASnapshot(t *testing.T) {
+	for _, required := range []bool{true, false} {
+		is := is.New(t)
+		h := newHarness(t)
+		h.submitWhole(&plan.Plan{Number: 3, KeysRequired: required}, "a")
+		data, err := h.store.Snapshot()
+		is.NoErr(err)
+		restored := store.New()
+		is.NoErr(restored.Restore(data))
+		p, _, err := plan.DecodeState(restored.InForce(planEnv).Raw)
+		is.NoErr(err)
+		is.Equal(plan.NewIndex(p).KeysRequired(), required)
+	}
+}
+
 // Guards against removing the later process of a VM when an earlier one ends.
 func TestHoldersFollowTheNewestProcess(t *testing.T) {
 	is := is.New(t)
