Tell a response that was cut during an upload from a complete one

What callers saw: an upstream answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was being written. The caller got that part as a complete response.

Cause: the gateway writes the request before it reads the response, and the kernel reports the failure of a connection once. The write got it, and was ignored since a response arrived; reads then returned what had arrived and the end of the stream, which ends a body without a length.

Change: a connection keeps the error of its failed write, and a body that only the end of such a connection ends counts as cut. A response that ended in order before is complete: Linux reports EPIPE then, and a blocked write looks for the end of the upstream's side, since a connection that is given up for silence shows none. This works because the first error of a connection tells which came first.

Same cause: an upstream that stops reading, given up by TCP_USER_TIMEOUT, also left a part that looked complete. All bodies of requests and responses and health checks use this exchange. forward and pm-entry accept no such response; the check for one is shared now (responsehead.EndsWithConn).

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -16,6 +16,7 @@
 	"pistachiomount.example/pistachiomount/forward/pool"
 	"pistachiomount.example/pistachiomount/forward/sanitize"
 	"pistachiomount.example/pistachiomount/grant"
+	"pistachiomount.example/pistachiomount/responsehead"
 )
 
 // minTimeoutShareOfDeadline divides the deadline of the route: a timeout of an attempt
@@ -120,7 +121,7 @@
 	switch {
 	case resp.StatusCode < http.StatusOK:
 		return errProtocolSwitch
-	case isUndelimited(resp):
+	case responsehead.EndsWithConn(resp): // a truncated one could not be told from a complete one
 		return errUndelimitedBody
 	case a.isMismatched(resp):
 		a.conns.Abort() // the response to this request is still to come on the connection
@@ -163,13 +164,6 @@
 	return n
 }
 
-// isUndelimited reports a response that ends with its connection, so that a truncated one
-// could not be told from a complete one.
-func isUndelimited(resp *http.Response) bool {
-	chunked := len(resp.TransferEncoding) > 0 && resp.TransferEncoding[0] == "chunked"
-	return resp.ContentLength < 0 && !chunked && resp.Body != http.NoBody
-}
-
 // isMismatched reports a response with the ID of another request, such as a late copy of the response
 // to an earlier request on the connection.
 func (a *attempt) isMismatched(resp *http.Response) bool {
--- a/gateway/egress/exchange.go
+++ b/gateway/egress/exchange.go
@@ -60,6 +60,7 @@
 
 func (p *Pool) exchange(c *upstreamConn, call *Call) *Reply {
 	c.usableUntil = time.Time{}
+	c.deadline = call.Deadline
 	_ = c.nc.SetDeadline(call.Deadline)
 	sent, err := p.send(c, call)
 	if err != nil && !sent {
@@ -68,6 +69,7 @@
 	// An upstream may respond before it has read a long body, so a response is read even after a
 	// failed write.
 	reply := p.receiveReply(c, call)
+	reply.SendErr = err
 	if reply.Err != nil && err != nil {
 		reply.Err = errors.Annotate(reply.Err, err.Error())
 	}
@@ -86,14 +88,14 @@
 	if call.Rest != nil && call.Length < 0 {
 		buf = append(p.requestHead(call, time.Now()), encodeChunk(call.Body)...)
 	}
-	n, err := c.nc.Write(buf)
+	n, err := c.Write(buf)
 	if err != nil {
 		return n > 0, err
 	}
 	if call.Rest == nil {
 		return true, nil
 	}
-	return true, sendRest(c.nc, call)
+	return true, sendRest(c, call)
 }
 
 func encodeChunk(data []byte) []byte {
@@ -170,6 +172,9 @@
 	if response.StatusCode != http.StatusMisdirectedRequest { // sent by another upstream at the same address
 		reply.Announced = p.names.Announced.Parse(response.StatusCode, response.Header)
 	}
+	if c.failedBeforeEnd() && responsehead.EndsWithConn(response) && !p.declaresNotRun(response) {
+		response.Body = &cutBody{response.Body, c.failure}
+	}
 	body, err := p.readBody(response, p.streamCondition(call, response))
 	if err == nil && !call.healthCheck && response.StatusCode < http.StatusMultipleChoices && response.Header.Get(p.names.Signature) == "" {
 		err = errors.Annotate(ErrBroken, "success response without a signature")
@@ -206,10 +211,15 @@
 	return func() bool { return call.Stream(time.Now(), response.ContentLength) }
 }
 
+// declaresNotRun reports whether the head of a response says that the request did not run. Its body is not passed on.
+func (p *Pool) declaresNotRun(response *http.Response) bool {
+	return response.StatusCode == http.StatusMisdirectedRequest || response.Header.Get(p.names.NotRun) != ""
+}
+
 // detectNotRun marks a reply that declares that the request did not run.
 func (p *Pool) detectNotRun(reply *Reply, response *http.Response) {
 	reply.Misdirected = response.StatusCode == http.StatusMisdirectedRequest
-	if reply.Misdirected || response.Header.Get(p.names.NotRun) != "" {
+	if p.declaresNotRun(response) {
 		reply.Outcome, reply.Err = NotRun, errors.Annotatef(ErrRejected, "status %d", response.StatusCode)
 	}
 }
--- a/gateway/egress/reply.go
+++ b/gateway/egress/reply.go
@@ -34,6 +34,8 @@
 	// Endless is set if the response had no end: its head exceeded the limit, or its body lasted until
 	// the deadline.
 	Endless bool
+	// SendErr is why the request was not sent in full, although a response may have arrived.
+	SendErr error
 	// Err is the reason why the outcome is not Answered.
 	Err error
 
--- a/gateway/egress/timing.go
+++ b/gateway/egress/timing.go
@@ -9,6 +9,9 @@
 	// userTimeout ends a connection on which sent bytes are not acknowledged. An established
 	// connection may stop delivering packets for good while new connections work.
 	userTimeout = 1500 * time.Millisecond
+	// endCheckInterval is how often a blocked write looks for the end of the upstream's side. It is well below userTimeout,
+	// after which the connection fails.
+	endCheckInterval = 100 * time.Millisecond
 	// keepAliveIdle, keepAliveInterval and keepAliveCount detect dead connections while an upstream
 	// works on a request.
 	keepAliveIdle     = 2 * time.Second
--- a/gateway/egress/upstream_conn.go
+++ b/gateway/egress/upstream_conn.go
@@ -24,6 +24,11 @@
 	usableUntil time.Time
 	// fresh is set until the connection has carried a response.
 	fresh bool
+	// deadline is that of the request, which also bounds writes.
+	deadline time.Time
+	// failure is the error of the write that failed; ended is set if the upstream was seen to end its side before.
+	failure error
+	ended   bool
 }
 
 func newUpstreamConn(nc net.Conn) *upstreamConn {
@@ -37,22 +42,16 @@
 	if c.br.Buffered() > 0 {
 		return false
 	}
-	raw, ok := c.nc.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	control, err := raw.SyscallConn()
-	if err != nil {
-		return false
-	}
 	idle := false
-	err = control.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		idle = err == unix.EAGAIN
-		return true
+	ok := c.control(func(raw syscall.RawConn) error {
+		return raw.Read(func(fd uintptr) bool {
+			var b [1]byte
+			_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+			idle = err == unix.EAGAIN
+			return true
+		})
 	})
-	return err == nil && idle
+	return ok && idle
 }
 
 // keepUntil sets usableUntil from the Keep-Alive header of a response.
--- a/gateway/request_log.go
+++ b/gateway/request_log.go
@@ -83,6 +83,16 @@
 	}).Info("attempt at an upstream not answered")
 }
 
+// logEarlyResponse logs a response that an upstream gave although the request could not be sent in full.
+func (l *requestLog) logEarlyResponse(r *routedRequest, chosen inventory.Upstream, reply *egress.Reply) {
+	if reply.Outcome != egress.Answered || reply.SendErr == nil || !l.allow(false) {
+		return
+	}
+	l.log.WithError(reply.SendErr).WithFields(logrus.Fields{
+		"request": r.id(), "upstream": chosen.ID, "domain": chosen.FailureDomain, "status": reply.Status, "bytes": len(reply.Body),
+	}).Info("upstream answered a request that was not sent in full")
+}
+
 // logCutResponse logs a streamed response that its upstream did not complete.
 func (l *requestLog) logCutResponse(r *routedRequest, chosen inventory.Upstream, end egress.StreamEnd, took time.Duration) {
 	if !l.allow(false) {
--- a/gateway/routed_request.go
+++ b/gateway/routed_request.go
@@ -180,6 +180,7 @@
 		r.gateway.metrics.countRejection(r.serviceName(), free)
 	}
 	r.gateway.requests.logFailedAttempt(r, chosen, reply, time.Since(sent))
+	r.gateway.requests.logEarlyResponse(r, chosen, reply)
 	if outcome.Unreachable || outcome.AddressReassigned {
 		r.gateway.logEjected(chosen, reply)
 	}
