End responses without a length to HTTP/1.0 with the connection

What callers saw: a caller of HTTP/1.0 got a long response without a length in chunks from a gateway, and took their lengths for a part of the body. From an entry daemon it got the plain body, but one that was cut looked complete.

Cause: chunks were used for all callers of the gateway; net/http, which the entry daemon uses, closes the connection of an aborted response in order, which is how such a response ends for HTTP/1.0.

Change: without a length and chunks the response ends with the connection, and the connection is reset if it is cut. A reset cannot be taken for an end.

--- a/forward/caller.go
+++ b/forward/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -13,10 +14,12 @@
 	w            http.ResponseWriter
 	rc           *http.ResponseController
 	writeTimeout time.Duration
+	// knowsChunks is set if a response without a length can be sent in chunks, as to callers of HTTP/1.1.
+	knowsChunks bool
 }
 
-func newCaller(w http.ResponseWriter, writeTimeout time.Duration) *caller {
-	return &caller{w: w, rc: http.NewResponseController(w), writeTimeout: writeTimeout}
+func newCaller(w http.ResponseWriter, r *http.Request, writeTimeout time.Duration) *caller {
+	return &caller{w: w, rc: http.NewResponseController(w), writeTimeout: writeTimeout, knowsChunks: r.ProtoAtLeast(1, 1)}
 }
 
 // setReadDeadline limits the time for reading the request; the zero time removes the
@@ -50,6 +53,25 @@
 	return err
 }
 
+// abortResponse ends the connection within a response, so that it does not look complete. It does not return.
+func (c *caller) abortResponse() {
+	if !c.knowsChunks && c.w.Header().Get("Content-Length") == "" {
+		c.reset() // the server would close the connection, which ends such a response
+	}
+	panic(http.ErrAbortHandler)
+}
+
+func (c *caller) reset() {
+	nc, _, err := c.rc.Hijack()
+	if err != nil {
+		return // not supported by recorders in tests
+	}
+	if tcp, ok := nc.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only on a connection that has ended already
+	}
+	_ = nc.Close()
+}
+
 // abortWritesOn makes a blocked write fail when the context ends. The returned function
 // returns false if that happened; the connection must then be aborted.
 func (c *caller) abortWritesOn(ctx context.Context) func() bool {
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -45,7 +45,7 @@
 	ctx, span := h.cfg.Tracer.Start(r.Context(), "forward", trace.WithSpanKind(trace.SpanKindServer))
 	x.summary.Aborted = true // until the response is complete
 	defer x.end(span, started)
-	c := newCaller(w, h.cfg.Limits.WriteTimeout)
+	c := newCaller(w, r, h.cfg.Limits.WriteTimeout)
 	w.Header()["X-Request-Id"] = []string{x.id}
 	if rejection := x.serve(ctx, c, r); rejection != nil {
 		x.summary.Reason, x.summary.Run = rejection.Reason, rejection.Run
--- a/forward/response.go
+++ b/forward/response.go
@@ -62,7 +62,7 @@
 		a.err = errAttemptCancelled
 	}
 	if a.err != nil {
-		panic(http.ErrAbortHandler)
+		c.abortResponse()
 	}
 	addTrailer(c.w.Header(), a.resp.Trailer)
 }
--- a/gateway/ingress/write.go
+++ b/gateway/ingress/write.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -24,7 +25,8 @@
 		c.abort()
 		return
 	}
-	closing := response.Close || request == nil || request.Close
+	undelimited := endsWithConn(request, response)
+	closing := response.Close || request == nil || request.Close || undelimited
 	if c.server.closing.Load() && c.endIfLast() {
 		closing = true // only once no later request is pending
 	}
@@ -32,6 +34,9 @@
 	if err := c.send(request, response, closing); err != nil {
 		c.reportCut(request, response, err)
 		c.cancel(err)
+		if undelimited {
+			c.resetOnClose()
+		}
 		c.abort()
 		return
 	}
@@ -41,6 +46,19 @@
 	}
 }
 
+// endsWithConn reports whether a response can be ended only by closing the connection: its length is not known, and
+// callers of HTTP/1.0 know no chunks.
+func endsWithConn(request *http.Request, response *Response) bool {
+	return request != nil && !request.ProtoAtLeast(1, 1) && response.Rest != nil && response.Length < 0
+}
+
+// resetOnClose makes the connection end with a reset, so that a response that ends with it does not look complete.
+func (c *conn) resetOnClose() {
+	if tcp, ok := c.nc.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only on a connection that has ended already
+	}
+}
+
 // abort closes the connection at once.
 func (c *conn) abort() {
 	c.end()
@@ -57,7 +75,7 @@
 	b.WriteString(http.StatusText(response.Status))
 	b.WriteString("\r\n")
 	_ = response.Header.Write(&b) // writing to a buffer cannot fail
-	chunked := writeFraming(&b, response, head)
+	chunked := writeFraming(&b, request, response, head)
 	if closing {
 		b.WriteString("Connection: close\r\n")
 	}
@@ -95,10 +113,10 @@
 }
 
 // writeFraming writes the header that delimits the body.
-func writeFraming(b *bytes.Buffer, response *Response, head bool) (chunked bool) {
+func writeFraming(b *bytes.Buffer, request *http.Request, response *Response, head bool) (chunked bool) {
 	switch {
 	case response.Status == http.StatusNoContent || response.Status == http.StatusNotModified:
-	case head:
+	case head, endsWithConn(request, response):
 	case response.Rest != nil && response.Length < 0:
 		b.WriteString("Transfer-Encoding: chunked\r\n")
 		return true
