--- a/gateway/egress/upstream_write.go
+++ b/gateway/egress/upstream_write.go
@@ -11,8 +11,8 @@
 
 // Write implements io.Writer. While it is blocked it looks for the end of the upstream's side, which cannot be told from
 // a failure of the connection afterwards.
-func (c *upstreamConn) Write(p []byte) (written int, err error) {
-	for {
+func (c *upstreamConn) Write(p []byte) (int, error) {
+	for written := 0; ; {
 		_ = c.nc.SetWriteDeadline(earliest(time.Now().Add(endCheckInterval), c.deadline))
 		n, err := c.nc.Write(p[written:])
 		written += n
