--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -167,7 +167,7 @@
 	}
 }
 
-// recordCut records a response that was not sent to its end.
+// recordCut records a response that was cut while it was sent.
 func (g *Gateway) recordCut(cut ingress.Cut) {
 	g.metrics.countCut(cut)
 	g.requests.logUnsentResponse(cut.Request.Get(g.cfg.Headers.RequestID), cut)
--- a/gateway/ingress/cut.go
+++ b/gateway/ingress/cut.go
@@ -8,7 +8,7 @@
 	"github.com/juju/errors"
 )
 
-// Cut describes a response that was not sent to its end.
+// Cut describes a response that was cut while it was sent.
 type Cut struct {
 	// Request is the header of the request.
 	Request http.Header
@@ -19,7 +19,7 @@
 	Err      error
 }
 
-// CutCause is why a response was not sent to its end.
+// CutCause is why a response was cut while it was sent.
 type CutCause string
 
 // Causes, as in logs and metrics.
@@ -35,12 +35,12 @@
 // errRest is returned if the remainder of a long response could not be read.
 const errRest = errors.ConstError("remainder of the response not read")
 
-// ReportCuts makes the server call f for each response that is not sent to its end, on the goroutine of its request.
+// ReportCuts makes the server call f for each response that is cut while it is sent, on the goroutine of its request.
 // It is called before Serve.
 func (s *Server) ReportCuts(f func(Cut)) { s.onCut = f }
 
-// reportCut reports a response whose sending failed. Where the context of the connection ended first, its cause is that
-// of the failure.
+// reportCut reports a response whose sending failed with err, or with the cause of the connection's context if that has
+// ended.
 func (c *conn) reportCut(request *http.Request, response *Response, err error) {
 	if c.server.onCut == nil || request == nil {
 		return
--- a/gateway/ingress/server.go
+++ b/gateway/ingress/server.go
@@ -24,7 +24,7 @@
 	buffers *memlimit.Budget
 	// pacer gives long responses their turns on a slow link; nil on others.
 	pacer *link.Pacer
-	// onCut is called for responses that are not sent to their end; may be nil.
+	// onCut is called for responses that are cut while they are sent; may be nil.
 	onCut func(Cut)
 
 	mu       sync.Mutex
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -36,7 +36,7 @@
 	overCapacityRetries metric.Int64Counter
 	// rejections counts attempts that upstreams rejected without running them.
 	rejections metric.Int64Counter
-	// cuts counts responses that were not sent to their end.
+	// cuts counts responses that were cut while they were sent.
 	cuts metric.Int64Counter
 }
 
@@ -91,7 +91,7 @@
 		return nil, errors.Trace(err)
 	}
 	if m.cuts, err = meter.Int64Counter("pm_gateway_cut_responses",
-		metric.WithDescription("Responses that were not sent to their end, by reason and event: serving, or stopping in a planned stop.")); err != nil {
+		metric.WithDescription("Responses that were cut while they were sent, by reason and event: serving, or stopping in a planned stop.")); err != nil {
 		return nil, errors.Trace(err)
 	}
 	return m, errors.Trace(registerGauges(meter, g))
@@ -269,7 +269,7 @@
 	cutStopping = "stopping"
 )
 
-// countCut counts a response that was not sent to its end.
+// countCut counts a response that was cut while it was sent.
 func (m *requestMetrics) countCut(cut ingress.Cut) {
 	event := cutServing
 	if cut.Stopping {
--- a/gateway/request_log.go
+++ b/gateway/request_log.go
@@ -104,7 +104,7 @@
 	}).Info("response cut by its upstream while it was streamed")
 }
 
-// logUnsentResponse logs a response that was not sent to its end, unless its caller left while this VM served on.
+// logUnsentResponse logs a response that was cut while it was sent, unless its caller left while this VM served on.
 func (l *requestLog) logUnsentResponse(id string, cut ingress.Cut) {
 	if cut.Cause == ingress.CutCallerGone && !cut.Stopping || !l.allow(false) {
 		return
