Look for the end of the upstream's side in long requests only

Only a write that the kernel doesn't take whole can be blocked, so requests with a body of up to 8 KiB keep the deadline of the request alone.

--- a/gateway/egress/exchange.go
+++ b/gateway/egress/exchange.go
@@ -60,7 +60,7 @@
 
 func (p *Pool) exchange(c *upstreamConn, call *Call) *Reply {
 	c.usableUntil = time.Time{}
-	c.deadline = call.Deadline
+	c.deadline, c.long = call.Deadline, call.Rest != nil || len(call.Body) > longRequest
 	_ = c.nc.SetDeadline(call.Deadline)
 	sent, err := p.send(c, call)
 	if err != nil && !sent {
--- a/gateway/egress/timing.go
+++ b/gateway/egress/timing.go
@@ -12,6 +12,9 @@
 	// endCheckInterval is how often a blocked write looks for the end of the upstream's side. It is well below userTimeout,
 	// after which the connection fails.
 	endCheckInterval = 100 * time.Millisecond
+	// longRequest is the length in bytes from which the body of a request may block its write. Linux takes 16 KiB on a new
+	// connection, the head included.
+	longRequest = 8 << 10
 	// keepAliveIdle, keepAliveInterval and keepAliveCount detect dead connections while an upstream
 	// works on a request.
 	keepAliveIdle     = 2 * time.Second
--- a/gateway/egress/upstream_conn.go
+++ b/gateway/egress/upstream_conn.go
@@ -26,6 +26,8 @@
 	fresh bool
 	// deadline is that of the request, which also bounds writes.
 	deadline time.Time
+	// long is set if the request may exceed what the kernel takes at once.
+	long bool
 	// failure is the error of the write that failed; ended is set if the upstream was seen to end its side before.
 	failure error
 	ended   bool
--- a/gateway/egress/upstream_write.go
+++ b/gateway/egress/upstream_write.go
@@ -9,11 +9,13 @@
 	"golang.org/x/sys/unix"
 )
 
-// Write implements io.Writer. While it is blocked it looks for the end of the upstream's side, which cannot be told from
-// a failure of the connection afterwards.
+// Write implements io.Writer. While the write of a long request is blocked it looks for the end of the upstream's side,
+// which cannot be told from a failure of the connection afterwards. A short one is not blocked: the kernel takes it whole.
 func (c *upstreamConn) Write(p []byte) (int, error) {
 	for written := 0; ; {
-		_ = c.nc.SetWriteDeadline(earliest(time.Now().Add(endCheckInterval), c.deadline))
+		if c.long {
+			_ = c.nc.SetWriteDeadline(earliest(time.Now().Add(endCheckInterval), c.deadline))
+		}
 		n, err := c.nc.Write(p[written:])
 		written += n
 		if err == nil {
