Keep writes to a caller aborted once its request has ended

Cause: at the end of a request a write to its caller is made to fail by a deadline in the past. A write that began just then replaced it by its own deadline, and blocked for the write timeout if the caller did not read.

TestAbortedWritesStayAborted brings it about: it blocked for 10 s before.

Change: the abort is kept, and a write that has set its deadline looks for it.

--- a/forward/caller.go
+++ b/forward/caller.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"pistachiomount.example/pistachiomount/forward/reject"
@@ -16,6 +17,8 @@
 	writeTimeout time.Duration
 	// knowsChunks is set if a response without a length can be sent in chunks, as to callers of HTTP/1.1.
 	knowsChunks bool
+	// aborted is set once writes must fail.
+	aborted atomic.Bool
 }
 
 func newCaller(w http.ResponseWriter, r *http.Request, writeTimeout time.Duration) *caller {
@@ -28,9 +31,17 @@
 	_ = c.rc.SetReadDeadline(until) // not supported by recorders in tests
 }
 
-// extendWriteDeadline gives the next write the whole write timeout.
+// extendWriteDeadline gives the next write the whole write timeout, unless writes were aborted.
 func (c *caller) extendWriteDeadline() {
 	_ = c.rc.SetWriteDeadline(time.Now().Add(c.writeTimeout)) // not supported by recorders in tests
+	if c.aborted.Load() {
+		c.failWrites() // the deadline above may have replaced that of the abort
+	}
+}
+
+// failWrites makes a blocked write and all later ones fail.
+func (c *caller) failWrites() {
+	_ = c.rc.SetWriteDeadline(time.Unix(1, 0)) // the connection may be closed already
 }
 
 // reject sends a rejection. If body bytes are still to come it closes the connection,
@@ -72,10 +83,11 @@
 	_ = nc.Close()
 }
 
-// abortWritesOn makes a blocked write fail when the context ends. The returned function
+// abortWritesOn makes writes fail when the context ends, also a blocked one. The returned function
 // returns false if that happened; the connection must then be aborted.
 func (c *caller) abortWritesOn(ctx context.Context) func() bool {
 	return context.AfterFunc(ctx, func() {
-		_ = c.rc.SetWriteDeadline(time.Unix(1, 0)) // the connection may be closed already
+		c.aborted.Store(true)
+		c.failWrites()
 	})
 }
