--- a/review/third/fleet/fleet.go
+++ b/review/third/fleet/fleet.go
@@ -253,3 +253,6 @@
 	}
 	return false
 }
+
+// Region returns the region of a failure domain.
+func Region(domain string) string { return regions()[domain] }
--- a/review/third/fleet/operator.go
+++ b/review/third/fleet/operator.go
@@ -33,31 +33,6 @@
 	return response.StatusCode, string(raw), err
 }
 
-// Leave sends a call to one daemon and gives up waiting after callTimeout, but leaves the call under way: the connection
-// stays open until the response arrives, or for a minute.
-func Leave(method, url string) (status int, late <-chan int) {
-	answered := make(chan int, 1)
-	go func() {
-		request, err := http.NewRequest(method, url, nil)
-		if err != nil {
-			return
-		}
-		client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: time.Minute}
-		response, err := client.Do(request)
-		if err != nil {
-			return
-		}
-		_ = response.Body.Close()
-		answered <- response.StatusCode
-	}()
-	select {
-	case status = <-answered:
-		return status, nil
-	case <-time.After(callTimeout):
-		return 0, answered
-	}
-}
-
 // Order sends a call of the operator to the daemons in turn, the given one first, until one acknowledges or refuses it.
 func (f *Fleet) Order(path string, body []byte, first int, limit time.Duration) (status int) {
 	began := time.Now()
--- a/review/third/late_order.go
+++ b/review/third/late_order.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"net/http"
 	"syscall"
 	"time"
@@ -38,13 +39,18 @@
 	}
 	time.Sleep(2 * time.Second)
 	vm := d.fleet.Controls[frozenControl]
+	link, err := fleet.NewLink(vm.OperatorAddress())
+	if err != nil {
+		return couldNot
+	}
 	began := time.Now()
 	if trouble {
 		r.Printf("%s freezes", vm.Name())
+		link.Freeze()
 		vm.Signal(syscall.SIGSTOP)
 	}
-	status, late := fleet.Leave(http.MethodPost, "http://"+vm.OperatorAddress()+endCall)
-	r.Printf("operator: POST %s at %s: %d within 1 s", endCall, vm.Name(), status)
+	status, _, err := fleet.Call(context.Background(), http.MethodPost, "http://"+link.Address()+endCall, nil)
+	r.Printf("operator: POST %s at %s: %d %v", endCall, vm.Name(), status, err)
 	if status != http.StatusOK && d.fleet.Order(endCall, nil, 0, orderTime) != http.StatusOK {
 		return couldNot
 	}
@@ -57,6 +63,7 @@
 	time.Sleep(time.Until(began.Add(controlFreeze)))
 	if trouble {
 		vm.Signal(syscall.SIGCONT)
+		link.Thaw()
 		r.Printf("%s goes on", vm.Name())
 	}
 	from := time.Now().Add(contact + time.Second)
@@ -64,9 +71,6 @@
 		from = bound
 	}
 	time.Sleep(time.Until(from.Add(watchTime)))
-	if trouble {
-		r.Printf("late answer of %s: %d", vm.Name(), <-late)
-	}
 	in, elsewhere := d.runsIn(evacuatedDomain, from)
 	r.Printf("from %.1f s after the acknowledgement on: %d requests ran in %s, %d elsewhere", from.Sub(d.acknowledged).Seconds(), in, evacuatedDomain, elsewhere)
 	return verdict(in, elsewhere)
--- a/review/third/main.go
+++ b/review/third/main.go
@@ -25,6 +25,10 @@
 		return movedKeyCase
 	case "added-route":
 		return addedRouteCase
+	case "outdated-start":
+		return outdatedStartCase
+	case "added-home":
+		return addedHomeCase
 	case "late-order":
 		return lateOrderCase
 	}
