--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -4,4 +4,4 @@
 set -u
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/pistachiomount ] && [ -x target/review3 ] || exit 2
-exec target/review3 late-order review/13/record.txt
+exec target/review3 outdated-start review/13/record.txt
--- a/review/third/deployment.go
+++ b/review/third/deployment.go
@@ -132,6 +132,18 @@
 	settleTime   = 4 * time.Second
 )
 
+// connect returns clients with an open connection each, on which a look-up was answered.
+func connect(gateway *fleet.VM) []*http.Client {
+	clients := make([]*http.Client, requests)
+	var wg sync.WaitGroup
+	for i := range clients {
+		clients[i] = &http.Client{Transport: &http.Transport{}}
+		wg.Go(func() { fleet.Send(clients[i], gateway, http.MethodGet, "/look/1", nil, callerDeadline) })
+	}
+	wg.Wait()
+	return clients
+}
+
 // changeDuringFreeze makes a change while a gateway stands still, sends requests to that gateway once the change must be
 // in force everywhere, and lets it go on. It returns the answers.
 func (d *deployment) changeDuringFreeze(
@@ -141,6 +153,7 @@
 	defer stop()
 	time.Sleep(settleTime)
 	gateway := d.fleet.Gateways[1]
+	clients := connect(gateway)
 	began := time.Now()
 	if trouble {
 		d.record.Printf("%s freezes", gateway.Name())
@@ -157,7 +170,7 @@
 	var wg sync.WaitGroup
 	for i := range answers {
 		wg.Go(func() {
-			answers[i] = send(gateway, &http.Client{Transport: &http.Transport{DisableKeepAlives: true}})
+			answers[i] = send(gateway, clients[i])
 		})
 	}
 	time.Sleep(time.Until(began.Add(frozenTime)))
