Log pauses of a process, and the age of the plan behind each request

Package continuity finds pauses of a second or more on the fastest of three clocks, asked by whoever uses it first. `process was paused` has the length and the age of the view at that moment; `request ended` has `view_age_ms`; `plan in force` tells whether the control daemon had confirmed the plan, and how long ago; pm_gateway_pauses and pm_gateway_paused count. Nothing is decided by it yet.

--- a/entry/plan_follower.go
+++ b/entry/plan_follower.go
@@ -11,6 +11,7 @@
 	"pistachiomount.example/pistachiomount/announce"
 	"pistachiomount.example/pistachiomount/apipb"
 	"pistachiomount.example/pistachiomount/clock"
+	"pistachiomount.example/pistachiomount/continuity"
 	"pistachiomount.example/pistachiomount/demand"
 	"pistachiomount.example/pistachiomount/grant"
 	"pistachiomount.example/pistachiomount/inventory"
@@ -53,6 +54,7 @@
 type PlanFollower struct {
 	cfg         FollowerConfig
 	incarnation uint64
+	monitor     *continuity.Monitor
 	peers       *transport.Peers
 	syncer      *planSyncer
 	renewer     *renewer
@@ -65,6 +67,7 @@
 	f := &PlanFollower{
 		cfg: cfg, incarnation: uint64(time.Now().UnixNano()), peers: transport.NewPeers(cfg.Security),
 	}
+	f.monitor = continuity.New(cfg.Clock, f.logPause)
 	controls := newControls(cfg.Controls, hashName(cfg.VM), peerDialer{peers: f.peers})
 	f.holder = grant.NewHolder(grant.HolderConfig{
 		Environment: apipb.Environment_ENVIRONMENT_PLAN, VM: cfg.VM, Incarnation: f.incarnation,
@@ -87,12 +90,25 @@
 // Run synchronizes with the control daemons until the context ends.
 func (f *PlanFollower) Run(ctx context.Context) {
 	var wg sync.WaitGroup
+	wg.Go(func() { f.monitor.Watch(ctx) })
 	wg.Go(func() { f.syncer.run(ctx) })
 	wg.Go(func() { f.renewer.run(ctx) })
 	wg.Wait()
 	f.peers.Close()
 }
 
+// logPause logs a pause of the process, and how old its view was when it went on.
+func (f *PlanFollower) logPause(length time.Duration) {
+	view := f.View()
+	age, _ := view.Age(f.cfg.Clock.Now())
+	f.cfg.Log.WithFields(logrus.Fields{
+		"paused_ms": length.Milliseconds(), "view_age_ms": age.Milliseconds(), "revision": view.Revision,
+	}).Warn("process was paused")
+}
+
+// Paused returns how often this process was paused, and for how long in all.
+func (f *PlanFollower) Paused() (count uint64, total time.Duration) { return f.monitor.Paused() }
+
 // SetControls replaces the configured addresses of control daemons.
 func (f *PlanFollower) SetControls(addresses []string) { f.syncer.loop.controls.setSeeds(addresses) }
 
--- a/entry/plan_syncer.go
+++ b/entry/plan_syncer.go
@@ -95,10 +95,7 @@
 	}
 	if next.Revision != have.Revision {
 		s.onChange(&next) // before the store, so that requests under the new plan find its services
-		s.loop.log.WithFields(logrus.Fields{
-			"number": next.Index.Plan.Number, "revision": next.Revision, "customers": len(next.Index.Plan.Customers),
-			"keys_required": next.Index.KeysRequired(),
-		}).Info("plan in force")
+		s.logPlan(&next, reply)
 	}
 	s.current.Store(&next)
 	if !isConfirmed(reply) {
@@ -107,6 +104,18 @@
 	return nil
 }
 
+// logPlan logs a plan that was put in force, and what the control daemon said of its confirmation.
+func (s *planSyncer) logPlan(view *PlanView, reply *apipb.WatchReply) {
+	fields := logrus.Fields{
+		"number": view.Index.Plan.Number, "revision": view.Revision, "customers": len(view.Index.Plan.Customers),
+		"keys_required": view.Index.KeysRequired(), "confirmed": reply.Confirmed,
+	}
+	if reply.Confirmed {
+		fields["confirmed_age_ms"] = reply.ConfirmedAgeMs
+	}
+	s.loop.log.WithFields(fields).Info("plan in force")
+}
+
 func (s *planSyncer) fetch(ctx context.Context, client apipb.DRPCControlClient, have *PlanView, reply *apipb.WatchReply) (raw []byte, err error) {
 	switch reply.Kind {
 	case apipb.WatchKind_WATCH_KIND_DELTA:
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -128,6 +128,16 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
+	pauses, err := meter.Int64ObservableCounter("pm_gateway_pauses",
+		metric.WithDescription("Pauses of the process, in which it was stopped or its VM suspended."))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	pauseTime, err := meter.Float64ObservableCounter("pm_gateway_paused", metric.WithUnit("s"),
+		metric.WithDescription("Total length of the pauses of the process."))
+	if err != nil {
+		return errors.Trace(err)
+	}
 	limited, err := meter.Int64ObservableGauge("pm_gateway_limited_upstreams",
 		metric.WithDescription("Upstreams that have announced a limit of requests per second, by service."))
 	if err != nil {
@@ -162,6 +172,9 @@
 		obs.ObserveInt64(fleet, int64(len(g.follower.Fleet())))
 		obs.ObserveInt64(dials, int64(g.pool.Dials.Load()))
 		observeLink(obs)
+		count, total := g.follower.Paused()
+		obs.ObserveInt64(pauses, int64(count))
+		obs.ObserveFloat64(pauseTime, total.Seconds())
 		state := g.shiftLimiter.State(time.Now())
 		for region, share := range state.Counted {
 			obs.ObserveFloat64(shares, share, metric.WithAttributes(attribute.String("region", region)))
@@ -182,7 +195,7 @@
 			})
 		}
 		return nil
-	}, append(linkInstruments, viewAge, upstreams, limited, paced, running, waiting, fleet, homeShare, dials, passedOver, shares, references)...)
+	}, append(linkInstruments, viewAge, upstreams, limited, paced, running, waiting, fleet, homeShare, dials, pauses, pauseTime, passedOver, shares, references)...)
 	return errors.Trace(err)
 }
 
--- a/gateway/request_log.go
+++ b/gateway/request_log.go
@@ -67,7 +67,7 @@
 		"rank": r.query.Rank, "status": response.Status, "reason": reason, "took_ms": took.Milliseconds(),
 		"waited_ms": r.waitTime.Milliseconds(), "target_ms": r.route.Target.Milliseconds(),
 		"left_ms": time.Until(r.deadline).Milliseconds(), "sends": r.sends, "dials": r.failedDials, "may_have_run": r.mayHaveRun,
-		"upstreams": r.query.Tried, "retry_after": response.Header.Get("Retry-After"),
+		"upstreams": r.query.Tried, "retry_after": response.Header.Get("Retry-After"), "view_age_ms": r.viewAge.Milliseconds(),
 	}).Info("request ended")
 }
 
--- a/gateway/routed_request.go
+++ b/gateway/routed_request.go
@@ -42,6 +42,8 @@
 	// waitTime is the total time spent waiting for a free slot.
 	waitTime   time.Duration
 	planNumber uint64
+	// viewAge is the time between the last confirmation of the plan and its use for this request.
+	viewAge    time.Duration
 	permission permission
 }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -39,6 +39,7 @@
 		gateway: g, request: request, route: route, customer: customer, planNumber: view.Index.Plan.Number,
 		query: g.query(request, route, customer),
 	}
+	r.viewAge, _ = view.Age(g.cfg.Clock.Now())
 	r.deadline, r.callerDeadline = g.deadlines(request, route)
 	r.service = g.service(g.splitter.choose(route))
 	r.permission = permission{
