Let polls ask for a recent confirmation of the state

A poll is answered once something has changed, or after a second. A VM that has to know soon whether its view is the newest, as after its start, waits that second although the control daemon could confirm the state in a round trip.

A poll may now say how recent a confirmation it needs (confirmed_within_ms). It is answered as soon as the state was confirmed that recently, and a change that is not confirmed is held back from it until then; a first state is still sent at once, since it may take long to fetch. A read that cannot be requested, as while there is no leader, no longer delays the next by 250 ms.

Nothing uses the field yet.

--- a/control/barrier.go
+++ b/control/barrier.go
@@ -15,7 +15,7 @@
 	var readErr error
 	err := e.do(ctx, func() {
 		started = e.cfg.Clock.Now()
-		readErr = e.node.ReadIndex(e.confirmation.startRead(started))
+		_, readErr = e.startRead(started)
 	})
 	if err != nil {
 		return errors.Trace(err)
@@ -50,8 +50,7 @@
 	var id uint64
 	var readErr error
 	err := e.do(ctx, func() {
-		id = e.confirmation.startRead(e.cfg.Clock.Now())
-		if readErr = e.node.ReadIndex(id); readErr == nil {
+		if id, readErr = e.startRead(e.cfg.Clock.Now()); readErr == nil {
 			e.confirmation.waiters[id] = applied
 		}
 	})
--- a/control/confirmation.go
+++ b/control/confirmation.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/juju/errors"
+
 	"pistachiomount.example/pistachiomount/clock"
 	"pistachiomount.example/pistachiomount/consensus"
 )
@@ -36,7 +38,6 @@
 func (c *confirmation) startRead(now clock.Instant) uint64 {
 	c.nextID++
 	c.sentReads[c.nextID] = now
-	c.lastRead = now
 	for id, at := range c.sentReads {
 		if now.ElapsedSince(at) > readTimeout {
 			delete(c.sentReads, id)
@@ -94,7 +95,19 @@
 	if !e.confirmation.due(now) {
 		return
 	}
-	if err := e.node.ReadIndex(e.confirmation.startRead(now)); err != nil {
+	if _, err := e.startRead(now); err != nil {
 		e.cfg.Log.WithError(err).Debug("cannot confirm the state with a majority")
 	}
 }
+
+// startRead requests a read that starts now and returns its id. One that cannot be requested does not delay the next, so
+// that the state is confirmed as soon as a leader is known.
+func (e *Engine) startRead(now clock.Instant) (uint64, error) {
+	id := e.confirmation.startRead(now)
+	if err := e.node.ReadIndex(id); err != nil {
+		delete(e.confirmation.sentReads, id)
+		return 0, errors.Trace(err)
+	}
+	e.confirmation.lastRead = now
+	return id, nil
+}
--- a/control/watch.go
+++ b/control/watch.go
@@ -26,8 +26,8 @@
 	changed          <-chan struct{}
 }
 
-// Watch answers a poll as soon as there is a newer revision than the caller's, or
-// when the wait time has elapsed.
+// Watch answers a poll as soon as there is a newer revision than the caller's, the state is confirmed as recently as
+// the caller asks, or the wait time has elapsed.
 func (e *Engine) Watch(ctx context.Context, request *apipb.WatchRequest) (*apipb.WatchReply, error) {
 	wait := min(time.Duration(request.WaitMs)*time.Millisecond, MaxWatchWait)
 	timer := time.NewTimer(wait)
@@ -38,7 +38,7 @@
 		if err != nil {
 			return nil, errors.Trace(err)
 		}
-		if state.hasNewer(request) {
+		if state.answers(request) {
 			return e.replyTo(request, &state, arrived)
 		}
 		select {
@@ -82,6 +82,16 @@
 	return state, err
 }
 
+// answers reports whether a poll is answered before its wait has elapsed. A caller that must not act on an unconfirmed
+// state gets no such change, but for its first state, which may take long to fetch.
+func (s *watchState) answers(request *apipb.WatchRequest) bool {
+	limit := time.Duration(request.ConfirmedWithinMs) * time.Millisecond
+	if limit == 0 || request.HaveRevision == 0 && s.version != nil {
+		return s.hasNewer(request)
+	}
+	return s.confirmed && s.age <= limit
+}
+
 func (s *watchState) hasNewer(request *apipb.WatchRequest) bool {
 	return s.version != nil && s.version.Revision > request.HaveRevision
 }
