Act on a view from before a pause only once it was confirmed since

Cause: a gateway used its view whatever the age. A VM that is cut off may, and knows by its failed polls that it is; a process that was paused has the same old view without a failed poll, and reads the requests that wait on its sockets before its next poll is answered. The check before a send looked at the same old view, and not at whether the route is idempotent.

Evidence: on the code before, "process was paused" with view_age_ms=7327, then requests of /look/pay/ with route=r-look, plan=7, sends=2 and view_age_ms=7328; plan 9 in force 0.1 s after the pause.

Change: entry.knowledge is the one place that decides whether a process may act on what it knows. It may while it runs. After a pause it may once its view was recent at some moment since; requests wait for that, and it waits for one renewal, no longer than that takes. A poll after a pause asks for a confirmation at once, and neither it nor the renewal waits as after a failure. A request is sent again only if the plan in force still calls its route idempotent.

Why it works: a confirmation counts from the instant at which the control daemon confirmed, so nothing that was on its way during the pause counts.

--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -258,13 +258,20 @@
 
 // putConfigWith sends a configuration that ends with the given fields.
 func (f *fleet) putConfigWith(version, base int, fields string) {
+	f.t.Helper()
+	f.putConfigWithRoutes(version, base, "", fields)
+}
+
+// putConfigWithRoutes sends a configuration with more routes that ends with the given fields. Each of the routes begins
+// with a comma.
+func (f *fleet) putConfigWithRoutes(version, base int, routes, fields string) {
 	f.t.Helper()
 	config := fmt.Sprintf(`{"version":%d,"baseVersion":%d,"routes":[
 {"name":"look","host":"a.example","pathPrefix":"/look/","kind":"safe","timeout":"2s","targetLatency":"400ms","priority":1,"service":"s","maxAttempts":3,"cacheAffinity":true},
 {"name":"book","host":"a.example","pathPrefix":"/book/","kind":"unsafe","timeout":"2s","targetLatency":"400ms","priority":0,"service":"s","maxAttempts":3},
-{"name":"open","host":"a.example","pathPrefix":"/open/","kind":"safe","timeout":"2s","targetLatency":"400ms","priority":1,"service":"s","maxAttempts":3,"public":true}],
+{"name":"open","host":"a.example","pathPrefix":"/open/","kind":"safe","timeout":"2s","targetLatency":"400ms","priority":1,"service":"s","maxAttempts":3,"public":true}%s],
 "services":[{"name":"s","healthPath":"/health","maxConnections":100,"warmup":"1s","warmupPerS":50}],
-"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1048576,"headerTimeout":"3s","idleTimeout":"15s"}%s}`, version, base, fields)
+"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1048576,"headerTimeout":"3s","idleTimeout":"15s"}%s}`, version, base, routes, fields)
 	eventually(f.t, fmt.Sprintf("version %d acknowledged", version), func() bool {
 		return slices.ContainsFunc(f.operatorAddresses(), func(address string) bool {
 			response, err := http.Post("http://"+address+"/pistachiomount/Config.Put", "application/json", bytes.NewReader([]byte(config)))
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -11,8 +11,10 @@
 
 	"github.com/alexedwards/flow"
 	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
 
 	"pistachiomount.example/pistachiomount/apipb"
+	"pistachiomount.example/pistachiomount/continuity"
 	"pistachiomount.example/pistachiomount/forward"
 	"pistachiomount.example/pistachiomount/forward/pool"
 	"pistachiomount.example/pistachiomount/forward/reject"
@@ -40,6 +42,8 @@
 type Daemon struct {
 	cfg         Config
 	incarnation uint64
+	monitor     *continuity.Monitor
+	knowledge   *knowledge
 	peers       *transport.Peers
 	controls    *controls
 	syncer      *viewSyncer
@@ -76,6 +80,8 @@
 		steerer:     steering.New(cfg.Clock, nil),
 		lifecycle:   membership.NewLifecycle(cfg.Clock),
 	}
+	d.monitor = continuity.New(cfg.Clock, d.logPause)
+	d.knowledge = newKnowledge(d.monitor, cfg.Clock, MaxViewAge)
 	d.controls = newControls(cfg.Controls, hashName(cfg.VM), peerDialer{d.peers, cfg.Tracer})
 	d.commands = &commands{controls: d.controls}
 	d.holder = grant.NewHolder(grant.HolderConfig{
@@ -86,11 +92,14 @@
 	d.queue = newPermitQueue(cfg.Clock, d.grants, d.customerWeight, d.chooser.countRequest)
 	d.lookups = newLookups(cfg.Region)
 	d.syncer = &viewSyncer{
-		loop:        pollLoop{controls: d.controls, log: cfg.Log, subject: "configuration"},
+		loop:        pollLoop{controls: d.controls, log: cfg.Log, subject: "configuration", knowledge: d.knowledge},
 		environment: cfg.Environment, deployment: cfg.Deployment, vm: cfg.VM,
 		incarnation: d.incarnation, clock: cfg.Clock, onChange: d.applyView,
 	}
-	d.renewer = &renewer{controls: d.controls, holder: d.holder, log: cfg.Log, vmStatus: d.vmStatus, onFleet: d.lookups.setFleet, onRenewed: d.serveWhenReady, renewing: make(chan struct{}, 1)}
+	d.renewer = &renewer{
+		controls: d.controls, holder: d.holder, log: cfg.Log, vmStatus: d.vmStatus, onFleet: d.lookups.setFleet,
+		onRenewed: d.serveWhenReady, renewing: make(chan struct{}, 1), knowledge: d.knowledge,
+	}
 	d.probe = inventory.NewLoadProbe(inventory.LoadProbeConfig{Clock: cfg.Clock, OnReport: d.handleLoadReport})
 	d.pool = pool.NewSet(pool.Options{Permits: connGrants{d.grants}})
 	observer, err := newObserver(cfg.Meter, d)
@@ -125,7 +134,7 @@
 	defer wg.Wait()
 	defer stop()
 	for _, work := range []func(context.Context){
-		d.syncer.run, d.renewer.run, d.runPlatform, d.runProbe, d.runTicks, d.jobs.loop,
+		d.monitor.Watch, d.syncer.run, d.renewer.run, d.runPlatform, d.runProbe, d.runTicks, d.jobs.loop,
 	} {
 		wg.Go(func() { work(background) })
 	}
@@ -146,6 +155,14 @@
 	return errors.Trace(err)
 }
 
+// logPause logs a pause of the process, and how old its view was when it went on.
+func (d *Daemon) logPause(length time.Duration) {
+	age, _ := d.syncer.load().age(d.cfg.Clock.Now())
+	d.cfg.Log.WithFields(logrus.Fields{
+		"paused_ms": length.Milliseconds(), "view_age_ms": age.Milliseconds(), "revision": d.syncer.load().revision,
+	}).Warn("process was paused")
+}
+
 // shutDown lets the leader grant shares to the VMs that callers move to, announces to
 // the fleet that this VM leaves, serves for as long as callers may cache an answer that
 // names it, waits until every request has ended, and returns the grants.
--- a/entry/plan_follower.go
+++ b/entry/plan_follower.go
@@ -47,6 +47,8 @@
 	OnNotices func(now time.Time, notices []announce.Notice)
 	// OnFleet is called when the list of entry VMs has changed; nil if that does not matter at once.
 	OnFleet func()
+	// MaxViewAge is the age up to which a view is recent; entry.MaxViewAge if 0.
+	MaxViewAge time.Duration
 }
 
 // PlanFollower synchronizes an entry VM with the control daemons: it follows the
@@ -55,6 +57,7 @@
 	cfg         FollowerConfig
 	incarnation uint64
 	monitor     *continuity.Monitor
+	knowledge   *knowledge
 	peers       *transport.Peers
 	syncer      *planSyncer
 	renewer     *renewer
@@ -67,17 +70,21 @@
 	f := &PlanFollower{
 		cfg: cfg, incarnation: uint64(time.Now().UnixNano()), peers: transport.NewPeers(cfg.Security),
 	}
+	if cfg.MaxViewAge <= 0 {
+		cfg.MaxViewAge = MaxViewAge
+	}
 	f.monitor = continuity.New(cfg.Clock, f.logPause)
+	f.knowledge = newKnowledge(f.monitor, cfg.Clock, cfg.MaxViewAge)
 	controls := newControls(cfg.Controls, hashName(cfg.VM), peerDialer{peers: f.peers})
 	f.holder = grant.NewHolder(grant.HolderConfig{
 		Environment: apipb.Environment_ENVIRONMENT_PLAN, VM: cfg.VM, Incarnation: f.incarnation,
 	}, cfg.Clock)
 	f.syncer = &planSyncer{
-		loop: pollLoop{controls: controls, log: cfg.Log, subject: "plan"},
-		vm:   cfg.VM, incarnation: f.incarnation, clock: cfg.Clock, onChange: cfg.OnChange,
+		loop: pollLoop{controls: controls, log: cfg.Log, subject: "plan", knowledge: f.knowledge},
+		vm:   cfg.VM, incarnation: f.incarnation, clock: cfg.Clock, onChange: cfg.OnChange, knowledge: f.knowledge,
 	}
 	f.renewer = &renewer{
-		controls: controls, holder: f.holder, log: cfg.Log, vmStatus: f.vmStatus,
+		controls: controls, holder: f.holder, log: cfg.Log, vmStatus: f.vmStatus, knowledge: f.knowledge,
 		onFleet:   func(_ uint64, vms []*apipb.Vm) { f.setFleet(vms) },
 		onRenewed: func() {}, renewing: make(chan struct{}, 1),
 		upstreams: &upstreamList{log: cfg.Log, onUpstreams: cfg.OnUpstreams},
@@ -115,6 +122,19 @@
 // View returns the current view; its Index is nil before the first plan.
 func (f *PlanFollower) View() *PlanView { return f.syncer.load() }
 
+// Current reports whether this VM may act on its view and its lists. The number of the run of the process tells whether
+// it was paused between two calls.
+func (f *PlanFollower) Current() (run uint64, ok bool) {
+	run, ok, _, _ = f.knowledge.current()
+	return run, ok
+}
+
+// Await waits until this VM may act on its view and its lists, which takes a round trip after a pause and no time
+// otherwise, and at most until the given time.
+func (f *PlanFollower) Await(ctx context.Context, until time.Time) (run uint64, ok bool) {
+	return f.knowledge.await(ctx, until)
+}
+
 // Holder returns the holder of this VM's grants.
 func (f *PlanFollower) Holder() *grant.Holder { return f.holder }
 
--- a/entry/plan_syncer.go
+++ b/entry/plan_syncer.go
@@ -19,6 +19,7 @@
 	incarnation uint64
 	clock       clock.Clock
 	onChange    func(*PlanView)
+	knowledge   *knowledge
 
 	loop    pollLoop
 	current atomic.Pointer[PlanView]
@@ -64,6 +65,9 @@
 		Environment: apipb.Environment_ENVIRONMENT_PLAN, HaveRevision: have.Revision, HaveDigest: have.digest,
 		WaitMs: uint32(maxPollWait.Milliseconds()), Vm: s.vm, Incarnation: s.incarnation, AcceptsUpdates: true,
 	}
+	if !s.knowledge.viewIsCurrent() {
+		request.ConfirmedWithinMs = s.knowledge.wantedAgeMS()
+	}
 	if s.needSnapshot {
 		request.HaveRevision, request.HaveDigest = 0, ""
 	}
@@ -98,6 +102,9 @@
 		s.logPlan(&next, reply)
 	}
 	s.current.Store(&next)
+	if reply.Confirmed {
+		s.knowledge.recordConfirmation(confirmedAt(reply, sent)) // after the store: those that wait for it read the view
+	}
 	if !isConfirmed(reply) {
 		return errors.Trace(ErrUnconfirmed)
 	}
--- a/entry/poll_loop.go
+++ b/entry/poll_loop.go
@@ -14,6 +14,8 @@
 	log      logrus.FieldLogger
 	// subject names what is polled, for log messages.
 	subject string
+	// knowledge tells whether the process was paused during a poll.
+	knowledge *knowledge
 
 	failing     bool
 	failedPolls atomic.Uint64
@@ -22,6 +24,7 @@
 // run polls until the context ends. poll returns the address that it asked.
 func (l *pollLoop) run(ctx context.Context, poll func(context.Context) (string, error)) {
 	for ctx.Err() == nil {
+		run := l.knowledge.run()
 		address, err := poll(ctx)
 		if err != nil && ctx.Err() != nil {
 			return
@@ -29,6 +32,9 @@
 		l.report(address, err)
 		if err != nil {
 			l.failedPolls.Add(1)
+			if l.knowledge.run() != run {
+				continue // the pause made the poll fail, not the daemon, and requests wait for the next one
+			}
 			l.controls.rotate(address)
 			pause(ctx, retryDelay)
 		}
--- a/entry/renewer.go
+++ b/entry/renewer.go
@@ -20,6 +20,8 @@
 	controls *controls
 	holder   *grant.Holder
 	log      logrus.FieldLogger
+	// knowledge is told of accepted renewals.
+	knowledge *knowledge
 	// vmStatus returns the entry of this VM for the fleet list.
 	vmStatus func() *apipb.Vm
 	// onFleet is called with each changed fleet list.
@@ -58,11 +60,11 @@
 	}
 }
 
-// renewAndReport renews once, or twice if the first daemon names the leader. After a start of all
-// VMs, the leader grants nothing until each of them has renewed.
+// renewAndReport renews once, or twice if the first daemon names the leader, or leads and has forgotten this VM, as after
+// a pause. After a start of all VMs, the leader grants nothing until each of them has renewed.
 func (r *renewer) renewAndReport(ctx context.Context) {
 	err := r.renew(ctx)
-	if errors.Is(err, grant.ErrNotLeader) && r.controls.leaderKnown() {
+	if errors.Is(err, grant.ErrNotLeader) && r.controls.leaderKnown() || errors.Is(err, grant.ErrFullRequestNeeded) {
 		err = r.renew(ctx)
 	}
 	if err != nil && !r.failing && ctx.Err() == nil {
@@ -122,6 +124,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
+	sent := r.knowledge.clock.Now()
 	request := r.holder.BuildRequest()
 	request.Vm = r.vmStatus()
 	request.HaveFleetVersion = r.fleetVersion
@@ -149,6 +152,7 @@
 	if reply.FleetVersion != r.fleetVersion {
 		r.applyFleet(reply)
 	}
+	r.knowledge.recordRenewal(sent)
 	return nil
 }
 
--- a/entry/renewer_test.go
+++ b/entry/renewer_test.go
@@ -11,6 +11,7 @@
 
 	"pistachiomount.example/pistachiomount/apipb"
 	"pistachiomount.example/pistachiomount/clock"
+	"pistachiomount.example/pistachiomount/continuity"
 	"pistachiomount.example/pistachiomount/grant"
 )
 
@@ -28,6 +29,7 @@
 		holder:   grant.NewHolder(grant.HolderConfig{VM: "vm", Incarnation: 1}, c),
 		log:      discardLog(), vmStatus: func() *apipb.Vm { return &apipb.Vm{Name: "vm"} },
 		onFleet: func(uint64, []*apipb.Vm) {}, onRenewed: func() {}, renewing: make(chan struct{}, 1),
+		knowledge: newKnowledge(continuity.New(c, nil), c, MaxViewAge),
 	}, d
 }
 
--- a/entry/view_syncer_test.go
+++ b/entry/view_syncer_test.go
@@ -11,6 +11,7 @@
 
 	"pistachiomount.example/pistachiomount/apipb"
 	"pistachiomount.example/pistachiomount/clock"
+	"pistachiomount.example/pistachiomount/continuity"
 	"pistachiomount.example/pistachiomount/document"
 )
 
@@ -37,8 +38,9 @@
 		return &apipb.ChunkReply{Data: raw, Gone: !ok}, nil
 	}
 	r.dialer = &fakeDialer{daemons: map[string]*fakeControl{"a": r.control}}
+	known := newKnowledge(continuity.New(r.clock, nil), r.clock, MaxViewAge)
 	r.viewSyncer = &viewSyncer{
-		loop:       pollLoop{controls: newControls([]string{"a", "b"}, 0, r.dialer), log: discardLog(), subject: "configuration"},
+		loop:       pollLoop{controls: newControls([]string{"a", "b"}, 0, r.dialer), log: discardLog(), subject: "configuration", knowledge: known},
 		deployment: "bancas", clock: r.clock,
 	}
 	r.onChange = func(v *view) { r.changes = append(r.changes, v.revision) }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -29,6 +29,7 @@
 type Gateway struct {
 	cfg          Config
 	follower     *entry.PlanFollower
+	knowledge    knowledge
 	lifecycle    *membership.Lifecycle
 	server       *ingress.Server
 	pool         *egress.Pool
@@ -77,7 +78,9 @@
 		Controls: cfg.Controls, Security: cfg.Security, Clock: cfg.Clock, Log: cfg.Log,
 		State: g.lifecycle.State, Load: func() float64 { return 0 }, OnChange: g.applyView, OnUpstreams: g.applyLeaderList,
 		Demand: g.reportDemand, OnDemand: g.applyDemand, Notices: g.notices, OnNotices: g.applyNotices, OnFleet: g.applyFleet,
+		MaxViewAge: cfg.MaxViewAge,
 	})
+	g.knowledge = g.follower
 	g.rateLimiter = newRateLimiter(cfg.VM, cfg.Region, g.follower, cfg.Clock, cfg.Log)
 	var err error
 	g.metrics, err = newRequestMetrics(cfg.Meter, g)
--- a/gateway/permission.go
+++ b/gateway/permission.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"slices"
 	"time"
 
@@ -17,6 +18,9 @@
 type permission struct {
 	clock     clock.Clock
 	checkedAt clock.Instant
+	knowledge knowledge
+	// run is the run of the process in which the request was checked.
+	run uint64
 	// rated is set if the request took a token of its customer's rate.
 	rated bool
 	// stillAllowed reports whether the plan in force allows the request.
@@ -24,21 +28,32 @@
 }
 
 // expired reports whether the request must not be sent; resent says that it was sent before, with a
-// token that counted then.
-func (p *permission) expired(resent bool) bool {
-	if p.clock == nil || p.clock.Now().ElapsedSince(p.checkedAt) <= maxPermissionAge {
+// token that counted then. After a pause it waits for what this VM missed, at most until the given time.
+func (p *permission) expired(ctx context.Context, until time.Time, resent bool) bool {
+	if p.clock == nil {
 		return false
 	}
-	return p.rated && !resent || !p.stillAllowed()
+	old := p.clock.Now().ElapsedSince(p.checkedAt) > maxPermissionAge
+	if run, _ := p.knowledge.Current(); !old && run == p.run {
+		return false
+	}
+	if old && p.rated && !resent {
+		return true
+	}
+	_, current := p.knowledge.Await(ctx, until)
+	return !current || !p.stillAllowed()
 }
 
 // stillAllowed reports whether the plan in force sends the route of a request to its service for the
-// customer that its key belongs to.
+// customer that its key belongs to, and allows what the route allowed.
 func (r *routedRequest) stillAllowed(index *plan.Index) bool {
 	route := index.Route(r.request.Host, r.request.Path)
 	if route == nil || !slices.ContainsFunc(route.Split, func(s plan.WeightedService) bool { return s.Service == r.serviceName() }) {
 		return false
 	}
+	if r.route.Idempotent && !route.Idempotent {
+		return false
+	}
 	if route.Public {
 		return true
 	}
--- a/gateway/routed_request.go
+++ b/gateway/routed_request.go
@@ -73,7 +73,7 @@
 		if failed != nil {
 			return failed
 		}
-		if r.permission.expired(r.sends > 0) {
+		if r.permission.expired(ctx, r.deadline.Add(-minAttemptTime), r.sends > 0) {
 			r.service.permits.release(chosen.ID, placement.Outcome{NotSent: true, Restricted: len(r.query.Regions) > 0})
 			return r.fail(ReasonPermissionExpired)
 		}
--- a/gateway/routed_request_test.go
+++ b/gateway/routed_request_test.go
@@ -85,6 +85,13 @@
 	}
 }
 
+// fixedKnowledge is that of a VM that was never paused, or that resumes and learns nothing.
+type fixedKnowledge struct{ current bool }
+
+func (k fixedKnowledge) Current() (run uint64, ok bool) { return 0, k.current }
+
+func (k fixedKnowledge) Await(context.Context, time.Time) (run uint64, ok bool) { return 0, k.current }
+
 func closeConn(w http.ResponseWriter) {
 	conn, _, err := w.(http.Hijacker).Hijack()
 	if err == nil {
@@ -148,6 +155,7 @@
 			r := newTestRequest(t, f, true)
 			r.permission = permission{
 				clock: manual, checkedAt: manual.Now(), rated: c.rated, stillAllowed: func() bool { return !c.revoked },
+				knowledge: fixedKnowledge{current: true},
 			}
 			if !c.afterSend {
 				manual.Advance(c.pause)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -21,19 +21,41 @@
 
 // Serve answers one request of a caller.
 func (g *Gateway) Serve(ctx context.Context, request *ingress.Request) *ingress.Response {
-	view := g.follower.View()
-	if view.Index == nil {
-		return g.reject(request, http.StatusServiceUnavailable, ReasonNoPlan)
+	r, rejected := g.route(ctx, request)
+	if rejected != nil {
+		return rejected
+	}
+	ctx, span := g.tracer.Start(ctx, "gateway.request", trace.WithAttributes(
+		attribute.String("request", r.id()), attribute.String("route", r.route.Name)))
+	defer span.End()
+	response := g.runWithinRate(ctx, r)
+	r.record(response)
+	return response
+}
+
+// route finds the route and the customer of a request in the current view. It returns a response instead if there are none.
+func (g *Gateway) route(ctx context.Context, request *ingress.Request) (*routedRequest, *ingress.Response) {
+	if g.follower.View().Index == nil {
+		return nil, g.reject(request, http.StatusServiceUnavailable, ReasonNoPlan)
 	}
+	run, current := g.awaitKnowledge(ctx, request)
+	switch {
+	case ctx.Err() != nil:
+		g.recordRejection(request, 0, ReasonCallerGone)
+		return nil, &ingress.Response{Abort: true}
+	case !current:
+		return nil, g.reject(request, http.StatusServiceUnavailable, ReasonViewStale)
+	}
+	view := g.follower.View()
 	route := view.Index.Route(request.Host, request.Path)
 	if route == nil {
-		return g.rejectUnknown(view, request, http.StatusNotFound, ReasonUnknownRoute)
+		return nil, g.rejectUnknown(view, request, http.StatusNotFound, ReasonUnknownRoute)
 	}
 	customer := view.Index.Customer(request.Header.Get(g.cfg.Headers.Key))
 	if route.Public {
 		customer = nil
 	} else if customer == nil && view.Index.KeysRequired() {
-		return g.rejectUnknown(view, request, http.StatusUnauthorized, ReasonUnknownKey)
+		return nil, g.rejectUnknown(view, request, http.StatusUnauthorized, ReasonUnknownKey)
 	}
 	r := &routedRequest{
 		gateway: g, request: request, route: route, customer: customer, planNumber: view.Index.Plan.Number,
@@ -43,15 +65,20 @@
 	r.deadline, r.callerDeadline = g.deadlines(request, route)
 	r.service = g.service(g.splitter.choose(route))
 	r.permission = permission{
-		clock: g.cfg.Clock, checkedAt: g.cfg.Clock.Now(), rated: customer != nil && customer.Rate > 0,
+		clock: g.cfg.Clock, checkedAt: g.cfg.Clock.Now(), knowledge: g.knowledge, run: run, rated: customer != nil && customer.Rate > 0,
 		stillAllowed: func() bool { return r.stillAllowed(g.follower.View().Index) },
 	}
-	ctx, span := g.tracer.Start(ctx, "gateway.request", trace.WithAttributes(
-		attribute.String("request", r.id()), attribute.String("route", route.Name)))
-	defer span.End()
-	response := g.runWithinRate(ctx, r)
-	r.record(response)
-	return response
+	return r, nil
+}
+
+// awaitKnowledge waits until this VM may act on its view, as long as the caller can still be served in time. That takes
+// time after a pause only.
+func (g *Gateway) awaitKnowledge(ctx context.Context, request *ingress.Request) (run uint64, current bool) {
+	if run, current = g.knowledge.Current(); current {
+		return run, true
+	}
+	deadline, _ := g.deadlines(request, &plan.Route{Timeout: unknownRouteTimeout})
+	return g.knowledge.Await(ctx, deadline.Add(-minAttemptTime))
 }
 
 // runWithinRate runs the request if its customer's rate allows it. A request that was sent to no
