Compare requests with the plan in force if a pause came before they were sent

Requests that were in the gateway already waited for a slot or a connection and were compared with the same old view, and not at all with regard to a rate that their customer has got.

Evidence: "request ended" with customer=parish-one, plan=7, view_age_ms=7477, 1 ms after "process was paused"; plan 9 in force 0.1 s later.

Change: if the process was paused since a request was checked, the gateway waits for what it missed before the send, and withholds the request if the pause came while its connection was opened. A request that is no longer allowed as it is and was sent to nobody is routed anew instead of refused. The wait for a slot counts from when the request could be placed, as nearly all of a burst were refused after a wait for the view.

Why it works: the number of the run changes with each pause, whoever finds it, so a check and a send with the same number have no pause between them.

--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -62,6 +62,8 @@
 
 	mu        sync.Mutex
 	runCounts map[string]int // by request id
+	// customers are those for whom requests ran, by request id.
+	customers map[string]string
 	// endless, if set, is the start of a response that has no end, and endlessPause the time between
 	// its parts.
 	endless      []byte
@@ -101,7 +103,7 @@
 }
 
 func (f *fleet) addUpstream(i int) {
-	u := &fleetUpstream{id: fmt.Sprintf("u-%d", i), domain: fleetDomains[i%len(fleetDomains)], runCounts: map[string]int{}}
+	u := &fleetUpstream{id: fmt.Sprintf("u-%d", i), domain: fleetDomains[i%len(fleetDomains)], runCounts: map[string]int{}, customers: map[string]string{}}
 	u.server = httptest.NewServer(u)
 	f.t.Cleanup(u.server.Close)
 	u.forwarder = newForwarder(f.t, u.server.Listener.Addr().String())
@@ -125,6 +127,7 @@
 	_, _ = io.Copy(io.Discard, r.Body) // a request with a truncated body still counts as run
 	u.mu.Lock()
 	u.runCounts[id]++
+	u.customers[id] = r.Header.Get(names.Customer)
 	endless, pause, faulty := u.endless, u.endlessPause, u.faulty
 	if r.Header.Get(names.Customer) == ratedCustomer {
 		u.ratedRuns = append(u.ratedRuns, time.Now())
@@ -316,6 +319,18 @@
 	return addresses
 }
 
+// customerOf returns the customer for whom a request ran, and the failure domain in which it did; empty if it did not run.
+func (f *fleet) customerOf(id string) (customer, domain string) {
+	for _, u := range f.upstreams {
+		u.mu.Lock()
+		if u.runCounts[id] > 0 {
+			customer, domain = u.customers[id], u.domain
+		}
+		u.mu.Unlock()
+	}
+	return customer, domain
+}
+
 // runCount returns how often a request ran.
 func (f *fleet) runCount(id string) (n int) {
 	for _, u := range f.upstreams {
--- a/e2e/paused_gateway_test.go
+++ b/e2e/paused_gateway_test.go
@@ -131,6 +131,47 @@
 	}
 }
 
+// Guards against a request that runs for the customer from whom its key was taken while the gateway was paused. Customers
+// with a rate are no exception: other VMs lend tokens of it.
+func TestPausedGatewayServesTheHolderOfAMovedKey(t *testing.T) {
+	for name, rate := range map[string]string{"without rate": "", "with a rate": `,"ratePerS":2000,"burst":2000`} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			tenants := func(former, next string) string {
+				return fmt.Sprintf(`,"tenants":[{"name":"former","apiKeys":["former-key"%s]%s},{"name":"next","apiKeys":["next-key"%s]%s}]`, former, rate, next, rate)
+			}
+			p := newPausedGateway(t, tenants(`,"moved-key"`, ""))
+			statuses := p.changeDuringPause(func() { p.putConfigWith(2, 1, tenants("", `,"moved-key"`)) }, http.MethodPost, "/book/1", "moved-key")
+			for id := range statuses {
+				if customer, domain := p.customerOf(id); domain != "" && customer != "next" {
+					t.Errorf("request %s ran for %q", id, customer)
+				}
+			}
+			p.checkServed(statuses)
+		})
+	}
+}
+
+// Guards against requests that run without the rate that their customer has got while the gateway was paused.
+func TestPausedGatewayKeepsANewRate(t *testing.T) {
+	t.Parallel()
+	const rate, burst = 5, 5
+	tenants := func(limit string) string {
+		return fmt.Sprintf(`,"tenants":[{"name":"t","apiKeys":[%q]%s}]`, soakKey, limit)
+	}
+	p := newPausedGateway(t, tenants(""))
+	began := time.Now()
+	change := func() { p.putConfigWith(2, 1, tenants(fmt.Sprintf(`,"ratePerS":%d,"burst":%d`, rate, burst))) }
+	statuses := p.changeDuringPause(change, http.MethodPost, "/book/1", soakKey)
+	runs, resumed := 0, began.Add(pausedFor)
+	for id := range statuses {
+		runs += p.runCount(id)
+	}
+	if allowed := burst + rate*(1+int(time.Since(resumed).Seconds())); runs > allowed {
+		t.Errorf("%d requests ran, %d allowed", runs, allowed)
+	}
+}
+
 // Guards against a gateway that is cut off but runs, and refuses requests that its view allows.
 func TestGatewayThatIsCutOffGoesOn(t *testing.T) {
 	t.Parallel()
--- a/gateway/egress/call.go
+++ b/gateway/egress/call.go
@@ -26,6 +26,8 @@
 	// Stream, if set, reports whether what has been read of a long successful response may be passed on before
 	// its end has arrived. length is the length of the body, -1 if unknown.
 	Stream func(now time.Time, length int64) bool
+	// Withhold, if set, reports whether the request must not be sent after all. It is asked once there is a connection.
+	Withhold func() bool
 
 	// healthCheck marks a health check, whose response carries no signature.
 	healthCheck bool
--- a/gateway/egress/errors.go
+++ b/gateway/egress/errors.go
@@ -8,6 +8,8 @@
 	ErrUnreachable = errors.ConstError("upstream unreachable")
 	// ErrAbandoned: the caller left, or the time of the request ended, before a connection was established.
 	ErrAbandoned = errors.ConstError("no connection to upstream before the request ended")
+	// ErrWithheld: the call was withheld once there was a connection.
+	ErrWithheld = errors.ConstError("request withheld before it was sent")
 	// ErrBroken: the connection ended, or carried unexpected data, before the response was complete.
 	ErrBroken = errors.ConstError("connection to upstream broken")
 	// ErrMismatched: only responses to other requests arrived.
--- a/gateway/egress/exchange.go
+++ b/gateway/egress/exchange.go
@@ -29,6 +29,10 @@
 	case err != nil:
 		return &Reply{Outcome: NotRun, Unreachable: true, Err: errors.Trace(err)}
 	}
+	if call.Withhold != nil && call.Withhold() {
+		_ = c.nc.Close()
+		return &Reply{Outcome: NotRun, Withheld: true, Err: errors.Trace(ErrWithheld)}
+	}
 	stop := context.AfterFunc(ctx, func() { _ = c.nc.Close() })
 	reply := p.exchange(c, call)
 	switch rest := reply.Rest.(type) {
--- a/gateway/egress/reply.go
+++ b/gateway/egress/reply.go
@@ -31,6 +31,8 @@
 	// Abandoned is set if the request ended before a connection could be established. It says little about
 	// the upstream.
 	Abandoned bool
+	// Withheld is set if the call was withheld by its Withhold function.
+	Withheld bool
 	// Endless is set if the response had no end: its head exceeded the limit, or its body lasted until
 	// the deadline.
 	Endless bool
--- a/gateway/permission.go
+++ b/gateway/permission.go
@@ -40,12 +40,25 @@
 	if old && p.rated && !resent {
 		return true
 	}
-	_, current := p.knowledge.Await(ctx, until)
-	return !current || !p.stillAllowed()
+	run, current := p.knowledge.Await(ctx, until)
+	if !current || !p.stillAllowed() {
+		return true
+	}
+	p.run = run
+	return false
+}
+
+// interrupted reports whether the process was paused since the request was last checked.
+func (p *permission) interrupted() bool {
+	if p.knowledge == nil {
+		return false
+	}
+	run, _ := p.knowledge.Current()
+	return run != p.run
 }
 
 // stillAllowed reports whether the plan in force sends the route of a request to its service for the
-// customer that its key belongs to, and allows what the route allowed.
+// customer that its key belongs to, and allows what the route allowed. A customer that had no rate may have got one.
 func (r *routedRequest) stillAllowed(index *plan.Index) bool {
 	route := index.Route(r.request.Host, r.request.Path)
 	if route == nil || !slices.ContainsFunc(route.Split, func(s plan.WeightedService) bool { return s.Service == r.serviceName() }) {
@@ -61,5 +74,5 @@
 	if customer == nil {
 		return r.customer == nil && !index.KeysRequired()
 	}
-	return customer.Name == r.customerName()
+	return customer.Name == r.customerName() && (r.permission.rated || !isRated(customer))
 }
--- a/gateway/routed_request.go
+++ b/gateway/routed_request.go
@@ -30,6 +30,9 @@
 	// deadline is when the request must have a response: at the end of the caller's time or of the
 	// route's timeout.
 	deadline time.Time
+	// placeableSince is when the request could be placed first: when it was received, or when this VM had learned what it
+	// missed in a pause.
+	placeableSince time.Time
 	// callerDeadline is when the caller gives up, after its retries.
 	callerDeadline time.Time
 
@@ -74,10 +77,13 @@
 			return failed
 		}
 		if r.permission.expired(ctx, r.deadline.Add(-minAttemptTime), r.sends > 0) {
-			r.service.permits.release(chosen.ID, placement.Outcome{NotSent: true, Restricted: len(r.query.Regions) > 0})
+			r.service.permits.release(chosen.ID, r.notSent())
 			return r.fail(ReasonPermissionExpired)
 		}
 		reply := r.attempt(ctx, chosen)
+		if reply.Withheld {
+			continue
+		}
 		if ctx.Err() != nil {
 			reply.Discard()
 			return &ingress.Response{Abort: true}
@@ -103,12 +109,12 @@
 		return inventory.Upstream{}, r.fail(ReasonStopping)
 	}
 	r.query.Slack = r.slack(now)
-	chosen, verdict := r.service.permits.acquire(ctx, r.query, admission.WaitDeadline(r.request.Received, now, r.deadline, r.route.Target))
+	chosen, verdict := r.service.permits.acquire(ctx, r.query, admission.WaitDeadline(r.placeableSince, now, r.deadline, r.route.Target))
 	r.waitTime += time.Since(now)
 	switch {
 	case ctx.Err() != nil:
 		if verdict == placement.Placed {
-			r.service.permits.release(chosen.ID, placement.Outcome{NotSent: true, Restricted: len(r.query.Regions) > 0})
+			r.service.permits.release(chosen.ID, r.notSent())
 		}
 		return inventory.Upstream{}, &ingress.Response{Abort: true}
 	case verdict == placement.NoUpstream:
@@ -120,12 +126,17 @@
 	case verdict == placement.ShiftLimited:
 		return inventory.Upstream{}, r.fail(ReasonShiftLimit)
 	case r.sends > 0 && !r.service.retries.TryRetry(time.Now(), r.query.Urgency):
-		r.service.permits.release(chosen.ID, placement.Outcome{NotSent: true, Restricted: len(r.query.Regions) > 0})
+		r.service.permits.release(chosen.ID, r.notSent())
 		return inventory.Upstream{}, r.fail(ReasonRetryBudget)
 	}
 	return chosen, nil
 }
 
+// notSent is the outcome of a slot that was not used.
+func (r *routedRequest) notSent() placement.Outcome {
+	return placement.Outcome{NotSent: true, Restricted: len(r.query.Regions) > 0}
+}
+
 // slack returns the time left until the target as a multiple of the route's average response time; 0 if that is not
 // known.
 func (r *routedRequest) slack(now time.Time) float64 {
@@ -151,12 +162,17 @@
 		Upstream: chosen.ID, Address: chosen.Address.String(), Method: r.request.Method, Target: r.request.Target,
 		Host: r.request.Host, Header: r.request.Header, Body: r.request.Body, Rest: r.request.Rest,
 		Length: r.request.Length, Deadline: r.deadline, Customer: r.customerName(), Stream: r.streamCondition(),
+		Withhold: r.permission.interrupted,
 	}
 	sent := time.Now()
 	spanCtx, span := r.gateway.tracer.Start(ctx, "gateway.offer", trace.WithAttributes(
 		attribute.String("upstream", chosen.ID), attribute.String("domain", chosen.FailureDomain)))
 	reply := r.gateway.pool.Do(spanCtx, call)
 	span.End()
+	if reply.Withheld {
+		r.service.permits.release(chosen.ID, r.notSent())
+		return reply
+	}
 	r.countAttempt(chosen, reply)
 	r.recordAnnouncement(chosen, reply)
 	outcome := placement.Outcome{
--- a/gateway/routed_request_test.go
+++ b/gateway/routed_request_test.go
@@ -77,7 +77,7 @@
 		t.Fatal(err)
 	}
 	return &routedRequest{
-		gateway: g, service: s, deadline: time.Now().Add(2 * time.Second),
+		placeableSince: time.Now(), gateway: g, service: s, deadline: time.Now().Add(2 * time.Second),
 		route: &plan.Route{Name: "r1", Idempotent: idempotent, MaxAttempts: 2, Target: 400 * time.Millisecond},
 		request: &ingress.Request{
 			Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{"X-Id": {"1"}}, Received: time.Now(),
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -19,18 +19,33 @@
 	"pistachiomount.example/pistachiomount/plan"
 )
 
+// maxRoutings is how often a request is routed anew because what allowed it ran out before it was sent.
+const maxRoutings = 3
+
 // Serve answers one request of a caller.
 func (g *Gateway) Serve(ctx context.Context, request *ingress.Request) *ingress.Response {
-	r, rejected := g.route(ctx, request)
-	if rejected != nil {
-		return rejected
+	for routings := 1; ; routings++ {
+		r, rejected := g.route(ctx, request)
+		if rejected != nil {
+			return rejected
+		}
+		if routings > 1 {
+			r.placeableSince = time.Now()
+		}
+		response := g.run(ctx, r)
+		if r.reason != ReasonPermissionExpired || r.sends > 0 || routings == maxRoutings {
+			r.record(response)
+			return response
+		}
 	}
+}
+
+// run runs a request that was routed.
+func (g *Gateway) run(ctx context.Context, r *routedRequest) *ingress.Response {
 	ctx, span := g.tracer.Start(ctx, "gateway.request", trace.WithAttributes(
 		attribute.String("request", r.id()), attribute.String("route", r.route.Name)))
 	defer span.End()
-	response := g.runWithinRate(ctx, r)
-	r.record(response)
-	return response
+	return g.runWithinRate(ctx, r)
 }
 
 // route finds the route and the customer of a request in the current view. It returns a response instead if there are none.
@@ -38,7 +53,12 @@
 	if g.follower.View().Index == nil {
 		return nil, g.reject(request, http.StatusServiceUnavailable, ReasonNoPlan)
 	}
-	run, current := g.awaitKnowledge(ctx, request)
+	placeableSince := request.Received
+	run, current := g.knowledge.Current()
+	if !current {
+		run, current = g.awaitKnowledge(ctx, request)
+		placeableSince = time.Now()
+	}
 	switch {
 	case ctx.Err() != nil:
 		g.recordRejection(request, 0, ReasonCallerGone)
@@ -59,35 +79,34 @@
 	}
 	r := &routedRequest{
 		gateway: g, request: request, route: route, customer: customer, planNumber: view.Index.Plan.Number,
-		query: g.query(request, route, customer),
+		query: g.query(request, route, customer), placeableSince: placeableSince,
 	}
 	r.viewAge, _ = view.Age(g.cfg.Clock.Now())
 	r.deadline, r.callerDeadline = g.deadlines(request, route)
 	r.service = g.service(g.splitter.choose(route))
 	r.permission = permission{
-		clock: g.cfg.Clock, checkedAt: g.cfg.Clock.Now(), knowledge: g.knowledge, run: run, rated: customer != nil && customer.Rate > 0,
+		clock: g.cfg.Clock, checkedAt: g.cfg.Clock.Now(), knowledge: g.knowledge, run: run, rated: isRated(customer),
 		stillAllowed: func() bool { return r.stillAllowed(g.follower.View().Index) },
 	}
 	return r, nil
 }
 
-// awaitKnowledge waits until this VM may act on its view, as long as the caller can still be served in time. That takes
-// time after a pause only.
+// awaitKnowledge waits until this VM may act on its view, as long as the caller can still be served in time.
 func (g *Gateway) awaitKnowledge(ctx context.Context, request *ingress.Request) (run uint64, current bool) {
-	if run, current = g.knowledge.Current(); current {
-		return run, true
-	}
 	deadline, _ := g.deadlines(request, &plan.Route{Timeout: unknownRouteTimeout})
 	return g.knowledge.Await(ctx, deadline.Add(-minAttemptTime))
 }
 
+// isRated reports whether requests of a customer need tokens of its rate; nil stands for callers of public routes.
+func isRated(customer *plan.Customer) bool { return customer != nil && customer.Rate > 0 }
+
 // runWithinRate runs the request if its customer's rate allows it. A request that was sent to no
 // upstream does not count against the rate.
 func (g *Gateway) runWithinRate(ctx context.Context, r *routedRequest) *ingress.Response {
 	if r.service == nil {
 		return r.fail(ReasonNoUpstream)
 	}
-	if r.customer == nil || r.customer.Rate <= 0 {
+	if !isRated(r.customer) {
 		return r.run(ctx)
 	}
 	taken, denied := g.rateLimiter.take(ctx, r.customer, time.Until(r.deadline))
