Serve by a first plan only once a control daemon has confirmed it

Cause: a gateway applies a newer state also if its control daemon cannot confirm it. For one that starts any state is newer; it served by version 7 of a daemon that had been stopped and missed version 9. design.md promised otherwise.

Evidence: "plan in force" with number=7, confirmed=true, confirmed_age_ms=6425, then number=9 with 276 ms 0.1 s later.

Change: a start counts like the end of a pause. The gateway may act on its view once that was confirmed within MaxViewAge; until then it isn't ready, isn't in its own directory, and rejects requests. A state that isn't confirmed is still fetched meanwhile.

Why it works: the decision no longer depends on whether a state is newer than what the process has, but on when it was known to be the newest.

The other side: the poll is answered when the state is confirmed, and the VM serves at that moment. Beside control daemons without a majority it serves nobody, as design.md has it.

--- a/control/engine.go
+++ b/control/engine.go
@@ -97,6 +97,10 @@
 // Run processes events until the context ends or the log cannot be written.
 func (e *Engine) Run(ctx context.Context) error {
 	defer close(e.done)
+	// Polls must not be answered from the snapshot while the log behind it holds later changes.
+	if err := e.processReady(); err != nil {
+		return errors.Trace(err)
+	}
 	ticker := time.NewTicker(TickInterval)
 	defer ticker.Stop()
 	for {
--- a/control/watch_confirmed_test.go
+++ b/control/watch_confirmed_test.go
@@ -92,3 +92,27 @@
 		is.True(took < TickInterval)
 	})
 }
+
+// Guards against a daemon that starts and answers its first poll from the snapshot, although the log behind it holds later
+// changes: an entry VM of an earlier release takes such a state for the newest.
+func TestFirstPollAfterAStartIsAnsweredFromTheLog(t *testing.T) {
+	simulate(t, 3, func(b *simCluster) {
+		is := is.New(b.t)
+		for number := uint64(1); number <= 2; number++ {
+			b.nodes[0].mustSubmit("trial", longDocument(number, minSnapshotLogBytes*3/4)) // with the second a snapshot is due
+		}
+		b.nodes[0].mustSubmit("trial", documentOf(3, 0))
+		n := b.others(b.leader())[0]
+		b.eventually("the documents", func() bool {
+			reply, _ := n.pollConfirmed(nil)
+			return reply.Number == 3
+		})
+		time.Sleep(time.Second) // the commit index is persisted with a later write at the latest
+		b.net.setIsolated(n.name, true)
+		n.restart()
+		b.eventually("the restart", func() bool { return n.engine() != nil })
+		reply, took := n.pollConfirmed(nil)
+		is.Equal(reply.Number, uint64(3))
+		is.True(took < TickInterval)
+	})
+}
--- a/entry/knowledge.go
+++ b/entry/knowledge.go
@@ -16,9 +16,10 @@
 // knowledge decides whether this process may act on what it has learned from the control daemons.
 //
 // A process that runs may, for as long as it is cut off too: it has what was the newest when the last call succeeded. One
-// that resumes from a pause has missed changes without a failed call, and can learn of them at once. It may therefore act
-// only on a view that was recent at some moment since the pause. It also waits for one renewal, which brings the lists of
-// VMs and upstreams, but no longer than a renewal takes: these may be old where the leader cannot be reached.
+// that resumes from a pause has missed changes without a failed call, and can learn of them at once. One that starts knows
+// nothing, and the first control daemon that it asks may lag behind. Both may act only on a view that was recent at some
+// moment since. They also wait for one renewal, which brings the lists of VMs and upstreams, but no longer than a renewal
+// takes: these may be old where the leader cannot be reached.
 type knowledge struct {
 	monitor *continuity.Monitor
 	clock   clock.Clock
--- a/entry/plan_follower.go
+++ b/entry/plan_follower.go
@@ -47,6 +47,9 @@
 	OnNotices func(now time.Time, notices []announce.Notice)
 	// OnFleet is called when the list of entry VMs has changed; nil if that does not matter at once.
 	OnFleet func()
+	// OnCurrent is called when this VM may act on its view for the first time, and for the first time after a pause; nil
+	// if that does not matter at once.
+	OnCurrent func()
 	// MaxViewAge is the age up to which a view is recent; entry.MaxViewAge if 0.
 	MaxViewAge time.Duration
 }
@@ -82,6 +85,7 @@
 	f.syncer = &planSyncer{
 		loop: pollLoop{controls: controls, log: cfg.Log, subject: "plan", knowledge: f.knowledge},
 		vm:   cfg.VM, incarnation: f.incarnation, clock: cfg.Clock, onChange: cfg.OnChange, knowledge: f.knowledge,
+		onCurrent: cfg.OnCurrent,
 	}
 	f.renewer = &renewer{
 		controls: controls, holder: f.holder, log: cfg.Log, vmStatus: f.vmStatus, knowledge: f.knowledge,
@@ -129,6 +133,9 @@
 	return run, ok
 }
 
+// ViewIsCurrent reports whether this VM may act on its view, whatever it knows of its lists.
+func (f *PlanFollower) ViewIsCurrent() bool { return f.knowledge.viewIsCurrent() }
+
 // Await waits until this VM may act on its view and its lists, which takes a round trip after a pause and no time
 // otherwise, and at most until the given time.
 func (f *PlanFollower) Await(ctx context.Context, until time.Time) (run uint64, ok bool) {
--- a/entry/plan_syncer.go
+++ b/entry/plan_syncer.go
@@ -20,6 +20,8 @@
 	clock       clock.Clock
 	onChange    func(*PlanView)
 	knowledge   *knowledge
+	// onCurrent is called when this VM may act on the view again, or for the first time; nil to ignore that.
+	onCurrent func()
 
 	loop    pollLoop
 	current atomic.Pointer[PlanView]
@@ -77,7 +79,7 @@
 
 // applyReply puts the state of a reply in force. The state of a daemon that is partitioned
 // from the majority is applied too if it is newer, but ErrUnconfirmed makes the next
-// poll ask another daemon.
+// poll ask another daemon, and a VM that starts does not act on it.
 func (s *planSyncer) applyReply(ctx context.Context, client apipb.DRPCControlClient, have *PlanView, reply *apipb.WatchReply, sent clock.Instant) error {
 	if reply.Revision < have.Revision {
 		return errors.Annotatef(ErrLowerRevision, "%d after %d", reply.Revision, have.Revision)
@@ -103,7 +105,7 @@
 	}
 	s.current.Store(&next)
 	if reply.Confirmed {
-		s.knowledge.recordConfirmation(confirmedAt(reply, sent)) // after the store: those that wait for it read the view
+		s.recordConfirmation(confirmedAt(reply, sent)) // after the store: those that wait for it read the view
 	}
 	if !isConfirmed(reply) {
 		return errors.Trace(ErrUnconfirmed)
@@ -111,6 +113,19 @@
 	return nil
 }
 
+// recordConfirmation records that the view contains every change that was accepted before an instant.
+func (s *planSyncer) recordConfirmation(at clock.Instant) {
+	before := s.knowledge.viewIsCurrent()
+	s.knowledge.recordConfirmation(at)
+	if before || !s.knowledge.viewIsCurrent() {
+		return
+	}
+	s.loop.log.WithField("revision", s.load().Revision).Info("plan may be used")
+	if s.onCurrent != nil {
+		s.onCurrent()
+	}
+}
+
 // logPlan logs a plan that was put in force, and what the control daemon said of its confirmation.
 func (s *planSyncer) logPlan(view *PlanView, reply *apipb.WatchReply) {
 	fields := logrus.Fields{
--- a/entry/update.go
+++ b/entry/update.go
@@ -18,8 +18,5 @@
 
 // covers reports whether the knowledge was recent, at most maxAge old, at some moment of the run.
 func (u *update) covers(run continuity.Run, maxAge time.Duration) bool {
-	if run.Number == 0 {
-		return true
-	}
 	return u.known && (u.run == run.Number || run.Began.ElapsedSince(u.at) <= maxAge)
 }
--- a/gateway/fake_control_test.go
+++ b/gateway/fake_control_test.go
@@ -119,11 +119,20 @@
 	next    int // number of the next request
 }
 
-// newTestGateway returns a gateway that follows the plan.
+// newTestGateway returns a gateway that serves by the plan.
 func newTestGateway(t *testing.T, f *fakeUpstreams, p *plan.Plan) *testGateway {
+	t.Helper()
+	g := startTestGateway(t, f, p, func(*fakeControl) {})
+	g.eventually(g.Ready)
+	return g
+}
+
+// startTestGateway returns a gateway that starts. prepare is called with its control daemon before.
+func startTestGateway(t *testing.T, f *fakeUpstreams, p *plan.Plan, prepare func(*fakeControl)) *testGateway {
 	t.Helper()
 	g := &testGateway{t: t, control: &fakeControl{}, clock: &clock.Manual{}}
 	g.control.setPlan(t, p)
+	prepare(g.control)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	security := &transport.Security{Insecure: true}
@@ -146,7 +155,6 @@
 		g.pool.Close()
 	})
 	g.applyList(f.list)
-	g.awaitRevision(1)
 	return g
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -78,7 +78,7 @@
 		Controls: cfg.Controls, Security: cfg.Security, Clock: cfg.Clock, Log: cfg.Log,
 		State: g.lifecycle.State, Load: func() float64 { return 0 }, OnChange: g.applyView, OnUpstreams: g.applyLeaderList,
 		Demand: g.reportDemand, OnDemand: g.applyDemand, Notices: g.notices, OnNotices: g.applyNotices, OnFleet: g.applyFleet,
-		MaxViewAge: cfg.MaxViewAge,
+		MaxViewAge: cfg.MaxViewAge, OnCurrent: g.applyCurrent,
 	})
 	g.knowledge = g.follower
 	g.rateLimiter = newRateLimiter(cfg.VM, cfg.Region, g.follower, cfg.Clock, cfg.Log)
@@ -179,13 +179,23 @@
 // SetControls replaces the configured addresses of the control daemons.
 func (g *Gateway) SetControls(addresses []string) { g.follower.SetControls(addresses) }
 
-// Ready reports whether this VM accepts callers: it has a plan and a list of upstreams, and is not
+// Ready reports whether this VM accepts callers: it has a plan that it may act on and a list of upstreams, and is not
 // leaving.
-func (g *Gateway) Ready() bool { return g.lifecycle.State() == apipb.VmState_VM_STATE_SERVING }
+func (g *Gateway) Ready() bool {
+	_, current := g.knowledge.Current()
+	return current && g.lifecycle.State() == apipb.VmState_VM_STATE_SERVING
+}
+
+// applyCurrent lets a VM that starts serve as soon as it may act on its plan.
+func (g *Gateway) applyCurrent() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.serveWhenReady()
+}
 
-// serveWhenReady enters the serving state once there is a plan and a list.
+// serveWhenReady enters the serving state once there is a plan that this VM may act on and a list.
 func (g *Gateway) serveWhenReady() {
-	if g.lifecycle.State() != apipb.VmState_VM_STATE_STARTING || !g.listRead || g.follower.View().Index == nil {
+	if g.lifecycle.State() != apipb.VmState_VM_STATE_STARTING || !g.listRead || g.follower.View().Index == nil || !g.follower.ViewIsCurrent() {
 		return
 	}
 	if err := g.lifecycle.Serve(); err != nil {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -12,6 +12,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
+	"pistachiomount.example/pistachiomount/apipb"
 	"pistachiomount.example/pistachiomount/entry"
 	"pistachiomount.example/pistachiomount/gateway/admission"
 	"pistachiomount.example/pistachiomount/gateway/ingress"
@@ -55,7 +56,7 @@
 	}
 	placeableSince := request.Received
 	run, current := g.knowledge.Current()
-	if !current {
+	if !current && g.lifecycle.State() != apipb.VmState_VM_STATE_STARTING {
 		run, current = g.awaitKnowledge(ctx, request)
 		placeableSince = time.Now()
 	}
