Place requests anew that were placed before a pause

For requests that were in the gateway, the check before a send compared keys and services but not regions, and an upstream chosen before the pause was used after it, whatever the new list and the evacuations said.

On the parent, which has the view of after the pause, all four cases of TestWaitingRequestIsPlacedAnewAfterAPause run at the upstream from before: route bound, customer bound, evacuated, left.

Change: the regions of route and customer are compared before a send, and the request is routed anew if they changed. An upstream that was chosen in an earlier run of the process is given back and another one is chosen.

Why it works: evacuations come with the view, and the list with the renewal, for both of which requests wait after a pause; whatever is chosen then is chosen by them.

--- a/e2e/paused_gateway_test.go
+++ b/e2e/paused_gateway_test.go
@@ -172,6 +172,21 @@
 	}
 }
 
+// Guards against a request that runs outside of the region to which its route was bound while the gateway was paused.
+func TestPausedGatewayKeepsRequestsInTheirHome(t *testing.T) {
+	t.Parallel()
+	tenants := fmt.Sprintf(`,"tenants":[{"name":"t","apiKeys":[%q]}]`, soakKey)
+	p := newPausedGateway(t, tenants)
+	home := `,{"name":"home","host":"a.example","pathPrefix":"/book/home/","kind":"unsafe","timeout":"4s","targetLatency":"400ms","priority":0,"service":"s","maxAttempts":3,"allowedRegions":["r-z3"]}`
+	statuses := p.changeDuringPause(func() { p.putConfigWithRoutes(2, 1, home, tenants) }, http.MethodPost, "/book/home/1", soakKey)
+	for id := range statuses {
+		if _, domain := p.customerOf(id); domain != "" && domain != "z3" {
+			t.Errorf("request %s ran in %s", id, domain)
+		}
+	}
+	p.checkServed(statuses)
+}
+
 // Guards against a gateway that is cut off but runs, and refuses requests that its view allows.
 func TestGatewayThatIsCutOffGoesOn(t *testing.T) {
 	t.Parallel()
--- a/entry/knowledge.go
+++ b/entry/knowledge.go
@@ -72,33 +72,46 @@
 	return k.view.covers(run, k.maxAge)
 }
 
-// current reports whether this process may act on its view and its lists, and in which run. If not, wait is the time until
-// that may change without anything being learned, and changed is closed once something is.
-func (k *knowledge) current() (run uint64, ok bool, wait time.Duration, changed <-chan struct{}) {
-	r := k.monitor.Current()
-	elapsed := k.clock.Now().ElapsedSince(r.Began)
+// state returns what this process may act on.
+func (k *knowledge) state() knowledgeState {
+	run := k.monitor.Current()
+	elapsed := k.clock.Now().ElapsedSince(run.Began)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	listed := k.lists.covers(r, k.maxAge) || elapsed >= renewTimeout
-	wait = maxResumeTime - elapsed
-	if !listed {
-		wait = renewTimeout - elapsed
+	s := knowledgeState{
+		run: run.Number, view: k.view.covers(run, k.maxAge), lists: k.lists.covers(run, k.maxAge) || elapsed >= renewTimeout,
+		wait: maxResumeTime - elapsed, changed: k.changed,
+	}
+	if !s.lists {
+		s.wait = renewTimeout - elapsed
 	}
-	return r.Number, listed && k.view.covers(r, k.maxAge), wait, k.changed
+	return s
 }
 
 // await waits until this process may act on its view and its lists, but not longer than the given time, nor than
 // maxResumeTime after a pause. It returns the run in which it may.
 func (k *knowledge) await(ctx context.Context, until time.Time) (run uint64, ok bool) {
+	return k.awaitState(ctx, until, knowledgeState.all)
+}
+
+// awaitLists does the same for the lists alone, which takes no longer than a renewal. A process that starts has no old ones.
+func (k *knowledge) awaitLists(ctx context.Context) {
+	k.awaitState(ctx, time.Now().Add(renewTimeout), func(s knowledgeState) bool { return s.lists || s.run == 0 })
+}
+
+func (k *knowledge) awaitState(ctx context.Context, until time.Time, enough func(knowledgeState) bool) (run uint64, ok bool) {
 	for {
-		run, ok, wait, changed := k.current()
-		wait = min(wait, time.Until(until))
-		if ok || wait <= 0 || ctx.Err() != nil {
-			return run, ok
+		s := k.state()
+		wait := min(s.wait, time.Until(until))
+		if enough(s) {
+			return s.run, true
+		}
+		if wait <= 0 || ctx.Err() != nil {
+			return s.run, false
 		}
 		timer := time.NewTimer(wait)
 		select {
-		case <-changed:
+		case <-s.changed:
 		case <-timer.C:
 		case <-ctx.Done():
 		}
--- a/entry/knowledge_test.go
+++ b/entry/knowledge_test.go
@@ -31,8 +31,7 @@
 
 // mayAct reports whether the process may act on what it knows.
 func (f *knowledgeFixture) mayAct() bool {
-	_, ok, _, _ := f.current()
-	return ok
+	return f.state().all()
 }
 
 // Guards against a process that resumes and acts on a view from before the pause, also after a reply that was sent before.
--- a/entry/plan_follower.go
+++ b/entry/plan_follower.go
@@ -129,8 +129,8 @@
 // Current reports whether this VM may act on its view and its lists. The number of the run of the process tells whether
 // it was paused between two calls.
 func (f *PlanFollower) Current() (run uint64, ok bool) {
-	run, ok, _, _ = f.knowledge.current()
-	return run, ok
+	state := f.knowledge.state()
+	return state.run, state.all()
 }
 
 // ViewIsCurrent reports whether this VM may act on its view, whatever it knows of its lists.
@@ -142,6 +142,9 @@
 	return f.knowledge.await(ctx, until)
 }
 
+// AwaitLists waits until this VM may act on its lists, which takes a round trip after a pause and no time otherwise.
+func (f *PlanFollower) AwaitLists(ctx context.Context) { f.knowledge.awaitLists(ctx) }
+
 // Holder returns the holder of this VM's grants.
 func (f *PlanFollower) Holder() *grant.Holder { return f.holder }
 
--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+
 	"pistachiomount.example/pistachiomount/apipb"
 )
 
@@ -9,8 +11,9 @@
 const minDomainVMs = 2
 
 // Directory returns the addresses of the entry VMs that a caller should use: those of its failure
-// domain, else of its region, else all.
-func (g *Gateway) Directory(region, failureDomain string) []string {
+// domain, else of its region, else all. After a pause it waits for the leader's list, which has lost VMs meanwhile.
+func (g *Gateway) Directory(ctx context.Context, region, failureDomain string) []string {
+	g.knowledge.AwaitLists(ctx)
 	var domain, regional, all []string
 	for _, vm := range g.servingVMs() {
 		all = append(all, vm.Address)
--- a/gateway/fake_control_test.go
+++ b/gateway/fake_control_test.go
@@ -33,6 +33,9 @@
 	state    []byte
 	// age is that of its confirmation.
 	age time.Duration
+	// fleet is the list of entry VMs, of the version fleetVersion.
+	fleet        []*apipb.Vm
+	fleetVersion uint64
 	// held makes polls and renewals wait until it is closed; nil lets them pass.
 	held chan struct{}
 	// changed is closed with the next plan.
@@ -107,7 +110,22 @@
 }
 
 func (c *fakeControl) Renew(ctx context.Context, request *apipb.RenewRequest) (*apipb.RenewReply, error) {
-	return &apipb.RenewReply{Term: 1, Sequence: request.Sequence, LeaseMs: 3000}, c.await(ctx)
+	if err := c.await(ctx); err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return &apipb.RenewReply{Term: 1, Sequence: request.Sequence, LeaseMs: 3000, FleetVersion: c.fleetVersion, Fleet: c.fleet}, nil
+}
+
+// setFleet replaces the list of entry VMs.
+func (c *fakeControl) setFleet(names ...string) {
+	c.set(func() {
+		c.fleet, c.fleetVersion = nil, c.fleetVersion+1
+		for _, name := range names {
+			c.fleet = append(c.fleet, &apipb.Vm{Name: name, Address: name, Region: "r", FailureDomain: "d", State: apipb.VmState_VM_STATE_SERVING})
+		}
+	})
 }
 
 // testGateway is a gateway with one fake control daemon, on a clock that stands still: to advance it is a pause.
--- a/gateway/knowledge.go
+++ b/gateway/knowledge.go
@@ -12,4 +12,6 @@
 	Current() (run uint64, ok bool)
 	// Await waits for that, at most until the given time.
 	Await(ctx context.Context, until time.Time) (run uint64, ok bool)
+	// AwaitLists waits until it may act on its lists, or they cannot be renewed.
+	AwaitLists(ctx context.Context)
 }
--- a/gateway/permission.go
+++ b/gateway/permission.go
@@ -58,7 +58,8 @@
 }
 
 // stillAllowed reports whether the plan in force sends the route of a request to its service for the
-// customer that its key belongs to, and allows what the route allowed. A customer that had no rate may have got one.
+// customer that its key belongs to, and allows what the route allowed, in the same regions. A customer that had no rate
+// may have got one.
 func (r *routedRequest) stillAllowed(index *plan.Index) bool {
 	route := index.Route(r.request.Host, r.request.Path)
 	if route == nil || !slices.ContainsFunc(route.Split, func(s plan.WeightedService) bool { return s.Service == r.serviceName() }) {
@@ -67,12 +68,19 @@
 	if r.route.Idempotent && !route.Idempotent {
 		return false
 	}
-	if route.Public {
-		return true
-	}
 	customer := index.Customer(r.request.Header.Get(r.gateway.cfg.Headers.Key))
-	if customer == nil {
-		return r.customer == nil && !index.KeysRequired()
+	switch {
+	case route.Public:
+		customer = nil
+		if r.customer != nil {
+			return false
+		}
+	case customer == nil:
+		if r.customer != nil || index.KeysRequired() {
+			return false
+		}
+	case customer.Name != r.customerName() || isRated(customer) && !r.permission.rated:
+		return false
 	}
-	return customer.Name == r.customerName() && (r.permission.rated || !isRated(customer))
+	return slices.Equal(allowedRegions(route, customer), r.query.Regions)
 }
--- a/gateway/resume_test.go
+++ b/gateway/resume_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 
 	"pistachiomount.example/pistachiomount/clock"
 	"pistachiomount.example/pistachiomount/gateway/ingress"
+	"pistachiomount.example/pistachiomount/inventory"
 	"pistachiomount.example/pistachiomount/plan"
 )
 
@@ -133,6 +135,8 @@
 	return k.runs[len(k.runs)-1], true
 }
 
+func (k *knowledgeOfRuns) AwaitLists(context.Context) {}
+
 // Guards against a request that is sent after a pause by what was checked before, since the pause came while its
 // connection was opened; and against refusing it though it is still allowed.
 func TestRequestIsWithheldIfThePauseCameWhileItsConnectionWasOpened(t *testing.T) {
@@ -177,3 +181,92 @@
 		is.Equal(<-statuses, http.StatusOK)
 	}
 }
+
+// Guards against a request that waits for a slot during a pause and then runs outside of the regions to which its route or
+// its customer has been bound, in a failure domain that has been evacuated, or at an upstream that has left.
+func TestWaitingRequestIsPlacedAnewAfterAPause(t *testing.T) {
+	far := func(list []string) func(*plan.Plan) { return func(p *plan.Plan) { p.Routes[0].Regions = list } }
+	for _, c := range []struct {
+		name      string
+		change    func(*plan.Plan)
+		evacuated []string
+		left      bool
+		upstream  string // where it runs
+	}{
+		{name: "route bound", change: far([]string{"far"}), upstream: "u1"},
+		{name: "customer bound", change: func(p *plan.Plan) { p.Customers[0].Regions = []string{"far"} }, upstream: "u1"},
+		{name: "evacuated", evacuated: []string{"d"}, upstream: "u1"},
+		{name: "left", left: true, upstream: "u1"},
+		{name: "nothing changed", upstream: "u0"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			u := newRecordedUpstreams(t, 2)
+			u.list[1].Region, u.list[1].FailureDomain = "far", "far-d"
+			near := func(p *plan.Plan) { p.Routes[0].Regions = []string{"r"} }
+			both := func(p *plan.Plan) { p.Routes[0].Regions = []string{"r", "far"} }
+			first, later := near, u.list
+			if c.evacuated != nil || c.left {
+				first, later = both, slices.Clone(u.list)
+				u.list[1].State = inventory.Leaving // for now
+			}
+			if c.left {
+				later = later[1:]
+			}
+			g := newTestGateway(t, u.fakeUpstreams, newTestPlan(1, "former", first))
+			free := g.fill(u)
+			request, answered := g.newRequest(movedKey), make(chan *ingress.Response, 1)
+			waiting := g.waiting()
+			go func() { answered <- g.Serve(t.Context(), request) }()
+			g.eventually(func() bool { return g.waiting() == waiting+1 })
+			release := g.hold()
+			g.clock.Advance(longPause)
+			if c.change == nil {
+				c.change = first
+			}
+			g.control.setPlan(t, newTestPlan(2, "former", c.change), c.evacuated...)
+			free()
+			time.Sleep(50 * time.Millisecond) // the request has a slot
+			g.applyList(later)
+			release()
+			is.Equal((<-answered).Status, http.StatusOK)
+			u.mu.Lock()
+			defer u.mu.Unlock()
+			is.Equal(u.at[request.Header.Get("X-Id")], c.upstream)
+		})
+	}
+}
+
+// Guards against a directory that names VMs after a pause which were lost meanwhile; and against one that does not answer
+// because the leader cannot be reached.
+func TestDirectoryNamesNoLostVMsAfterAPause(t *testing.T) {
+	is := is.New(t)
+	u := newRecordedUpstreams(t, 1)
+	g := startTestGateway(t, u.fakeUpstreams, newTestPlan(1, "former", nil), func(c *fakeControl) { c.setFleet("v", "lost") })
+	lookUp := func() []string {
+		addresses := g.Directory(t.Context(), "r", "d")
+		slices.Sort(addresses)
+		return addresses
+	}
+	g.eventually(func() bool { return g.Ready() && len(lookUp()) == 2 })
+	release := g.hold()
+	g.control.setFleet("v", "new")
+	g.clock.Advance(longPause)
+	answered := make(chan []string)
+	go func() { answered <- lookUp() }()
+	select {
+	case addresses := <-answered:
+		t.Fatalf("named %v before the list was renewed", addresses)
+	case <-time.After(50 * time.Millisecond):
+	}
+	release()
+	addresses := <-answered
+	is.True(slices.Contains(addresses, "new"))
+	is.True(!slices.Contains(addresses, "lost"))
+	g.eventually(func() bool { return slices.Equal(lookUp(), []string{"new", "v"}) })
+
+	release = g.hold()
+	defer release()
+	g.clock.Advance(longPause)
+	is.Equal(lookUp(), []string{"new"}) // not itself: it may not act on its plan
+}
--- a/gateway/routed_request.go
+++ b/gateway/routed_request.go
@@ -72,6 +72,7 @@
 func (r *routedRequest) run(ctx context.Context) *ingress.Response {
 	r.service.retries.RecordRequest(time.Now(), r.query.Urgency)
 	for {
+		run := r.permission.run
 		chosen, failed := r.acquireUpstream(ctx)
 		if failed != nil {
 			return failed
@@ -80,6 +81,11 @@
 			r.service.permits.release(chosen.ID, r.notSent())
 			return r.fail(ReasonPermissionExpired)
 		}
+		if r.permission.run != run { // chosen by the lists and evacuations from before a pause
+			r.service.permits.release(chosen.ID, r.notSent())
+			r.placeableSince = time.Now()
+			continue
+		}
 		reply := r.attempt(ctx, chosen)
 		if reply.Withheld {
 			continue
--- a/gateway/routed_request_test.go
+++ b/gateway/routed_request_test.go
@@ -92,6 +92,8 @@
 
 func (k fixedKnowledge) Await(context.Context, time.Time) (run uint64, ok bool) { return 0, k.current }
 
+func (k fixedKnowledge) AwaitLists(context.Context) {}
+
 func closeConn(w http.ResponseWriter) {
 	conn, _, err := w.(http.Hijacker).Hijack()
 	if err == nil {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -183,21 +183,27 @@
 }
 
 func (g *Gateway) query(request *ingress.Request, route *plan.Route, customer *plan.Customer) placement.Query {
-	q := placement.Query{Rank: route.Priority, Urgency: route.Priority, Regions: route.Regions}
+	q := placement.Query{Rank: route.Priority, Urgency: route.Priority, Regions: allowedRegions(route, customer)}
 	if route.Affinity {
 		if object := cookieValue(request.Header, g.cfg.Headers.ObjectCookie); object != "" {
 			q.Object = placement.ObjectHash(route.Name + "/" + object)
 		}
 	}
-	if customer != nil {
-		if customer.Priority != nil {
-			q.Rank = *customer.Priority
-		}
-		q.Regions = intersectRegions(q.Regions, customer.Regions)
+	if customer != nil && customer.Priority != nil {
+		q.Rank = *customer.Priority
 	}
 	return q
 }
 
+// allowedRegions returns the regions to which requests of a route and a customer may be sent; empty means any. The customer
+// is nil on public routes.
+func allowedRegions(route *plan.Route, customer *plan.Customer) []string {
+	if customer == nil {
+		return route.Regions
+	}
+	return intersectRegions(route.Regions, customer.Regions)
+}
+
 // noRegion matches no region; it stands for an empty intersection, since an empty list means all
 // regions.
 const noRegion = ""
--- a/gateway/start_test.go
+++ b/gateway/start_test.go
@@ -18,7 +18,7 @@
 	for range 20 {
 		is.Equal(g.Serve(t.Context(), g.newRequest(movedKey)).Status, http.StatusServiceUnavailable)
 		is.True(!g.Ready())
-		is.Equal(len(g.Directory("r", "d")), 0)
+		is.Equal(len(g.Directory(t.Context(), "r", "d")), 0)
 		time.Sleep(5 * time.Millisecond)
 	}
 	g.control.setPlan(t, newTestPlan(2, "new", nil))
