Test reads of the plan at daemons that were paused or restarted

Reads have waited for a barrier before, and passed; no test showed it for a daemon that was paused or has just started.

--- a/control/plan_read_test.go
+++ b/control/plan_read_test.go
@@ -119,3 +119,54 @@
 		})
 	}
 }
+
+// Guards against a daemon that resumes from a pause, or has just started, and answers a read with the plan from before.
+func TestResumedDaemonReadsNoOldPlan(t *testing.T) {
+	for name, interrupt := range map[string]func(*simNode) (resume func()){
+		"paused": func(n *simNode) func() {
+			n.pause(10 * time.Second)
+			return func() {}
+		},
+		"restarted": func(n *simNode) func() {
+			n.crash()
+			return n.start
+		},
+	} {
+		for _, size := range []int{1 << 10, 900 << 10} {
+			t.Run(fmt.Sprint(name, " ", size), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					simulateWith(t, 1, 3, func(b *simCluster) {
+						b.mustSubmitPlan(1, size)
+						n := b.leader()
+						resume := interrupt(n)
+						next := b.leader(n)
+						newest := longDocument(2, size)
+						b.eventually("the second plan is accepted", func() bool {
+							_, err := next.daemon.Load().SubmitPlan(b.ctx, &plan.Plan{Number: 2, Base: 1}, newest)
+							return err == nil
+						})
+						resume()
+						b.eventually("the second plan is read", func() bool { return n.readsOnly(newest) })
+					})
+				})
+			})
+		}
+	}
+}
+
+// readsOnly reads the plan and reports whether that succeeded. It fails the test if another plan was read.
+func (n *simNode) readsOnly(expected []byte) bool {
+	n.cluster.t.Helper()
+	read, err := n.daemon.Load().ReadPlan(n.cluster.ctx)
+	if err != nil {
+		return false
+	}
+	w := &slowWriter{}
+	if read.Send(w) != nil {
+		return false
+	}
+	if !bytes.Equal(w.Bytes(), expected) {
+		n.cluster.t.Error("an old plan was read")
+	}
+	return true
+}
